Ask once more between connecting and sending

Cause: a request answered not_run could still run: an attempt waits in a worker queue, in a connect or in a frozen process, and goes out later. Ruled out: asking before the call only (a connect can take its whole timeout); a token in the headers (upstreams would have to check it). Change: the body is provided by a callback that asks the decisions after the connection stands; a refusal leaves the body out, so the upstream can't run it. not_run is said only while no attempt of any stage was sent. Conclusion: what is left is a freeze between the question and the write.

--- a/packages/base/hcl.c
+++ b/packages/base/hcl.c
@@ -127,7 +127,41 @@
 	ne_set_connect_timeout(session, seconds);
 }
 
-static ne_request *make_request(ne_session *session, const struct hcl_call *call)
+/* The body on its way out. */
+struct sender {
+	const struct hcl_call *call;
+	size_t written;
+	bool asked;
+	bool refused;
+};
+
+static bool may_send(struct sender *sender)
+{
+	if (!sender->asked && sender->call->may_send)
+		sender->refused = !sender->call->may_send(sender->call->may_send_arg);
+	sender->asked = true;
+	return !sender->refused;
+}
+
+/* neon asks with room 0 to start from the beginning. */
+static ssize_t provide_body(void *arg, char *buffer, size_t room)
+{
+	struct sender *sender = arg;
+	size_t n = MIN(room, sender->call->body_len - sender->written);
+
+	if (room == 0) {
+		sender->written = 0;
+		return 0;
+	}
+	if (!may_send(sender))
+		return -1;
+	memcpy(buffer, sender->call->body + sender->written, n);
+	sender->written += n;
+	return (ssize_t)n;
+}
+
+static ne_request *make_request(ne_session *session, const struct hcl_call *call,
+				struct sender *sender)
 {
 	ne_request *request = ne_request_create(session, call->method, call->path);
 
@@ -135,7 +169,8 @@
 	for (uint32_t i = 0; i < call->n_headers; i++)
 		ne_add_request_header(request, call->headers[i].name, call->headers[i].value);
 	if (call->body)
-		ne_set_request_body_buffer(request, call->body, call->body_len);
+		ne_set_request_body_provider(request, (ne_off_t)call->body_len, provide_body,
+					     sender);
 	return request;
 }
 
@@ -194,18 +229,22 @@
 {
 	ne_session *session;
 	ne_request *request;
+	struct sender sender = {.call = call};
 	bool ok;
 	int rc;
 
 	memset(answer, 0, sizeof(*answer));
 	answer->body = g_byte_array_new();
+	/* with no body there is no later moment to ask */
+	if (call->body_len == 0 && !may_send(&sender))
+		return err_set(error, ERR_IO, "given up before it was sent");
 	session = open_session(h, call, error);
 	if (!session)
 		return false;
 	set_timeouts(session, call->timeout_ms);
-	request = make_request(session, call);
+	request = make_request(session, call, &sender);
 	rc = ne_begin_request(request);
-	answer->sent = rc != NE_CONNECT && rc != NE_LOOKUP;
+	answer->sent = !sender.refused && rc != NE_CONNECT && rc != NE_LOOKUP;
 	ok = rc == NE_OK ? read_answer(session, request, call, answer, error)
 			 : neon_error(session, rc, error);
 	if (ok && ne_end_request(request) != NE_OK)
--- a/packages/base/include/base/hcl.h
+++ b/packages/base/include/base/hcl.h
@@ -18,6 +18,12 @@
 	const char *value;
 };
 
+/*
+ * Asked after the connection stands and before the first byte of the body is written; false gives
+ * the call up. Without its whole body a request does not run, so nothing ran then.
+ */
+typedef bool (*hcl_send_fn)(void *arg);
+
 /* Called for each block of the answer's body; false ends the call with ERR_IO. */
 typedef bool (*hcl_block_fn)(void *arg, const char *data, size_t len);
 
@@ -33,13 +39,15 @@
 	bool idempotent;       /* false: a fresh connection, and never sent again by the library */
 	hcl_block_fn on_block; /* NULL: the body is collected */
 	void *on_block_arg;
+	hcl_send_fn may_send; /* NULL: always */
+	void *may_send_arg;
 	size_t max_bytes;	     /* of a collected body; 0: no bound */
 	const char *want_headers[4]; /* names of answer headers to keep */
 };
 
 struct hcl_answer {
 	int status;	  /* 0: no answer came */
-	bool sent;	  /* the first byte of the request may have been written */
+	bool sent;	  /* the whole request may have been written: it may have run */
 	GByteArray *body; /* collected body, owned */
 	char *headers[4]; /* values of want_headers, NULL when absent; owned */
 };
--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -129,7 +129,7 @@
 {
 	struct tkt_answer answer = {.outcome = ERR_OUTCOME_NOT_RUN, .code = code};
 
-	if (req->unsafe_sent || req->stream_open)
+	if (req->ran)
 		answer.outcome = ERR_OUTCOME_UNKNOWN;
 	dec_cancel_attempts(d, req, out);
 	push_refusal(out, req->id, code, answer.outcome, retry_after_ms);
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -91,8 +91,6 @@
 	up->in_flight++;
 	up->sent_since_report++;
 	stage->service->in_flight++;
-	if (!stage->idempotent)
-		req->unsafe_sent = true;
 	push_send(d, req, up, now_ms, out);
 	return true;
 }
@@ -263,8 +261,6 @@
 			   int64_t now_ms, struct dec_out *out)
 {
 	req->last_code = ev->code;
-	if (!req->stages[req->stage].idempotent && !ev->sent)
-		req->unsafe_sent = false;
 	if (outstanding(req) > 0)
 		return;
 	if (may_run_again(req, ev) && now_ms < req->deadline_at_ms &&
@@ -274,6 +270,21 @@
 	dec_refuse(d, req, ev->code, 0, out);
 }
 
+bool dec_may_send(struct dec *d, int64_t now_ms, uint64_t id, uint32_t stage, uint32_t attempt)
+{
+	struct req *req = g_hash_table_lookup(d->reqs, &id);
+	const struct bb_upstream *up;
+
+	if (!req || req->stage != stage || attempt >= req->n_attempts ||
+	    req->attempts[attempt].state != REQ_ATTEMPT_SENT || now_ms >= req->deadline_at_ms)
+		return false;
+	up = bb_upstream(&d->bb, req->attempts[attempt].upstream);
+	if (elg_check(&d->bb, up, now_ms) != ELG_OK)
+		return false;
+	req->ran = true;
+	return true;
+}
+
 void dec_handle_first_byte(struct dec *d, int64_t now_ms, const struct dec_ev_attempt *ev,
 			   struct dec_out *out)
 {
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -144,6 +144,13 @@
 /* Handles one event at now_ms; commands are appended to out. */
 void dec_handle(struct dec *d, int64_t now_ms, const struct dec_event *ev, struct dec_out *out);
 
+/*
+ * The last question before an attempt's bytes leave: still wanted, and its upstream still
+ * eligible? False for an attempt that has been given up meanwhile; the node then reports its
+ * result as not sent.
+ */
+bool dec_may_send(struct dec *d, int64_t now_ms, uint64_t req, uint32_t stage, uint32_t attempt);
+
 /* True when a configuration and a VM list are in force and it is not draining. */
 bool dec_ready(const struct dec *d);
 
--- a/packages/decide/include/decide/req.h
+++ b/packages/decide/include/decide/req.h
@@ -49,7 +49,7 @@
 	bool has_ticket;
 	struct tkt_id ticket;
 	bool stream_open;	/* bytes of the last stage already went to the caller */
-	bool unsafe_sent;	/* a non-idempotent stage was sent */
+	bool ran;		/* an attempt of any stage was sent: it may have run */
 	GSequenceIter *waiting; /* place in its service's queue, NULL when not waiting */
 	int64_t hedge_at_ms;	/* when to hedge; BB_NEVER: not */
 	int last_code;		/* failure of the last attempt */
--- a/packages/node/ups.c
+++ b/packages/node/ups.c
@@ -125,11 +125,28 @@
 	g_free(att);
 }
 
+static bool may_send(void *arg)
+{
+	const struct ups_attempt *att = arg;
+	bool ok;
+
+	pthread_mutex_lock(&att->node->lock);
+	ok = dec_may_send(att->node->dec, clk_now_ms(), att->cmd.req, att->cmd.stage,
+			  att->cmd.attempt);
+	pthread_mutex_unlock(&att->node->lock);
+	return ok;
+}
+
 void ups_send(void *arg)
 {
 	struct ups_attempt *att = arg;
 	struct reader reader = {.att = att};
-	struct hcl_call call = {.on_block = take_block, .on_block_arg = &reader};
+	struct hcl_call call = {
+		.on_block = take_block,
+		.on_block_arg = &reader,
+		.may_send = may_send,
+		.may_send_arg = att,
+	};
 	struct hcl_answer answer;
 	GError *error = NULL;
 	char path[UPS_PATH_BYTES];
