Prove at most once and not run with real processes

The judge is the emulator's log of arrivals, read after every process that may hold a copy was woken or ended.

--- a/packages/decide/tkt_text.c
+++ b/packages/decide/tkt_text.c
@@ -33,4 +33,3 @@
 		   "%s.%" G_GINT64_MODIFIER "x.%" G_GUINT64_FORMAT ".%" G_GINT64_FORMAT, id->vm,
 		   id->incarnation, id->serial, id->expires_wall_ms);
 }
-
--- a/packages/node/fwd.c
+++ b/packages/node/fwd.c
@@ -9,10 +9,10 @@
 #include <string.h>
 
 #define FWD_TICK_MS 50
-#define FWD_REPEAT_MS 100    /* until the owner has taken the request */
-#define FWD_PROBE_MS 400     /* afterwards */
-#define FWD_SILENCE_MS 2000  /* without a word of the owner its request is given up */
-#define FWD_GRACE_MS 300     /* past the deadline, so that the owner's own refusal comes first */
+#define FWD_REPEAT_MS 100   /* until the owner has taken the request */
+#define FWD_PROBE_MS 400    /* afterwards */
+#define FWD_SILENCE_MS 2000 /* without a word of the owner its request is given up */
+#define FWD_GRACE_MS 300    /* past the deadline, so that the owner's own refusal comes first */
 #define FWD_OWNERS_MAX 4096
 #define FWD_ANNOUNCE_MS 250
 #define FWD_ANNOUNCE_TIMES 3
--- a/packages/node/fwd_in.c
+++ b/packages/node/fwd_in.c
@@ -78,8 +78,7 @@
 	pthread_mutex_unlock(&in->fwd->lock);
 	/* released in between: the sender finds the successor and asks there */
 	if (hrq->outcome == ERR_OUTCOME_COMPLETE || hrq->code != ERR_OWNER_UNREACHABLE)
-		send_answer(in->fwd, in->vm, in->incarnation, in->id, &answer,
-			    hrq->retry_after_ms);
+		send_answer(in->fwd, in->vm, in->incarnation, in->id, &answer, hrq->retry_after_ms);
 	free_inbound(in);
 }
 
--- a/packages/node/rel.c
+++ b/packages/node/rel.c
@@ -175,10 +175,9 @@
 	}
 	pthread_mutex_unlock(&n->lock);
 	for (guint i = 0; i < released->len; i++)
-		fwd_learn_owner(
-			n->fwd,
-			g_array_index(released, struct rel_transfer, i).release.incarnation,
-			r->successor);
+		fwd_learn_owner(n->fwd,
+				g_array_index(released, struct rel_transfer, i).release.incarnation,
+				r->successor);
 	pthread_mutex_lock(&r->lock);
 	g_array_append_vals(r->releases, released->data, released->len);
 	pthread_mutex_unlock(&r->lock);
--- a/packages/node/rel_int.h
+++ b/packages/node/rel_int.h
@@ -25,7 +25,6 @@
 	int64_t send_at_ms;
 };
 
-
 /* Sends a release to one incarnation of a node. */
 void rel_send(struct nod *n, const char *vm, const char *address, uint64_t incarnation,
 	      const struct tkt_release *release);
--- a/packages/node/rel_msg.c
+++ b/packages/node/rel_msg.c
@@ -126,8 +126,7 @@
 static void clear_release(struct tkt_release *release)
 {
 	for (guint i = 0; i < release->records->len; i++) {
-		GBytes *body =
-			g_array_index(release->records, struct tkt_record, i).answer.body;
+		GBytes *body = g_array_index(release->records, struct tkt_record, i).answer.body;
 		if (body)
 			g_bytes_unref(body);
 	}
@@ -175,8 +174,7 @@
 {
 	pthread_mutex_lock(&r->lock);
 	for (guint i = 0; i < r->releases->len; i++) {
-		struct rel_transfer *transfer =
-			&g_array_index(r->releases, struct rel_transfer, i);
+		struct rel_transfer *transfer = &g_array_index(r->releases, struct rel_transfer, i);
 		if (transfer->release.incarnation == message->release_ack->incarnation &&
 		    message->from_incarnation == r->successor_incarnation)
 			transfer->acked = true;
--- /dev/null
+++ b/tests/proc_ticket.c
@@ -0,0 +1,276 @@
+/*
+ * At most once, and "not run" that stays true, with real processes. The judge is the emulator's
+ * log of arrivals, read when every process that might still hold a copy has been woken or has
+ * ended.
+ */
+#include "fleet.h"
+
+#include "base/clk.h"
+
+#include <check.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TEST_TIMEOUT_S 120
+#define NODES 3
+#define CALLERS 6
+#define BOOK "/v1/services/weighbridge/book"
+#define SETTLE_MS 5000 /* above the longest deadline: nothing arrives later */
+
+static struct fleet *fleet;
+
+static void set_up(void)
+{
+	fleet = fleet_new("association.yaml", NODES);
+}
+
+static void tear_down(void)
+{
+	fleet_free(fleet);
+}
+
+static int bookings(void)
+{
+	json_t *log = fleet_log(fleet);
+	int count = fleet_count(log, NULL, "book", NULL);
+
+	json_decref(log);
+	return count;
+}
+
+static void book(uint32_t node, const char *ticket, struct fleet_answer *answer)
+{
+	const struct fleet_request request = {.path = BOOK, .body = "x", .ticket = ticket};
+
+	fleet_send(fleet, node, &request, answer);
+}
+
+static void check_outcome(uint32_t node, const char *ticket, const char *outcome)
+{
+	struct fleet_answer answer;
+
+	book(node, ticket, &answer);
+	ck_assert_msg(strcmp(answer.outcome, outcome) == 0, "node %u: %s %s", node, answer.outcome,
+		      answer.body);
+	if (strcmp(outcome, "complete") == 0)
+		ck_assert_str_eq(answer.body, "weighbridge(x)");
+	else
+		ck_assert_msg(answer.ticket != NULL, "no fresh ticket: %s", answer.body);
+	fleet_answer_clear(&answer);
+}
+
+START_TEST(runs_once_wherever_it_is_sent)
+{
+	char *ticket = fleet_ticket(fleet, 1);
+
+	for (uint32_t i = 0; i < 2 * NODES; i++)
+		check_outcome(i % NODES, ticket, "complete");
+	ck_assert_int_eq(bookings(), 1);
+	g_free(ticket);
+}
+END_TEST
+
+struct caller {
+	pthread_t thread;
+	uint32_t node;
+	const char *ticket;
+	struct fleet_answer answer;
+};
+
+static void *call(void *arg)
+{
+	struct caller *caller = arg;
+
+	book(caller->node, caller->ticket, &caller->answer);
+	return NULL;
+}
+
+START_TEST(copies_at_once_share_one_run)
+{
+	char *ticket = fleet_ticket(fleet, 0);
+	struct caller callers[CALLERS] = {0};
+
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		callers[i].node = i % NODES;
+		callers[i].ticket = ticket;
+		pthread_create(&callers[i].thread, NULL, call, &callers[i]);
+	}
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		pthread_join(callers[i].thread, NULL);
+		ck_assert_str_eq(callers[i].answer.outcome, "complete");
+		ck_assert_str_eq(callers[i].answer.body, "weighbridge(x)");
+		fleet_answer_clear(&callers[i].answer);
+	}
+	ck_assert_int_eq(bookings(), 1);
+	g_free(ticket);
+}
+END_TEST
+
+START_TEST(owner_killed_and_back_is_unknown)
+{
+	char *used = fleet_ticket(fleet, 1);
+	char *unused = fleet_ticket(fleet, 1);
+
+	check_outcome(0, used, "complete");
+	fleet_signal_node(fleet, 1, SIGKILL);
+	check_outcome(0, used, "unknown");
+	check_outcome(2, unused, "unknown");
+	fleet_start_node(fleet, 1);
+	fleet_wait_ready(fleet, 1);
+	for (uint32_t i = 0; i < NODES; i++) {
+		check_outcome(i, used, "unknown");
+		check_outcome(i, unused, "unknown");
+	}
+	ck_assert_int_eq(bookings(), 1);
+	g_free(used);
+	g_free(unused);
+}
+END_TEST
+
+/* The frozen owner holds a copy and wakes: it may run it, but nobody was told otherwise. */
+START_TEST(frozen_owner_is_unknown_and_runs_once)
+{
+	char *ticket = fleet_ticket(fleet, 1);
+
+	fleet_signal_node(fleet, 1, SIGSTOP);
+	check_outcome(0, ticket, "unknown");
+	check_outcome(2, ticket, "unknown");
+	fleet_signal_node(fleet, 1, SIGCONT);
+	for (uint32_t i = 0; i < 2 * NODES; i++) {
+		struct fleet_answer answer;
+		book(i % NODES, ticket, &answer);
+		ck_assert_str_ne(answer.outcome, "");
+		fleet_answer_clear(&answer);
+	}
+	clk_sleep_ms(SETTLE_MS);
+	ck_assert_int_le(bookings(), 1);
+	g_free(ticket);
+}
+END_TEST
+
+/* Each case is refused by the owner; the ticket is used up for good, at every node. */
+static const struct {
+	const char *name;
+	const char *edit_from; /* a change of the configuration that causes the refusal */
+	const char *edit_to;
+} refusals[] = {
+	{"data centres out of service", "in_service: true}\n    - {name: zilina, region: north, "
+					"in_service: true}\n    - {name: kosice, region: east, "
+					"in_service: true}",
+	 "in_service: false}\n    - {name: zilina, region: north, in_service: false}\n"
+	 "    - {name: kosice, region: east, in_service: false}"},
+};
+
+static void raise_revision(const char *section, int to)
+{
+	char *from = g_strdup_printf("%s:\n  revision: %d", section, to - 1);
+	char *edited = g_strdup_printf("%s:\n  revision: %d", section, to);
+
+	fleet_edit_config(fleet, from, edited);
+	g_free(from);
+	g_free(edited);
+}
+
+struct wanted {
+	const char *section;
+	int revision;
+};
+
+static bool all_have(struct fleet *f, void *arg)
+{
+	const struct wanted *wanted = arg;
+	bool all = true;
+
+	for (uint32_t i = 0; i < NODES; i++) {
+		json_t *dump = fleet_dump(f, i);
+		json_t *revisions =
+			json_object_get(json_object_get(dump, "decisions"), "revisions");
+		all = all && json_integer_value(json_object_get(revisions, wanted->section)) ==
+				     wanted->revision;
+		json_decref(dump);
+	}
+	return all;
+}
+
+START_TEST(not_run_stays_true)
+{
+	char *ticket = fleet_ticket(fleet, 1);
+	struct wanted wanted = {"places", 2};
+
+	fleet_edit_config(fleet, refusals[_i].edit_from, refusals[_i].edit_to);
+	raise_revision("places", 2);
+	fleet_wait(fleet, all_have, &wanted, SETTLE_MS, refusals[_i].name);
+	check_outcome(0, ticket, "not_run");
+	fleet_edit_config(fleet, refusals[_i].edit_to, refusals[_i].edit_from);
+	raise_revision("places", 3);
+	wanted.revision = 3;
+	fleet_wait(fleet, all_have, &wanted, SETTLE_MS, refusals[_i].name);
+	for (uint32_t i = 0; i < 2 * NODES; i++)
+		check_outcome(i % NODES, ticket, "not_run");
+	clk_sleep_ms(SETTLE_MS);
+	ck_assert_int_eq(bookings(), 0);
+	g_free(ticket);
+}
+END_TEST
+
+/* The first node is frozen with a copy in its socket while the owner refuses; then it wakes. */
+START_TEST(copy_in_a_frozen_node_stays_not_run)
+{
+	char *ticket = fleet_ticket(fleet, 1);
+	const struct fleet_request expired = {
+		.path = BOOK, .body = "x", .ticket = ticket, .deadline_ms = "1"};
+	struct caller caller = {.node = 0, .ticket = ticket};
+	struct fleet_answer answer;
+
+	fleet_signal_node(fleet, 0, SIGSTOP);
+	pthread_create(&caller.thread, NULL, call, &caller);
+	fleet_send(fleet, 1, &expired, &answer);
+	bool refused = strcmp(answer.outcome, "not_run") == 0;
+	fleet_answer_clear(&answer);
+	fleet_signal_node(fleet, 0, SIGCONT);
+	pthread_join(caller.thread, NULL);
+	fleet_answer_clear(&caller.answer);
+	clk_sleep_ms(SETTLE_MS);
+	ck_assert_int_le(bookings(), refused ? 0 : 1);
+	g_free(ticket);
+}
+END_TEST
+
+/* An undisturbed fleet never answers unknown. */
+START_TEST(undisturbed_is_never_unknown)
+{
+	enum { N = 60 };
+
+	for (uint32_t i = 0; i < N; i++) {
+		char *ticket = fleet_ticket(fleet, i % NODES);
+		check_outcome((i / NODES) % NODES, ticket, "complete");
+		g_free(ticket);
+	}
+	ck_assert_int_eq(bookings(), N);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("ticket");
+	TCase *tcase = tcase_create("ticket");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_test(tcase, runs_once_wherever_it_is_sent);
+	tcase_add_test(tcase, copies_at_once_share_one_run);
+	tcase_add_test(tcase, owner_killed_and_back_is_unknown);
+	tcase_add_test(tcase, frozen_owner_is_unknown_and_runs_once);
+	tcase_add_loop_test(tcase, not_run_stays_true, 0, G_N_ELEMENTS(refusals));
+	tcase_add_test(tcase, copy_in_a_frozen_node_stays_not_run);
+	tcase_add_test(tcase, undisturbed_is_never_unknown);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
