Answer each request once, in order, and hold none to its deadline

Cause: reading the stage machine showed that a hedge's loser was not cancelled when a stream opened and could be accepted over it, that a retry without a free upstream was refused instead of waiting, that a waiting retry at its last attempt would block its queue, that a cancelled attempt's failure counted against the upstream, that an upstream moved to another service left that service's count of running requests wrong, that a tick walked all requests, that indices of an older configuration were read against the one in force, and that any stage's stream was passed to the caller.

Ruled out: a heap for the times (GSequence moves entries in place).

Change: one queue of times, in which each request stands once; flights keep the service they count for and whether they were given up; retries wait in order; the last outstanding attempt of a stream is the stream's. With it come the parts that these need: quantiles of latencies, split of deadlines, reserved shares, shedding, ejection and budgets for each service.

--- a/packages/decide/bb.c
+++ b/packages/decide/bb.c
@@ -11,10 +11,30 @@
 	g_free(up);
 }
 
+static void clear_data_centres(struct bb_service *service)
+{
+	for (uint32_t i = 0; i < service->n_dcs; i++)
+		g_ptr_array_unref(service->by_dc[i]);
+	g_free(service->by_dc);
+	service->by_dc = NULL;
+	service->n_dcs = 0;
+}
+
+static void set_data_centres(struct bb_service *service, uint32_t n)
+{
+	clear_data_centres(service);
+	service->by_dc = g_new0(GPtrArray *, n);
+	service->n_dcs = n;
+	for (uint32_t i = 0; i < n; i++)
+		service->by_dc[i] = g_ptr_array_new();
+}
+
 static void free_service(gpointer data)
 {
 	struct bb_service *service = data;
 
+	clear_data_centres(service);
+
 	g_free(service->name);
 	g_ptr_array_unref(service->upstreams);
 	g_sequence_free(service->waiting);
@@ -117,6 +137,8 @@
 {
 	struct bb_service *service = ensure_service(bb, from->name);
 
+	if (!service->by_dc)
+		set_data_centres(service, bb->cfg->places.n_data_centres);
 	service->kind = from->kind;
 	service->checks_fencing = from->checks_fencing;
 	service->cold_limit = (int32_t)from->cold_limit;
@@ -154,6 +176,7 @@
 	if (up->window == 0)
 		up->window = up->service->cold_limit;
 	g_ptr_array_add(up->service->upstreams, up);
+	g_ptr_array_add(up->service->by_dc[up->dc], up);
 }
 
 /* Marks what the list says of each upstream's VM. */
@@ -183,10 +206,13 @@
 	for (uint32_t i = 0; i < bb->services->len; i++) {
 		struct bb_service *service = g_ptr_array_index(bb->services, i);
 		g_ptr_array_set_size(service->upstreams, 0);
+		set_data_centres(service, cfg->places.n_data_centres);
+		service->capacity = 0;
 	}
 	for (uint32_t i = 0; i < bb->upstreams->len; i++) {
 		struct bb_upstream *up = g_ptr_array_index(bb->upstreams, i);
 		up->in_config = false;
+		up->limit_seen = 0;
 	}
 	bb->cfg = cfg_ref(cfg);
 	bb->cfg_confirmed_ms = now_ms;
--- /dev/null
+++ b/packages/decide/ddl.c
@@ -0,0 +1,43 @@
+#include "decide/ddl.h"
+
+#define DDL_USUAL_PCT 50
+#define DDL_BEST_PCT 10
+#define DDL_SLOW_PCT 95
+#define DDL_US_PER_MS 1000
+
+static int64_t sum_us(const struct req *req, uint32_t from, uint32_t pct)
+{
+	int64_t sum = 0;
+
+	for (uint32_t i = from; i < req->n_stages; i++)
+		sum += qnt_get(&req->stages[i].service->latencies, pct);
+	return sum;
+}
+
+int64_t ddl_usual_left_ms(const struct req *req)
+{
+	return sum_us(req, req->stage, DDL_USUAL_PCT) / DDL_US_PER_MS;
+}
+
+int64_t ddl_stage_end_ms(const struct req *req)
+{
+	return req->deadline_at_ms - sum_us(req, req->stage + 1, DDL_BEST_PCT) / DDL_US_PER_MS;
+}
+
+int64_t ddl_stage_share_ms(const struct req *req, int64_t now_ms)
+{
+	const struct qnt *own = &req->stages[req->stage].service->latencies;
+	int64_t own_us = qnt_get(own, DDL_SLOW_PCT);
+
+	if (own_us == 0)
+		return -1;
+	return (req->deadline_at_ms - now_ms) * own_us / sum_us(req, req->stage, DDL_SLOW_PCT);
+}
+
+int64_t ddl_drain_ms(const struct bb_service *service, int32_t n)
+{
+	int64_t usual_us = qnt_get(&service->latencies, DDL_USUAL_PCT);
+	int32_t width = service->capacity > 0 ? service->capacity : 1;
+
+	return usual_us * n / width / DDL_US_PER_MS;
+}
--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -56,6 +56,8 @@
 
 	if (req->waiting)
 		g_sequence_remove(req->waiting);
+	if (req->wake)
+		g_sequence_remove(req->wake);
 	g_free(req);
 }
 
@@ -68,6 +70,7 @@
 	d->policy = dec_adaptive;
 	d->tickets = tkt_new(vm, incarnation);
 	d->reqs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_req);
+	d->wakes = g_sequence_new(NULL);
 	d->flights = g_hash_table_new_full(dec_flight_hash, dec_flight_equal, g_free, NULL);
 	d->joins = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 (GDestroyNotify)g_array_unref);
@@ -77,6 +80,7 @@
 void dec_free(struct dec *d)
 {
 	g_hash_table_destroy(d->reqs);
+	g_sequence_free(d->wakes);
 	g_hash_table_destroy(d->flights);
 	g_hash_table_destroy(d->joins);
 	tkt_free(d->tickets);
@@ -124,14 +128,14 @@
 	g_hash_table_remove(d->joins, &req->id);
 }
 
-void dec_refuse(struct dec *d, struct req *req, int code, int64_t retry_after_ms,
+void dec_refuse(struct dec *d, struct req *req, int code, int64_t retry_after_ms, int64_t now_ms,
 		struct dec_out *out)
 {
 	struct tkt_answer answer = {.outcome = ERR_OUTCOME_NOT_RUN, .code = code};
 
 	if (req->ran)
 		answer.outcome = ERR_OUTCOME_UNKNOWN;
-	dec_cancel_attempts(d, req, out);
+	dec_cancel_attempts(d, req, REQ_ATTEMPTS_MAX, now_ms, out);
 	push_refusal(out, req->id, code, answer.outcome, retry_after_ms);
 	end_ticket(d, req, &answer, out);
 	g_hash_table_remove(d->reqs, &req->id);
@@ -157,20 +161,21 @@
 	stage->stream = stream;
 }
 
-static void add_pipeline_stages(struct dec *d, struct req *req, const struct cfg_pipeline *from)
+static void add_pipeline_stages(struct dec *d, struct req *req, const struct cfg *cfg,
+				const struct cfg_pipeline *from)
 {
-	const struct cfg *cfg = d->bb.cfg;
-
 	for (uint32_t i = 0; i < from->n_stages && i < REQ_STAGES_MAX; i++) {
 		const struct cfg_stage *stage = &from->stages[i];
+		/* only the last stage's output is the caller's */
 		add_stage(d, req, &cfg->services.items[stage->svc], stage->call, stage->idempotent,
-			  stage->stream);
+			  stage->stream && i + 1 == from->n_stages);
 	}
 }
 
-static void add_service_stage(struct dec *d, struct req *req, const struct dec_ev_request *ev)
+static void add_service_stage(struct dec *d, struct req *req, const struct cfg *cfg,
+			      const struct dec_ev_request *ev)
 {
-	const struct cfg_service *service = &d->bb.cfg->services.items[ev->service];
+	const struct cfg_service *service = &cfg->services.items[ev->service];
 	int call = cfg_find_call(service, ev->call);
 	bool idempotent =
 		call >= 0 ? service->calls[call].idempotent : service->kind != CFG_KIND_PLAIN;
@@ -180,18 +185,18 @@
 
 static struct req *make_req(struct dec *d, int64_t now_ms, const struct dec_ev_request *ev)
 {
-	const struct cfg *cfg = d->bb.cfg;
+	const struct cfg *cfg = ev->cfg ? ev->cfg : d->bb.cfg;
 	const struct cfg_account *account = &cfg->accounts.items[ev->account];
 	struct req *req = g_new0(struct req, 1);
 	int64_t wait_ms = ev->wait_ms;
 
 	if (ev->pipeline >= 0) {
 		const struct cfg_pipeline *pipeline = &cfg->pipelines.items[ev->pipeline];
-		add_pipeline_stages(d, req, pipeline);
+		add_pipeline_stages(d, req, cfg, pipeline);
 		if (wait_ms == 0 || wait_ms > pipeline->deadline_ms)
 			wait_ms = pipeline->deadline_ms;
 	} else {
-		add_service_stage(d, req, ev);
+		add_service_stage(d, req, cfg, ev);
 	}
 	if (wait_ms == 0)
 		wait_ms = cfg->capacity.longest_ms;
@@ -256,6 +261,11 @@
 	return false;
 }
 
+static bool is_full(const struct dec *d)
+{
+	return g_hash_table_size(d->reqs) > d->bb.cfg->capacity.max_in_flight;
+}
+
 static void handle_request(struct dec *d, int64_t now_ms, const struct dec_ev_request *ev,
 			   struct dec_out *out)
 {
@@ -277,9 +287,12 @@
 		return;
 	}
 	g_hash_table_insert(d->reqs, &req->id, req);
+	dec_plan_wake(d, req, now_ms);
 	struct adm_verdict verdict = d->policy.admit->arrive(&d->bb, req, now_ms);
 	if (verdict.code != ERR_NONE)
-		dec_refuse(d, req, verdict.code, verdict.retry_after_ms, out);
+		dec_refuse(d, req, verdict.code, verdict.retry_after_ms, now_ms, out);
+	else if (is_full(d) && !dec_shed(d, req, now_ms, out))
+		dec_refuse(d, req, ERR_OVERLOADED, adm_retry_after_ms(&d->bb, req), now_ms, out);
 	else
 		dec_start_stage(d, req, now_ms, out);
 }
@@ -300,18 +313,22 @@
 	up->sent_since_report = 0;
 }
 
-static void handle_caller_gone(struct dec *d, uint64_t id, struct dec_out *out)
+static void handle_caller_gone(struct dec *d, int64_t now_ms, uint64_t id, struct dec_out *out)
 {
 	struct req *req = g_hash_table_lookup(d->reqs, &id);
 
 	/* a ticketed request runs on: its answer is kept for a repeat */
 	if (req && !req->has_ticket)
-		dec_refuse(d, req, ERR_DEADLINE_EXPIRED, 0, out);
+		dec_refuse(d, req, ERR_DEADLINE_EXPIRED, 0, now_ms, out);
 }
 
 static void set_policy(struct dec *d)
 {
+	const struct adm_ops *before = d->policy.admit;
+
 	d->policy = d->bb.cfg->routing.policy == CFG_POLICY_BASELINE ? dec_baseline : dec_adaptive;
+	if (d->policy.admit != before)
+		dec_sort_queues(d);
 }
 
 void dec_handle(struct dec *d, int64_t now_ms, const struct dec_event *ev, struct dec_out *out)
@@ -327,7 +344,7 @@
 		dec_handle_result(d, now_ms, &ev->u.attempt, out);
 		break;
 	case DEC_EV_CALLER_GONE:
-		handle_caller_gone(d, ev->u.req, out);
+		handle_caller_gone(d, now_ms, ev->u.req, out);
 		break;
 	case DEC_EV_REPORT:
 		handle_report(d, now_ms, &ev->u.report);
--- a/packages/decide/dec_int.h
+++ b/packages/decide/dec_int.h
@@ -10,6 +10,11 @@
 	uint32_t stage;
 	uint32_t attempt;
 	uint32_t upstream;
+	struct bb_service
+		*service; /* it counts for, also when a configuration moves the upstream */
+	int64_t sent_at_ms;
+	bool cancelled; /* its failure says nothing of the upstream */
+	bool withheld;	/* dec_may_send() forbade it */
 };
 
 guint dec_flight_hash(gconstpointer key);
@@ -18,11 +23,23 @@
 /* Appends a zeroed command of a type and returns it; valid until the next append. */
 struct dec_cmd *dec_push(struct dec_out *out, enum dec_cmd_type type, uint64_t req);
 
-/* Tells the upstreams of a request's outstanding attempts to drop them. */
-void dec_cancel_attempts(struct dec *d, struct req *req, struct dec_out *out);
+/* NULL when the attempt has ended or was never sent. */
+struct dec_flight *dec_find_flight(const struct dec *d, uint64_t req, uint32_t stage,
+				   uint32_t attempt);
+
+/*
+ * Sends an attempt of the current stage now; false when no upstream may take it. A hedge never
+ * goes to an upstream that was tried, nor before requests that wait.
+ */
+bool dec_send_attempt(struct dec *d, struct req *req, bool hedge, int64_t now_ms,
+		      struct dec_out *out);
+
+/* Ends a request's outstanding attempts but one (REQ_ATTEMPTS_MAX: all) and tells upstreams. */
+void dec_cancel_attempts(struct dec *d, struct req *req, uint32_t keep, int64_t now_ms,
+			 struct dec_out *out);
 
 /* Refuses a request, cancels its attempts, ends its ticket and forgets it. */
-void dec_refuse(struct dec *d, struct req *req, int code, int64_t retry_after_ms,
+void dec_refuse(struct dec *d, struct req *req, int code, int64_t retry_after_ms, int64_t now_ms,
 		struct dec_out *out);
 
 /* Ends a request whose last stage's result was accepted; body as in dec_ev_attempt. */
@@ -34,12 +51,21 @@
 /* Sends waiting requests of a service as far as its upstreams take them. */
 void dec_run_queue(struct dec *d, struct bb_service *service, int64_t now_ms, struct dec_out *out);
 
+/* Puts every queue into the order of the policy in force. */
+void dec_sort_queues(struct dec *d);
+
+/* Makes room for a request by refusing the last of a lower class; false when there is none. */
+bool dec_shed(struct dec *d, const struct req *req, int64_t now_ms, struct dec_out *out);
+
+/* Sets when the request is looked at again, from its deadline and its hedge. */
+void dec_plan_wake(struct dec *d, struct req *req, int64_t now_ms);
+
 void dec_handle_first_byte(struct dec *d, int64_t now_ms, const struct dec_ev_attempt *ev,
 			   struct dec_out *out);
 void dec_handle_result(struct dec *d, int64_t now_ms, const struct dec_ev_attempt *ev,
 		       struct dec_out *out);
 
-/* Hedges and expiry of requests; queues. */
+/* Hedges and expiry of the requests that are due; queues. */
 void dec_tick_requests(struct dec *d, int64_t now_ms, struct dec_out *out);
 
 #endif
--- /dev/null
+++ b/packages/decide/dec_send.c
@@ -0,0 +1,163 @@
+/* Attempts: sending, the last question before the bytes leave, and cancelling. */
+#include "dec_int.h"
+
+#include "decide/elg.h"
+
+#include <string.h>
+
+#define SLOW_PCT 95 /* an attempt cancelled later than this quantile counts as a failure */
+#define US_PER_MS 1000
+
+guint dec_flight_hash(gconstpointer key)
+{
+	const struct dec_flight *flight = key;
+
+	return g_int64_hash(&flight->req) * 31 + flight->stage * REQ_ATTEMPTS_MAX + flight->attempt;
+}
+
+gboolean dec_flight_equal(gconstpointer a, gconstpointer b)
+{
+	const struct dec_flight *x = a;
+	const struct dec_flight *y = b;
+
+	return x->req == y->req && x->stage == y->stage && x->attempt == y->attempt;
+}
+
+struct dec_flight *dec_find_flight(const struct dec *d, uint64_t req, uint32_t stage,
+				   uint32_t attempt)
+{
+	const struct dec_flight key = {.req = req, .stage = stage, .attempt = attempt};
+
+	return g_hash_table_lookup(d->flights, &key);
+}
+
+static void fill_ask(const struct req *req, int64_t now_ms, struct rte_ask *ask)
+{
+	memset(ask, 0, sizeof(*ask));
+	ask->service = req->stages[req->stage].service;
+	ask->left_ms = req->deadline_at_ms - now_ms;
+	ask->body_bytes = req->body_bytes;
+	ask->prefix_hash = req->prefix_hash;
+	for (uint32_t i = 0; i < req->n_attempts && ask->n_tried < RTE_TRIED_MAX; i++)
+		ask->tried[ask->n_tried++] = req->attempts[i].upstream;
+}
+
+static void push_send(struct req *req, const struct bb_upstream *up, int64_t now_ms,
+		      struct dec_out *out)
+{
+	const struct req_stage *stage = &req->stages[req->stage];
+	struct dec_cmd *cmd = dec_push(out, DEC_CMD_SEND, req->id);
+
+	cmd->stage = req->stage;
+	cmd->attempt = req->n_attempts - 1;
+	cmd->upstream = up->id;
+	g_strlcpy(cmd->address, up->address, sizeof(cmd->address));
+	g_strlcpy(cmd->service, stage->service->name, sizeof(cmd->service));
+	g_strlcpy(cmd->call, stage->call, sizeof(cmd->call));
+	cmd->idempotent = stage->idempotent;
+	cmd->stream = stage->stream;
+	cmd->rank = req->rank;
+	cmd->timeout_ms = req->deadline_at_ms - now_ms;
+}
+
+static void add_flight(struct dec *d, const struct req *req, const struct bb_upstream *up,
+		       int64_t now_ms)
+{
+	const struct dec_flight flight = {
+		.req = req->id,
+		.stage = req->stage,
+		.attempt = req->n_attempts - 1,
+		.upstream = up->id,
+		.service = req->stages[req->stage].service,
+		.sent_at_ms = now_ms,
+	};
+
+	g_hash_table_add(d->flights, g_memdup2(&flight, sizeof(flight)));
+}
+
+static struct bb_upstream *pick(struct dec *d, const struct req *req, bool hedge, int64_t now_ms)
+{
+	struct bb_upstream *up;
+	struct rte_ask ask;
+
+	fill_ask(req, now_ms, &ask);
+	up = d->policy.route->pick(&d->bb, d->policy.slots, &ask, now_ms);
+	if (up || hedge || ask.n_tried == 0)
+		return up;
+	/* a retry may go where it failed before, or it would block all who wait behind it */
+	ask.n_tried = 0;
+	return d->policy.route->pick(&d->bb, d->policy.slots, &ask, now_ms);
+}
+
+bool dec_send_attempt(struct dec *d, struct req *req, bool hedge, int64_t now_ms,
+		      struct dec_out *out)
+{
+	struct bb_service *service = req->stages[req->stage].service;
+	struct bb_upstream *up;
+
+	if (req->n_attempts == REQ_ATTEMPTS_MAX ||
+	    (hedge && g_sequence_get_length(service->waiting) > 0) ||
+	    !d->policy.admit->may_start(&d->bb, req))
+		return false;
+	up = pick(d, req, hedge, now_ms);
+	if (!up)
+		return false;
+	req->attempts[req->n_attempts++] = (struct req_attempt){
+		.state = REQ_ATTEMPT_SENT,
+		.upstream = up->id,
+		.sent_at_ms = now_ms,
+		.hedge = hedge,
+	};
+	add_flight(d, req, up, now_ms);
+	up->in_flight++;
+	up->sent_since_report++;
+	service->in_flight++;
+	push_send(req, up, now_ms, out);
+	return true;
+}
+
+bool dec_may_send(struct dec *d, int64_t now_ms, uint64_t id, uint32_t stage, uint32_t attempt)
+{
+	struct req *req = g_hash_table_lookup(d->reqs, &id);
+	struct dec_flight *flight = dec_find_flight(d, id, stage, attempt);
+
+	if (flight)
+		flight->withheld = true;
+	if (!flight || !req || req->stage != stage || attempt >= req->n_attempts ||
+	    req->attempts[attempt].state != REQ_ATTEMPT_SENT || now_ms >= req->deadline_at_ms)
+		return false;
+	if (elg_check(&d->bb, bb_upstream(&d->bb, flight->upstream), now_ms) != ELG_OK)
+		return false;
+	flight->withheld = false;
+	req->ran = true;
+	return true;
+}
+
+/* A straggler that was waited for longer than usual keeps its failure. */
+static bool is_slow(const struct dec_flight *flight, int64_t now_ms)
+{
+	int64_t slow_us = qnt_get(&flight->service->latencies, SLOW_PCT);
+
+	return slow_us > 0 && (now_ms - flight->sent_at_ms) * US_PER_MS > slow_us;
+}
+
+void dec_cancel_attempts(struct dec *d, struct req *req, uint32_t keep, int64_t now_ms,
+			 struct dec_out *out)
+{
+	for (uint32_t i = 0; i < req->n_attempts; i++) {
+		struct req_attempt *attempt = &req->attempts[i];
+		struct dec_flight *flight;
+
+		if (i == keep || attempt->state != REQ_ATTEMPT_SENT)
+			continue;
+		attempt->state = REQ_ATTEMPT_ENDED;
+		flight = dec_find_flight(d, req->id, req->stage, i);
+		flight->cancelled = !is_slow(flight, now_ms);
+		struct dec_cmd *cmd = dec_push(out, DEC_CMD_CANCEL, req->id);
+		cmd->stage = req->stage;
+		cmd->attempt = i;
+		cmd->upstream = attempt->upstream;
+		g_strlcpy(cmd->address, bb_upstream(&d->bb, attempt->upstream)->address,
+			  sizeof(cmd->address));
+	}
+}
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -1,226 +1,63 @@
-/* A request's way through its stages: attempts, retries, hedges and results. */
+/* A request's way through its stages: results, retries and what a stream's first byte decides. */
 #include "dec_int.h"
 
-#include "decide/elg.h"
-
-#include <string.h>
+#include "decide/ejc.h"
 
 #define MEAN_SHIFT 3 /* moving means weigh a new value by 1/8 */
 
-guint dec_flight_hash(gconstpointer key)
-{
-	const struct dec_flight *flight = key;
-
-	return g_int64_hash(&flight->req) * 31 + flight->stage * REQ_ATTEMPTS_MAX + flight->attempt;
-}
-
-gboolean dec_flight_equal(gconstpointer a, gconstpointer b)
-{
-	const struct dec_flight *x = a;
-	const struct dec_flight *y = b;
-
-	return x->req == y->req && x->stage == y->stage && x->attempt == y->attempt;
-}
-
 static int64_t moving_mean(int64_t mean, int64_t value)
 {
 	return mean == 0 ? value : mean + ((value - mean) >> MEAN_SHIFT);
 }
 
-static struct req_stage *current_stage(struct req *req)
-{
-	return &req->stages[req->stage];
-}
-
-static void fill_ask(const struct req *req, int64_t now_ms, struct rte_ask *ask)
-{
-	memset(ask, 0, sizeof(*ask));
-	ask->service = req->stages[req->stage].service;
-	ask->left_ms = req->deadline_at_ms - now_ms;
-	ask->body_bytes = req->body_bytes;
-	ask->prefix_hash = req->prefix_hash;
-	for (uint32_t i = 0; i < req->n_attempts && ask->n_tried < RTE_TRIED_MAX; i++)
-		ask->tried[ask->n_tried++] = req->attempts[i].upstream;
-}
-
-static void push_send(struct dec *d, struct req *req, const struct bb_upstream *up, int64_t now_ms,
-		      struct dec_out *out)
-{
-	const struct req_stage *stage = current_stage(req);
-	struct dec_cmd *cmd = dec_push(out, DEC_CMD_SEND, req->id);
-
-	cmd->stage = req->stage;
-	cmd->attempt = req->n_attempts - 1;
-	cmd->upstream = up->id;
-	g_strlcpy(cmd->address, up->address, sizeof(cmd->address));
-	g_strlcpy(cmd->service, stage->service->name, sizeof(cmd->service));
-	g_strlcpy(cmd->call, stage->call, sizeof(cmd->call));
-	cmd->idempotent = stage->idempotent;
-	cmd->stream = stage->stream;
-	cmd->rank = req->rank;
-	cmd->timeout_ms = req->deadline_at_ms - now_ms;
-}
-
-/* Sends one attempt now; false when no upstream may take it. */
-static bool send_attempt(struct dec *d, struct req *req, bool hedge, int64_t now_ms,
-			 struct dec_out *out)
-{
-	struct req_stage *stage = current_stage(req);
-	struct bb_upstream *up;
-	struct rte_ask ask;
-
-	if (req->n_attempts == REQ_ATTEMPTS_MAX)
-		return false;
-	fill_ask(req, now_ms, &ask);
-	up = d->policy.route->pick(&d->bb, d->policy.slots, &ask, now_ms);
-	if (!up)
-		return false;
-	req->attempts[req->n_attempts++] = (struct req_attempt){
-		.state = REQ_ATTEMPT_SENT,
-		.upstream = up->id,
-		.sent_at_ms = now_ms,
-		.hedge = hedge,
-	};
-	const struct dec_flight flight = {
-		.req = req->id,
-		.stage = req->stage,
-		.attempt = req->n_attempts - 1,
-		.upstream = up->id,
-	};
-	g_hash_table_add(d->flights, g_memdup2(&flight, sizeof(flight)));
-	up->in_flight++;
-	up->sent_since_report++;
-	stage->service->in_flight++;
-	push_send(d, req, up, now_ms, out);
-	return true;
-}
-
-static gint compare_waiting(gconstpointer a, gconstpointer b, gpointer data)
+static void book_latency(struct bb_upstream *up, struct bb_service *service, int64_t latency_us)
 {
-	const struct dec *d = data;
-
-	return d->policy.admit->compare(a, b);
+	up->completions++;
+	up->latency_us = moving_mean(up->latency_us, latency_us);
+	service->latency_us = moving_mean(service->latency_us, latency_us);
+	qnt_add(&service->latencies, latency_us);
 }
 
-static void enqueue(struct dec *d, struct req *req)
+/* What an end says of the upstream: nothing when this node or its caller gave the attempt up. */
+static void book_result(struct dec *d, const struct dec_flight *flight,
+			const struct dec_ev_attempt *ev, int64_t now_ms)
 {
-	if (!req->waiting)
-		req->waiting = g_sequence_insert_sorted(current_stage(req)->service->waiting, req,
-							compare_waiting, d);
-}
+	struct bb_upstream *up = bb_upstream(&d->bb, flight->upstream);
+	bool healthy = ev->code == ERR_NONE;
 
-static void dequeue(struct req *req)
-{
-	if (req->waiting)
-		g_sequence_remove(req->waiting);
-	req->waiting = NULL;
+	up->in_flight--;
+	flight->service->in_flight--;
+	if (healthy)
+		book_latency(up, flight->service, ev->latency_us);
+	if (!healthy && (flight->cancelled || flight->withheld || ev->code == ERR_OVERLOADED))
+		return;
+	d->policy.slots->ended(&d->bb, up, healthy, now_ms);
+	/* a refusal tells of load, and an ejection would only move that to the others */
+	if (ev->code != ERR_UPSTREAM_REFUSED)
+		ejc_note(&d->bb, up, healthy, now_ms);
 }
 
-static void plan_hedge(struct dec *d, struct req *req, int64_t now_ms)
+/* Takes an attempt out of the outstanding ones; false when it was not among them. */
+static bool end_flight(struct dec *d, const struct dec_ev_attempt *ev, struct dec_flight *ended)
 {
-	struct req_stage *stage = current_stage(req);
-	int64_t wait_ms = d->policy.retry->hedge_after_ms(&d->bb, stage->service);
+	struct dec_flight *flight = dec_find_flight(d, ev->req, ev->stage, ev->attempt);
 
-	req->hedge_at_ms = stage->idempotent && wait_ms >= 0 ? now_ms + wait_ms : BB_NEVER;
-}
-
-static bool try_first(struct dec *d, struct req *req, int64_t now_ms, struct dec_out *out)
-{
-	if (!send_attempt(d, req, false, now_ms, out))
+	if (!flight)
 		return false;
-	if (req->n_attempts == 1)
-		d->policy.retry->first(&d->bb, &d->budget);
-	plan_hedge(d, req, now_ms);
+	*ended = *flight;
+	g_hash_table_remove(d->flights, flight);
 	return true;
 }
 
-void dec_start_stage(struct dec *d, struct req *req, int64_t now_ms, struct dec_out *out)
-{
-	/* whoever waits already goes first */
-	if (g_sequence_get_length(current_stage(req)->service->waiting) == 0 &&
-	    try_first(d, req, now_ms, out))
-		return;
-	enqueue(d, req);
-	dec_run_queue(d, current_stage(req)->service, now_ms, out);
-}
-
-void dec_run_queue(struct dec *d, struct bb_service *service, int64_t now_ms, struct dec_out *out)
-{
-	while (g_sequence_get_length(service->waiting) > 0) {
-		struct req *req = g_sequence_get(g_sequence_get_begin_iter(service->waiting));
-		struct adm_verdict verdict = d->policy.admit->wait(&d->bb, req, now_ms);
-
-		if (verdict.code != ERR_NONE) {
-			dec_refuse(d, req, verdict.code, verdict.retry_after_ms, out);
-			continue;
-		}
-		if (!try_first(d, req, now_ms, out))
-			return;
-		dequeue(req);
-	}
-}
-
-/* Takes an attempt out of the outstanding ones; NULL when it was not among them. */
-static struct bb_upstream *end_flight(struct dec *d, const struct dec_ev_attempt *ev)
-{
-	const struct dec_flight key = {.req = ev->req, .stage = ev->stage, .attempt = ev->attempt};
-	gpointer found;
-	struct bb_upstream *up;
-
-	if (!g_hash_table_lookup_extended(d->flights, &key, &found, NULL))
-		return NULL;
-	up = bb_upstream(&d->bb, ((struct dec_flight *)found)->upstream);
-	g_hash_table_remove(d->flights, &key);
-	return up;
-}
-
 /* The request's attempt when its result still matters, else NULL. */
-static struct req_attempt *end_attempt(struct req *req, const struct dec_ev_attempt *ev)
+static struct req_attempt *find_attempt(struct req *req, const struct dec_ev_attempt *ev)
 {
 	struct req_attempt *attempt;
 
 	if (!req || ev->stage != req->stage || ev->attempt >= req->n_attempts)
 		return NULL;
 	attempt = &req->attempts[ev->attempt];
-	if (attempt->state != REQ_ATTEMPT_SENT)
-		return NULL;
-	attempt->state = REQ_ATTEMPT_ENDED;
-	return attempt;
-}
-
-static void book_result(struct dec *d, struct bb_upstream *up, const struct dec_ev_attempt *ev,
-			int64_t now_ms)
-{
-	bool healthy = ev->code == ERR_NONE;
-
-	up->in_flight--;
-	up->service->in_flight--;
-	if (healthy) {
-		up->completions++;
-		up->failures = 0;
-		up->latency_us = moving_mean(up->latency_us, ev->latency_us);
-		up->service->latency_us = moving_mean(up->service->latency_us, ev->latency_us);
-	} else if (++up->failures >= d->bb.cfg->routing.eject_failures) {
-		up->ejected_until_ms = now_ms + d->bb.cfg->routing.eject_ms;
-		up->failures = 0;
-	}
-	d->policy.slots->ended(&d->bb, up, healthy, now_ms);
-}
-
-void dec_cancel_attempts(struct dec *d, struct req *req, struct dec_out *out)
-{
-	for (uint32_t i = 0; i < req->n_attempts; i++) {
-		struct req_attempt *attempt = &req->attempts[i];
-
-		if (attempt->state != REQ_ATTEMPT_SENT)
-			continue;
-		struct dec_cmd *cmd = dec_push(out, DEC_CMD_CANCEL, req->id);
-		const struct bb_upstream *up = bb_upstream(&d->bb, attempt->upstream);
-		cmd->stage = req->stage;
-		cmd->attempt = i;
-		cmd->upstream = attempt->upstream;
-		g_strlcpy(cmd->address, up->address, sizeof(cmd->address));
-	}
+	return attempt->state == REQ_ATTEMPT_SENT ? attempt : NULL;
 }
 
 static uint32_t outstanding(const struct req *req)
@@ -239,7 +76,7 @@
 
 	cmd->stage = ev->stage;
 	cmd->attempt = ev->attempt;
-	dec_cancel_attempts(d, req, out);
+	dec_cancel_attempts(d, req, REQ_ATTEMPTS_MAX, now_ms, out);
 	if (req->stage + 1 == req->n_stages) {
 		dec_finish(d, req, ev->body, out);
 		return;
@@ -260,29 +97,18 @@
 static void handle_failure(struct dec *d, struct req *req, const struct dec_ev_attempt *ev,
 			   int64_t now_ms, struct dec_out *out)
 {
+	struct rty_budget *budget = &req->stages[req->stage].service->budget;
+
 	req->last_code = ev->code;
 	if (outstanding(req) > 0)
 		return;
 	if (may_run_again(req, ev) && now_ms < req->deadline_at_ms &&
-	    d->policy.retry->may_retry(&d->bb, &d->budget) &&
-	    send_attempt(d, req, false, now_ms, out))
+	    req->n_attempts < REQ_ATTEMPTS_MAX && d->policy.retry->may_retry(&d->bb, budget)) {
+		dec_start_stage(d, req, now_ms, out);
 		return;
-	dec_refuse(d, req, ev->code, 0, out);
-}
-
-bool dec_may_send(struct dec *d, int64_t now_ms, uint64_t id, uint32_t stage, uint32_t attempt)
-{
-	struct req *req = g_hash_table_lookup(d->reqs, &id);
-	const struct bb_upstream *up;
-
-	if (!req || req->stage != stage || attempt >= req->n_attempts ||
-	    req->attempts[attempt].state != REQ_ATTEMPT_SENT || now_ms >= req->deadline_at_ms)
-		return false;
-	up = bb_upstream(&d->bb, req->attempts[attempt].upstream);
-	if (elg_check(&d->bb, up, now_ms) != ELG_OK)
-		return false;
-	req->ran = true;
-	return true;
+	}
+	dec_refuse(d, req, now_ms < req->deadline_at_ms ? ev->code : ERR_DEADLINE_EXPIRED,
+		   adm_retry_after_ms(&d->bb, req), now_ms, out);
 }
 
 void dec_handle_first_byte(struct dec *d, int64_t now_ms, const struct dec_ev_attempt *ev,
@@ -290,13 +116,15 @@
 {
 	struct req *req = g_hash_table_lookup(d->reqs, &ev->req);
 
-	if (!req || ev->stage != req->stage || req->stream_open || !current_stage(req)->stream)
+	if (!find_attempt(req, ev) || req->stream_open || !req->stages[req->stage].stream)
 		return;
 	req->stream_open = true;
 	req->hedge_at_ms = BB_NEVER;
 	struct dec_cmd *cmd = dec_push(out, DEC_CMD_STREAM, req->id);
 	cmd->stage = ev->stage;
 	cmd->attempt = ev->attempt;
+	dec_cancel_attempts(d, req, ev->attempt, now_ms, out);
+	dec_plan_wake(d, req, now_ms);
 }
 
 static void push_drop(const struct dec_ev_attempt *ev, struct dec_out *out)
@@ -311,43 +139,22 @@
 		       struct dec_out *out)
 {
 	struct req *req = g_hash_table_lookup(d->reqs, &ev->req);
-	struct bb_upstream *up = end_flight(d, ev);
+	struct dec_flight flight;
+	struct req_attempt *attempt;
 
-	if (up)
-		book_result(d, up, ev, now_ms);
-	if (!up || !end_attempt(req, ev))
+	if (!end_flight(d, ev, &flight)) {
+		push_drop(ev, out);
+		return;
+	}
+	book_result(d, &flight, ev, now_ms);
+	attempt = find_attempt(req, ev);
+	if (attempt)
+		attempt->state = REQ_ATTEMPT_ENDED;
+	if (!attempt)
 		push_drop(ev, out);
 	else if (ev->code == ERR_NONE)
 		accept_result(d, req, ev, now_ms, out);
 	else
 		handle_failure(d, req, ev, now_ms, out);
-	if (up)
-		dec_run_queue(d, up->service, now_ms, out);
-}
-
-static void tick_request(struct dec *d, struct req *req, int64_t now_ms, struct dec_out *out)
-{
-	if (req->hedge_at_ms == BB_NEVER || now_ms < req->hedge_at_ms || req->waiting)
-		return;
-	req->hedge_at_ms = BB_NEVER;
-	if (d->policy.retry->may_hedge(&d->bb, &d->budget))
-		send_attempt(d, req, true, now_ms, out);
-}
-
-void dec_tick_requests(struct dec *d, int64_t now_ms, struct dec_out *out)
-{
-	GList *reqs = g_hash_table_get_values(d->reqs);
-
-	for (GList *at = reqs; at; at = at->next) {
-		struct req *req = at->data;
-
-		if (now_ms >= req->deadline_at_ms) {
-			dec_refuse(d, req, ERR_DEADLINE_EXPIRED, 0, out);
-		} else {
-			tick_request(d, req, now_ms, out);
-		}
-	}
-	g_list_free(reqs);
-	for (uint32_t i = 0; i < d->bb.services->len; i++)
-		dec_run_queue(d, g_ptr_array_index(d->bb.services, i), now_ms, out);
+	dec_run_queue(d, flight.service, now_ms, out);
 }
--- a/packages/decide/include/decide/adm.h
+++ b/packages/decide/include/decide/adm.h
@@ -19,12 +19,22 @@
 	const char *name;
 	/* Judges a request on arrival. */
 	struct adm_verdict (*arrive)(struct bb *bb, const struct req *req, int64_t now_ms);
-	/* Judges a request that waits for an upstream; asked again on each tick. */
+	/* Judges a request that waits for an upstream; asked again when it is due. */
 	struct adm_verdict (*wait)(struct bb *bb, const struct req *req, int64_t now_ms);
+	/* Judges a request whose current stage runs. */
+	struct adm_verdict (*run)(struct bb *bb, const struct req *req, int64_t now_ms);
+	/* May an attempt of the current stage start now, given what is kept for others? */
+	bool (*may_start)(const struct bb *bb, const struct req *req);
+	/* When the answer can't come in time any more; at most the deadline. */
+	int64_t (*give_up_at_ms)(const struct req *req);
 	/* Order of service: negative when a goes before b. */
 	int (*compare)(const struct req *a, const struct req *b);
 };
 
+/* When to come back: the time the stage's queue takes to drain, spread so that not all return at
+ * once. */
+int64_t adm_retry_after_ms(struct bb *bb, const struct req *req);
+
 extern const struct adm_ops adm_open;	  /* baseline: first come, first served, no shedding */
 extern const struct adm_ops adm_priority; /* ranks, shares, refusal of what can't be met */
 
--- a/packages/decide/include/decide/bb.h
+++ b/packages/decide/include/decide/bb.h
@@ -7,6 +7,7 @@
 #define DECIDE_BB_H
 
 #include "base/rnd.h"
+#include "decide/qnt.h"
 #include "model/cfg.h"
 #include "model/vml.h"
 
@@ -51,9 +52,17 @@
 	int64_t latency_us;   /* moving mean of healthy completions; 0: none yet */
 	int32_t failures;     /* in a row */
 	int64_t ejected_until_ms;
+	int32_t ejections;  /* in a row, without a healthy completion between */
+	int32_t limit_seen; /* what it counts for in its service's capacity */
 	uint64_t completions;
 };
 
+/* Tokens that retries and hedges cost; each first try earns a fraction of one. */
+struct rty_budget {
+	double retry_tokens;
+	double hedge_tokens;
+};
+
 /* A service and the requests that wait for one of its upstreams. */
 struct bb_service {
 	uint32_t id;
@@ -66,7 +75,13 @@
 	GPtrArray *upstreams; /* struct bb_upstream, borrowed, those in the configuration */
 	GSequence *waiting;   /* struct req, borrowed, in the order of service */
 	int64_t latency_us;   /* moving mean of a stage on it; 0: none yet */
+	struct qnt latencies; /* of whole attempts */
+	struct rty_budget budget;
+	GPtrArray **by_dc; /* upstreams by data centre, n_dcs arrays, owned */
+	uint32_t n_dcs;
 	int32_t in_flight;
+	int32_t capacity;   /* requests that this node may have at it, as last seen */
+	uint32_t refreshed; /* upstreams up to here were looked at for capacity */
 };
 
 /* Another entry node, or this one. */
@@ -88,6 +103,7 @@
 	uint64_t incarnation;
 	int64_t started_ms;
 	bool draining;
+	int32_t stage_workers; /* threads of each service's pool; 0: without bound */
 
 	struct cfg *cfg;	  /* NULL until a configuration is in force */
 	int64_t cfg_confirmed_ms; /* when the service or a peer last confirmed it */
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -31,8 +31,9 @@
 
 struct dec_ev_request {
 	uint64_t id;
-	int pipeline; /* index, or -1 */
-	int service;  /* index, or -1 */
+	const struct cfg *cfg; /* that the indices refer to, borrowed; NULL: the one in force */
+	int pipeline;	       /* index, or -1 */
+	int service;	       /* index, or -1 */
 	char call[BB_NAME_BYTES];
 	int account;	 /* index */
 	int64_t wait_ms; /* the caller's deadline; 0: the pipeline's */
@@ -131,8 +132,8 @@
 	struct bb bb;
 	struct dec_policy policy;
 	struct tkt_table *tickets;
-	struct rty_budget budget;
 	GHashTable *reqs;    /* id -> struct req, owned */
+	GSequence *wakes;    /* struct req, borrowed, by wake_at_ms */
 	GHashTable *flights; /* set of struct dec_flight, owned: attempts not yet ended */
 	GHashTable *joins;   /* running id -> GArray of uint64_t ids that wait for its answer */
 };
--- a/packages/decide/include/decide/req.h
+++ b/packages/decide/include/decide/req.h
@@ -51,6 +51,8 @@
 	bool stream_open;	/* bytes of the last stage already went to the caller */
 	bool ran;		/* an attempt of any stage was sent: it may have run */
 	GSequenceIter *waiting; /* place in its service's queue, NULL when not waiting */
+	GSequenceIter *wake;	/* place in the queue of times; NULL until the first one */
+	int64_t wake_at_ms;	/* when the request is looked at again */
 	int64_t hedge_at_ms;	/* when to hedge; BB_NEVER: not */
 	int last_code;		/* failure of the last attempt */
 };
--- a/packages/decide/include/decide/rte.h
+++ b/packages/decide/include/decide/rte.h
@@ -27,6 +27,13 @@
 				    const struct rte_ask *ask, int64_t now_ms);
 };
 
+/*
+ * Requests that this node may have at an upstream now: its limit when it is eligible, else 0.
+ * Keeps the capacity of its service up to date.
+ */
+int32_t rte_limit(struct bb *bb, const struct slt_ops *slots, struct bb_upstream *up,
+		  int64_t now_ms);
+
 extern const struct rte_ops rte_round_robin; /* baseline */
 extern const struct rte_ops rte_score;	     /* expected finish under load + price of links */
 
--- a/packages/decide/include/decide/rty.h
+++ b/packages/decide/include/decide/rty.h
@@ -8,10 +8,7 @@
 extern "C" {
 #endif
 
-struct rty_budget {
-	double retry_tokens;
-	double hedge_tokens;
-};
+struct req;
 
 struct rty_ops {
 	const char *name;
@@ -20,8 +17,8 @@
 	/* Spends from the budget; false when it is used up. */
 	bool (*may_retry)(const struct bb *bb, struct rty_budget *budget);
 	bool (*may_hedge)(const struct bb *bb, struct rty_budget *budget);
-	/* Wait after a send before a hedge; negative: never. */
-	int64_t (*hedge_after_ms)(const struct bb *bb, const struct bb_service *service);
+	/* Wait after a send before a hedge of the current stage; negative: never. */
+	int64_t (*hedge_after_ms)(const struct bb *bb, const struct req *req, int64_t now_ms);
 };
 
 extern const struct rty_ops rty_none; /* baseline: three tries, no hedge, no budget */
--- a/packages/decide/rte.c
+++ b/packages/decide/rte.c
@@ -15,11 +15,20 @@
 	return false;
 }
 
+int32_t rte_limit(struct bb *bb, const struct slt_ops *slots, struct bb_upstream *up,
+		  int64_t now_ms)
+{
+	int32_t limit = elg_check(bb, up, now_ms) == ELG_OK ? slots->limit(bb, up, now_ms) : 0;
+
+	up->service->capacity += limit - up->limit_seen;
+	up->limit_seen = limit;
+	return limit;
+}
+
 static bool may_take(struct bb *bb, const struct slt_ops *slots, const struct rte_ask *ask,
-		     const struct bb_upstream *up, int64_t now_ms)
+		     struct bb_upstream *up, int64_t now_ms)
 {
-	return !was_tried(ask, up->id) && elg_check(bb, up, now_ms) == ELG_OK &&
-	       up->in_flight < slots->limit(bb, up, now_ms);
+	return !was_tried(ask, up->id) && up->in_flight < rte_limit(bb, slots, up, now_ms);
 }
 
 static struct bb_upstream *round_robin_pick(struct bb *bb, const struct slt_ops *slots,
--- a/packages/decide/rty.c
+++ b/packages/decide/rty.c
@@ -1,7 +1,9 @@
 #include "decide/rty.h"
 
+#include "decide/ddl.h"
+
 #define RTY_TOKENS_MAX 10.0
-#define RTY_HEDGE_FACTOR 3 /* a hedge goes out after this many mean latencies */
+#define RTY_HEDGE_PCT 95 /* quantile of latencies after which a hedge goes out */
 #define RTY_US_PER_MS 1000
 
 static void none_first(const struct bb *bb, struct rty_budget *budget)
@@ -18,7 +20,7 @@
 	return false;
 }
 
-static int64_t none_hedge_after(const struct bb *bb, const struct bb_service *service)
+static int64_t none_hedge_after(const struct bb *bb, const struct req *req, int64_t now_ms)
 {
 	return -1;
 }
@@ -53,11 +55,17 @@
 	return spend(&budget->hedge_tokens);
 }
 
-static int64_t budget_hedge_after(const struct bb *bb, const struct bb_service *service)
+/* The high quantile, or the stage's share of what is left when that is less. */
+static int64_t budget_hedge_after(const struct bb *bb, const struct req *req, int64_t now_ms)
 {
-	if (service->latency_us == 0)
+	const struct bb_service *service = req->stages[req->stage].service;
+	int64_t slow_ms = qnt_get(&service->latencies, RTY_HEDGE_PCT) / RTY_US_PER_MS;
+	int64_t usual_ms = qnt_get(&service->latencies, 50) / RTY_US_PER_MS;
+	int64_t share_ms = ddl_stage_share_ms(req, now_ms);
+
+	if (share_ms < 0)
 		return -1;
-	return service->latency_us * RTY_HEDGE_FACTOR / RTY_US_PER_MS;
+	return MAX(MIN(slow_ms, share_ms), usual_ms) + 1;
 }
 
 const struct rty_ops rty_none = {
--- a/packages/node/ent.c
+++ b/packages/node/ent.c
@@ -245,9 +245,11 @@
 	struct cfg *cfg = nod_cfg(n);
 	enum err_code code = cfg ? read_request(conn, cfg, url, hrq, &ev.u.request) : ERR_NOT_READY;
 
-	cfg_unref(cfg);
-	if (code != ERR_NONE)
+	if (code != ERR_NONE) {
+		cfg_unref(cfg);
 		return refuse(conn, hrq, code);
+	}
+	ev.u.request.cfg = cfg;
 	ctr_add(CTR_REQUESTS, 1);
 	hrq->input = g_bytes_new(hrq->body->data, hrq->body->len);
 	hrq->state = HRQ_RUNNING;
@@ -255,6 +257,7 @@
 	MHD_suspend_connection(conn);
 	nod_add_req(n, hrq);
 	nod_event(n, &ev);
+	cfg_unref(cfg);
 	return MHD_YES;
 }
 
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -116,6 +116,7 @@
 	pthread_mutex_init(&n->lock, NULL);
 	pthread_mutex_init(&n->table_lock, NULL);
 	n->dec = dec_new(set->vm, set->data_centre, n->incarnation, seed, clk_now_ms());
+	n->dec->bb.stage_workers = (int32_t)set->service_threads;
 	n->reqs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, release_req);
 	n->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_pool);
 	n->http = hcl_new(set->source_address);
