--- a/packages/decide/bb.c
+++ b/packages/decide/bb.c
@@ -79,6 +79,7 @@
 	g_ptr_array_unref(bb->services);
 	cfg_unref(bb->cfg);
 	vml_free(bb->list);
+	g_free(bb->links);
 	g_free(bb->self_vm);
 	g_free(bb->self_dc);
 }
@@ -199,6 +200,30 @@
 	g_hash_table_destroy(vms);
 }
 
+static bool joins(const struct cfg_link *link, const char *a, const char *b)
+{
+	return (strcmp(link->from, a) == 0 && strcmp(link->to, b) == 0) ||
+	       (strcmp(link->from, b) == 0 && strcmp(link->to, a) == 0);
+}
+
+static void set_links(struct bb *bb)
+{
+	const struct cfg_places *places = &bb->cfg->places;
+	const char *own = bb_region(bb, bb->self_dc);
+
+	g_free(bb->links);
+	bb->links = g_new0(struct bb_link, places->n_data_centres);
+	for (uint32_t dc = 0; dc < places->n_data_centres; dc++) {
+		for (uint32_t i = 0; i < places->n_links; i++) {
+			const struct cfg_link *link = &places->links[i];
+			if (!joins(link, own, places->data_centres[dc].region))
+				continue;
+			bb->links[dc].latency_ms = link->latency_ms;
+			bb->links[dc].price_per_gb_cents = link->price_per_gb_cents;
+		}
+	}
+}
+
 void bb_set_config(struct bb *bb, struct cfg *cfg, int64_t now_ms)
 {
 	struct cfg *old = bb->cfg;
@@ -216,6 +241,7 @@
 	}
 	bb->cfg = cfg_ref(cfg);
 	bb->cfg_confirmed_ms = now_ms;
+	set_links(bb);
 	for (uint32_t i = 0; i < cfg->services.n_items; i++)
 		set_service(bb, &cfg->services.items[i]);
 	for (uint32_t i = 0; i < cfg->upstreams.n_items; i++)
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -10,9 +10,11 @@
 	return mean == 0 ? value : mean + ((value - mean) >> MEAN_SHIFT);
 }
 
-static void book_latency(struct bb_upstream *up, struct bb_service *service, int64_t latency_us)
+static void book_latency(struct bb_upstream *up, struct bb_service *service, int64_t latency_us,
+			 int64_t now_ms)
 {
 	up->completions++;
+	up->latency_at_ms = now_ms;
 	up->latency_us = moving_mean(up->latency_us, latency_us);
 	service->latency_us = moving_mean(service->latency_us, latency_us);
 	qnt_add(&service->latencies, latency_us);
@@ -28,7 +30,7 @@
 	up->in_flight--;
 	flight->service->in_flight--;
 	if (healthy)
-		book_latency(up, flight->service, ev->latency_us);
+		book_latency(up, flight->service, ev->latency_us, now_ms);
 	if (!healthy && (flight->cancelled || flight->withheld || ev->code == ERR_OVERLOADED))
 		return;
 	d->policy.slots->ended(&d->bb, up, healthy, now_ms);
--- a/packages/decide/include/decide/bb.h
+++ b/packages/decide/include/decide/bb.h
@@ -47,10 +47,11 @@
 	/* what this node does with it */
 	int32_t in_flight;
 	int32_t sent_since_report;
-	int32_t window;	      /* concurrent requests that this node allows itself; slow start */
-	int64_t window_at_ms; /* last change of window */
-	int64_t latency_us;   /* moving mean of healthy completions; 0: none yet */
-	int32_t failures;     /* in a row */
+	int32_t window;	       /* concurrent requests that this node allows itself; slow start */
+	int64_t window_at_ms;  /* last change of window */
+	int64_t latency_us;    /* moving mean of healthy completions; 0: none yet */
+	int64_t latency_at_ms; /* last change of latency_us */
+	int32_t failures;      /* in a row */
 	int64_t ejected_until_ms;
 	int32_t ejections;  /* in a row, without a healthy completion between */
 	int32_t limit_seen; /* what it counts for in its service's capacity */
@@ -84,6 +85,12 @@
 	uint32_t refreshed; /* upstreams up to here were looked at for capacity */
 };
 
+/* The way from this node to a data centre. */
+struct bb_link {
+	int64_t latency_ms; /* one way; 0 within the region */
+	int64_t price_per_gb_cents;
+};
+
 /* Another entry node, or this one. */
 struct bb_node {
 	char *vm;
@@ -116,6 +123,7 @@
 	GHashTable *upstream_by_name; /* borrowed values */
 	GPtrArray *services;	      /* struct bb_service by id, owned */
 	GHashTable *service_by_name;  /* borrowed values */
+	struct bb_link *links;	      /* by data centre, owned */
 	GHashTable *nodes;	      /* vm -> struct bb_node, owned */
 };
 
--- a/tests/prop_queue.cc
+++ b/tests/prop_queue.cc
@@ -159,12 +159,11 @@
 
 void world::list(bool leaving)
 {
-	const std::string text =
-		std::string(R"({"version": 1, "vms": [
+	const std::string text = std::string(R"({"version": 1, "vms": [
 		{"id": "n1", "role": "entry", "state": "live", "data_centre": "a"},
 		{"id": "u1", "role": "upstream", "state": "live", "data_centre": "a"},
 		{"id": "u2", "role": "upstream", "data_centre": "b", "state": ")") +
-		(leaving ? "leaving" : "live") + "\"}]}";
+				 (leaving ? "leaving" : "live") + "\"}]}";
 	GError *error = nullptr;
 	struct dec_event ev = {DEC_EV_LIST, {}};
 
@@ -243,7 +242,8 @@
 
 void world::step(int kind, int arg)
 {
-	static const char *const without[] = {"", "service: gen, address", "name: b1", "name: e2", "moved"};
+	static const char *const without[] = {"", "service: gen, address", "name: b1", "name: e2",
+					      "moved"};
 	struct dec_event ev = {DEC_EV_TICK, {}};
 
 	if (kind < 5) {
