Emulator controls are here: PUT /control/upstreams/NAME, /control/state, /control/log?since=N

Cause: tests of promises need upstreams that fail on order, and a judge that says how each arrival ended. Ruled out: knobs in the published document, which the system under test reads.

Change: settings by table (service_ms, service_ms_p99, tokens, token_ms, fail_pct, refuse, down, straggle_pct/_ms, lie_warm, report_lag_ms, drop_after_read, cut_after_bytes, odd_chunks, wrong_request, warm_after, warm_after_ms, cold_limit, warm_limit; "restart": true; name "*" is all; null gives the default back; an unknown key is 400 and changes nothing). Cold collapse, slots by priority, batching, prefix cache with late and gappy events, cancel, resume by Currantscale-Offset. Each token carries a digest of its input ("token9."), which the log names as "tag", so an answer that reached another request shows. The log is bounded; its entries gained number, change, end_ms, source, tag, ran, booking and end; since=N gives what changed after change N, so an entry comes again when it ends. Bookings are numbered and never deduplicated. fleet_upstream(f, name, json) sets all of it.

Seen on the way: MIN() drew the odd size twice, a negative copy (address sanitizer, unit_emul fault 8).

Proof: unit_emul 19 of 19 three times in a row with sanitizers, 500 streams on one upstream among them; proc_path 3 of 3; lint clean.

--- a/packages/emul/emu.c
+++ b/packages/emul/emu.c
@@ -4,17 +4,29 @@
 
 #include <string.h>
 
-#define EMU_SERVICE_MS 5
-#define EMU_TOKENS 10
-#define EMU_TOKEN_MS 2
 #define ANY_PORT "127.0.0.1:0"
 
-void emu_log(struct emu *e, json_t *entry)
+/* Conditions that wait on the clock that emu_run.c reads. */
+static void init_condition(pthread_cond_t *cond)
 {
-	json_object_set_new(entry, "t_ms", json_integer((json_int_t)clk_now_ms()));
-	pthread_mutex_lock(&e->lock);
-	json_array_append_new(e->log, entry);
-	pthread_mutex_unlock(&e->lock);
+	pthread_condattr_t attr;
+
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(cond, &attr);
+	pthread_condattr_destroy(&attr);
+}
+
+static char **list_bookings(const struct cfg_service *service)
+{
+	GPtrArray *names = g_ptr_array_new();
+
+	for (uint32_t i = 0; i < service->n_calls; i++) {
+		if (!service->calls[i].idempotent)
+			g_ptr_array_add(names, g_strdup(service->calls[i].name));
+	}
+	g_ptr_array_add(names, NULL);
+	return (char **)g_ptr_array_free(names, FALSE);
 }
 
 /* Writes the bound addresses into the document, in the order in which it names upstreams. */
@@ -47,12 +59,17 @@
 	up->name = g_strdup(from->name);
 	up->service = g_strdup(from->service);
 	up->kind = service->kind;
-	up->cold_limit = service->cold_limit;
-	up->warm_limit = service->warm_limit;
-	up->service_ms = EMU_SERVICE_MS;
-	up->tokens = EMU_TOKENS;
-	up->token_ms = EMU_TOKEN_MS;
-	up->incarnation = rnd_next(&e->rnd) | 1;
+	up->data_centre = g_strdup(from->data_centre);
+	up->cost_cents_per_k = service->cost_cents_per_k;
+	up->bookings = list_bookings(service);
+	up->set = emu_set_default;
+	up->set.cold_limit = service->cold_limit;
+	up->set.warm_limit = service->warm_limit;
+	up->rnd.state = rnd_next(&e->rnd);
+	up->incarnation = rnd_next(&up->rnd) | 1;
+	up->traffic = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	init_condition(&up->slot);
+	init_condition(&up->change);
 	g_strlcpy(up->address, from->address, sizeof(up->address));
 	pthread_mutex_init(&up->lock, NULL);
 }
@@ -112,7 +129,6 @@
 	e->vms = json_object();
 	e->vms_version = 1;
 	e->document_version = 1;
-	e->log = json_array();
 	e->rnd.state = (uint64_t)options->seed;
 	cfg = load_document(e, options->config_path, error);
 	ok = cfg && start_upstreams(e, cfg, error);
@@ -131,10 +147,19 @@
 
 static void clear_upstream(struct emu_upstream *up)
 {
+	if (!up->emu)
+		return; /* the start failed before it */
+	emu_run_stop(up);
 	if (up->daemon)
 		MHD_stop_daemon(up->daemon);
+	emu_cache_clear(&up->cache);
+	g_hash_table_destroy(up->traffic);
+	g_strfreev(up->bookings);
 	g_free(up->name);
 	g_free(up->service);
+	g_free(up->data_centre);
+	pthread_cond_destroy(&up->slot);
+	pthread_cond_destroy(&up->change);
 	pthread_mutex_destroy(&up->lock);
 }
 
@@ -146,7 +171,7 @@
 		clear_upstream(&e->upstreams[i]);
 	g_free(e->upstreams);
 	json_decref(e->vms);
-	json_decref(e->log);
+	emu_log_clear(&e->log);
 	g_free(e->document);
 	g_free(e->listen);
 	pthread_mutex_destroy(&e->lock);
--- /dev/null
+++ b/packages/emul/emu_log.c
@@ -0,0 +1,99 @@
+/* The log of arrivals: the judge in tests. Bounded; the oldest entries go first. */
+#include "base/clk.h"
+#include "emu_int.h"
+
+#define LOG_ARRIVALS_MAX 200000
+
+const char *emu_end_name(enum emu_end end)
+{
+	static const char *const names[] = {
+		[EMU_END_RUNNING] = "running",	   [EMU_END_COMPLETE] = "complete",
+		[EMU_END_REFUSED] = "refused",	   [EMU_END_FAILED] = "failed",
+		[EMU_END_CANCELLED] = "cancelled", [EMU_END_LOST] = "lost",
+		[EMU_END_DROPPED] = "dropped",	   [EMU_END_ABANDONED] = "abandoned",
+	};
+
+	return names[end];
+}
+
+static void unref(struct emu_arrival *arrival)
+{
+	if (g_atomic_int_dec_and_test(&arrival->refs))
+		g_free(arrival);
+}
+
+static void mark_changed(struct emu_log *log, struct emu_arrival *arrival)
+{
+	arrival->change = ++log->changes;
+}
+
+struct emu_arrival *emu_log_add(struct emu *e, const struct emu_arrival *from)
+{
+	struct emu_arrival *arrival = g_memdup2(from, sizeof(*from));
+
+	arrival->refs = 2; /* the log and the run */
+	arrival->t_ms = clk_now_ms();
+	pthread_mutex_lock(&e->lock);
+	arrival->number = ++e->log.numbers;
+	mark_changed(&e->log, arrival);
+	g_queue_push_tail(&e->log.arrivals, arrival);
+	if (g_queue_get_length(&e->log.arrivals) > LOG_ARRIVALS_MAX)
+		unref(g_queue_pop_head(&e->log.arrivals));
+	pthread_mutex_unlock(&e->lock);
+	return arrival;
+}
+
+void emu_log_ran(struct emu *e, struct emu_arrival *arrival, bool booking)
+{
+	pthread_mutex_lock(&e->lock);
+	arrival->ran = true;
+	if (booking)
+		arrival->booking = ++e->log.bookings;
+	mark_changed(&e->log, arrival);
+	pthread_mutex_unlock(&e->lock);
+}
+
+void emu_log_end(struct emu *e, struct emu_arrival *arrival, enum emu_end end)
+{
+	pthread_mutex_lock(&e->lock);
+	arrival->end = end;
+	arrival->end_ms = clk_now_ms();
+	mark_changed(&e->log, arrival);
+	pthread_mutex_unlock(&e->lock);
+	unref(arrival);
+}
+
+static json_t *arrival_json(const struct emu_arrival *a)
+{
+	char tag[16];
+
+	g_snprintf(tag, sizeof(tag), "%08x", a->tag);
+	return json_pack("{s:I, s:I, s:I, s:I, s:s, s:s, s:s, s:s, s:s, s:s, s:b, s:I, s:s}",
+			 "number", (json_int_t)a->number, "change", (json_int_t)a->change, "t_ms",
+			 (json_int_t)a->t_ms, "end_ms", (json_int_t)a->end_ms, "upstream",
+			 a->upstream, "call", a->call, "request", a->request, "attempt", a->attempt,
+			 "source", a->source, "tag", tag, "ran", a->ran, "booking",
+			 (json_int_t)a->booking, "end", emu_end_name(a->end));
+}
+
+json_t *emu_log_json(struct emu *e, int64_t since)
+{
+	json_t *list = json_array();
+
+	pthread_mutex_lock(&e->lock);
+	for (GList *at = e->log.arrivals.head; at; at = at->next) {
+		const struct emu_arrival *arrival = at->data;
+		if (arrival->change > since)
+			json_array_append_new(list, arrival_json(arrival));
+	}
+	pthread_mutex_unlock(&e->lock);
+	return list;
+}
+
+void emu_log_clear(struct emu_log *log)
+{
+	struct emu_arrival *arrival;
+
+	while ((arrival = g_queue_pop_head(&log->arrivals)))
+		unref(arrival);
+}
--- a/packages/emul/emu_plt.c
+++ b/packages/emul/emu_plt.c
@@ -31,16 +31,6 @@
 	return rc;
 }
 
-static enum MHD_Result answer_json(struct MHD_Connection *conn, json_t *json)
-{
-	char *text = json_dumps(json, JSON_COMPACT);
-	enum MHD_Result rc = hsv_answer(conn, 200, "application/json", text, strlen(text));
-
-	free(text);
-	json_decref(json);
-	return rc;
-}
-
 static enum MHD_Result answer_vms(struct emu *e, struct MHD_Connection *conn)
 {
 	json_t *list = json_array();
@@ -59,14 +49,6 @@
 	return rc;
 }
 
-static enum MHD_Result answer_log(struct emu *e, struct MHD_Connection *conn)
-{
-	pthread_mutex_lock(&e->lock);
-	json_t *copy = json_copy(e->log);
-	pthread_mutex_unlock(&e->lock);
-	return answer_json(conn, copy);
-}
-
 /* PUT /control/vms/ID with the VM's object adds or changes it; an empty body removes it. */
 static enum MHD_Result put_vm(struct emu *e, struct MHD_Connection *conn, const char *id,
 			      const GByteArray *body)
@@ -98,13 +80,14 @@
 			     const char *method, const GByteArray *body)
 {
 	static const char vms[] = "/control/vms/";
+	enum MHD_Result rc;
 
 	if (strcmp(url, "/v1/config") == 0)
 		return answer_config(e, conn);
 	if (strcmp(url, "/v1/vms") == 0)
 		return answer_vms(e, conn);
-	if (strcmp(url, "/control/log") == 0)
-		return answer_log(e, conn);
+	if (emu_control(e, conn, url, method, body, &rc))
+		return rc;
 	if (strcmp(url, "/control/config") == 0 && strcmp(method, "PUT") == 0)
 		return put_config(e, conn, body);
 	if (strncmp(url, vms, strlen(vms)) == 0 && strcmp(method, "PUT") == 0)
--- a/packages/emul/emu_ups.c
+++ b/packages/emul/emu_ups.c
@@ -1,124 +1,185 @@
-/* An emulated upstream: POST /v1/run/CALL, POST /v1/cancel, GET /v1/load. */
+/* An emulated upstream: POST /v1/run/CALL and /v1/cancel, GET /v1/load and /v1/cache_events. */
 #include "base/clk.h"
 #include "base/hsv.h"
 #include "emu_int.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 #include <unistd.h>
+#include <xxhash.h>
 
-#define EMU_WARM_AFTER 20 /* completions */
-#define EMU_TOKEN_BYTES 16
 #define EMU_CONNECTIONS 1024
+#define EMU_CONNECTION_BYTES (8 * 1024)
+#define EMU_PREFIX_BYTES 256 /* of the input that a prefix cache tells apart */
+#define RANK_LAST 1000
 
-struct stream {
-	struct emu_upstream *up;
-	GBytes *input;
-	int64_t next; /* token */
-};
-
-static bool is_warm(const struct emu_upstream *up)
+static const char *header(struct MHD_Connection *conn, const char *name)
 {
-	return up->completions >= EMU_WARM_AFTER;
+	const char *value = MHD_lookup_connection_value(conn, MHD_HEADER_KIND, name);
+
+	return value ? value : "";
 }
 
-static void enter(struct emu_upstream *up)
+static int64_t number_header(struct MHD_Connection *conn, const char *name, int64_t otherwise)
 {
-	pthread_mutex_lock(&up->lock);
-	up->running++;
-	if (up->running > up->most_running)
-		up->most_running = up->running;
-	if (up->running > (is_warm(up) ? up->warm_limit : up->cold_limit))
-		up->overruns++;
-	pthread_mutex_unlock(&up->lock);
+	gint64 value;
+
+	if (!g_ascii_string_to_signed(header(conn, name), 10, 0, G_MAXINT64, &value, NULL))
+		return otherwise;
+	return value;
 }
 
-static void leave(struct emu_upstream *up)
+static void fill_source(struct MHD_Connection *conn, char *text, size_t room)
 {
-	pthread_mutex_lock(&up->lock);
-	up->running--;
-	up->completions++;
-	pthread_mutex_unlock(&up->lock);
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const struct sockaddr_in *at = (const struct sockaddr_in *)info->client_addr;
+
+	inet_ntop(AF_INET, &at->sin_addr, text, (socklen_t)room);
 }
 
-static void log_arrival(struct emu_upstream *up, struct MHD_Connection *conn, const char *call)
+static void fill_arrival(struct emu_upstream *up, struct MHD_Connection *conn, const char *call,
+			 const GByteArray *body, struct emu_arrival *arrival)
 {
-	const char *request =
-		MHD_lookup_connection_value(conn, MHD_HEADER_KIND, "Currantscale-Request");
-	const char *attempt =
-		MHD_lookup_connection_value(conn, MHD_HEADER_KIND, "Currantscale-Attempt");
-
-	emu_log(up->emu,
-		json_pack("{s:s, s:s, s:s, s:s}", "upstream", up->name, "call", call, "request",
-			  request ? request : "", "attempt", attempt ? attempt : ""));
+	char direct[sizeof(arrival->source)] = "";
+
+	memset(arrival, 0, sizeof(*arrival));
+	arrival->upstream = up->name;
+	arrival->tag = (uint32_t)XXH64(body->data, body->len, 0);
+	fill_source(conn, direct, sizeof(direct));
+	g_strlcpy(arrival->source, direct, sizeof(arrival->source));
+	g_strlcpy(arrival->call, call, sizeof(arrival->call));
+	g_strlcpy(arrival->request, header(conn, "Currantscale-Request"), sizeof(arrival->request));
+	g_strlcpy(arrival->attempt, header(conn, "Currantscale-Attempt"), sizeof(arrival->attempt));
 }
 
-static ssize_t write_token(void *arg, uint64_t pos, char *buf, size_t max)
+static enum MHD_Result answer_end(struct MHD_Connection *conn, enum emu_end end)
 {
-	struct stream *stream = arg;
+	static const char text[] = "{}";
 
-	if (stream->next == stream->up->tokens)
-		return MHD_CONTENT_READER_END_OF_STREAM;
-	clk_sleep_ms(stream->up->token_ms);
-	return g_snprintf(buf, EMU_TOKEN_BYTES, "token%" G_GINT64_FORMAT "\n", stream->next++);
+	if (end == EMU_END_FAILED)
+		return hsv_answer(conn, 500, "application/json", text, strlen(text));
+	if (end == EMU_END_REFUSED)
+		return hsv_answer(conn, 503, "application/json", text, strlen(text));
+	return MHD_NO; /* closes the connection */
 }
 
-static void end_stream(void *arg)
+static enum MHD_Result queue_answer(struct emu_upstream *up, struct MHD_Connection *conn,
+				    struct emu_run *run, const struct emu_set *set,
+				    const GByteArray *body)
 {
-	struct stream *stream = arg;
+	int64_t offset = number_header(conn, "Currantscale-Offset", 0);
+	char *id = g_strdup_printf("%s%s", run->arrival->request, set->wrong_request ? "x" : "");
+	struct MHD_Response *response = emu_answer_new(run, body, offset);
+	enum MHD_Result rc;
 
-	leave(stream->up);
-	g_free(stream);
+	MHD_add_response_header(response, "Currantscale-Request", id);
+	rc = MHD_queue_response(conn, MHD_HTTP_OK, response);
+	MHD_destroy_response(response);
+	g_free(id);
+	return rc;
 }
 
-static struct MHD_Response *make_response(struct emu_upstream *up, GByteArray *body)
+static enum MHD_Result answer_run(struct emu_upstream *up, struct MHD_Connection *conn,
+				  const char *call, const GByteArray *body)
 {
-	struct MHD_Response *response;
+	uint64_t prefix = XXH64(body->data, MIN(body->len, EMU_PREFIX_BYTES), 0);
+	int64_t rank = number_header(conn, "Currantscale-Priority", RANK_LAST);
+	enum emu_end end = EMU_END_DROPPED;
+	struct emu_arrival arrival;
+	struct emu_run *run;
+	struct emu_set set;
 
-	if (up->kind == CFG_KIND_ENGINE) {
-		struct stream *stream = g_new0(struct stream, 1);
-		stream->up = up;
-		return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 1024, write_token,
-							 stream, end_stream);
+	pthread_mutex_lock(&up->lock);
+	set = up->set;
+	pthread_mutex_unlock(&up->lock);
+	fill_arrival(up, conn, call, body, &arrival);
+	emu_count_bytes(up, arrival.source, body->len, 0);
+	run = emu_run_begin(up, &arrival, rank);
+	if (set.refuse) {
+		end = EMU_END_REFUSED;
+	} else if (emu_run_work(run, prefix, &end) && !set.drop_after_read) {
+		return queue_answer(up, conn, run, &set, body);
 	}
-	char *text = g_strdup_printf("%s(%.*s)", up->service, (int)body->len,
-				     body->data ? (const char *)body->data : "");
-	response = MHD_create_response_from_buffer(strlen(text), text, MHD_RESPMEM_MUST_COPY);
-	g_free(text);
-	leave(up);
-	return response;
+	emu_run_end(run, end);
+	return answer_end(conn, end);
 }
 
-static enum MHD_Result answer_run(struct emu_upstream *up, struct MHD_Connection *conn,
-				  const char *call, GByteArray *body)
+static enum MHD_Result answer_json(struct MHD_Connection *conn, json_t *json)
 {
-	const char *request =
-		MHD_lookup_connection_value(conn, MHD_HEADER_KIND, "Currantscale-Request");
-	struct MHD_Response *response;
-	enum MHD_Result rc;
+	char *text = json_dumps(json, JSON_COMPACT);
+	enum MHD_Result rc = hsv_answer(conn, 200, "application/json", text, strlen(text));
 
-	log_arrival(up, conn, call);
-	enter(up);
-	clk_sleep_ms(up->service_ms);
-	response = make_response(up, body);
-	if (request)
-		MHD_add_response_header(response, "Currantscale-Request", request);
-	rc = MHD_queue_response(conn, MHD_HTTP_OK, response);
-	MHD_destroy_response(response);
+	free(text);
+	json_decref(json);
 	return rc;
 }
 
+/* up->lock held */
+static void refresh_report(struct emu_upstream *up)
+{
+	int64_t now_ms = clk_now_ms();
+
+	if (up->shown.at_ms > 0 && now_ms < up->shown.at_ms + up->set.report_lag_ms)
+		return;
+	up->shown = (struct emu_report){
+		.at_ms = now_ms,
+		.incarnation = up->incarnation,
+		.warm = emu_is_warm(up),
+		.running = up->running,
+		.queued = up->running - up->active,
+	};
+}
+
 static enum MHD_Result answer_load(struct emu_upstream *up, struct MHD_Connection *conn)
 {
-	char text[256];
+	char incarnation[24];
+	json_t *json;
 
 	pthread_mutex_lock(&up->lock);
-	g_snprintf(text, sizeof(text),
-		   "{\"incarnation\":\"%" G_GINT64_MODIFIER "x\",\"warm\":%s,\"running\":%d,"
-		   "\"queued\":0,\"most_running\":%d,\"overruns\":%d}",
-		   up->incarnation, is_warm(up) ? "true" : "false", (int)up->running,
-		   (int)up->most_running, (int)up->overruns);
+	refresh_report(up);
+	g_snprintf(incarnation, sizeof(incarnation), "%" G_GINT64_MODIFIER "x",
+		   up->shown.incarnation);
+	json = json_pack("{s:s, s:b, s:I, s:I, s:I, s:I}", "incarnation", incarnation, "warm",
+			 up->shown.warm || up->set.lie_warm, "running",
+			 (json_int_t)up->shown.running, "queued", (json_int_t)up->shown.queued,
+			 "most_running", (json_int_t)up->counts.most_running, "overruns",
+			 (json_int_t)up->counts.overruns);
 	pthread_mutex_unlock(&up->lock);
-	return hsv_answer(conn, 200, "application/json", text, strlen(text));
+	return answer_json(conn, json);
+}
+
+static enum MHD_Result answer_cache_events(struct emu_upstream *up, struct MHD_Connection *conn)
+{
+	const char *text = MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "since");
+	json_t *json;
+
+	pthread_mutex_lock(&up->lock);
+	json = emu_cache_events(up, text ? g_ascii_strtoll(text, NULL, 10) : 0);
+	pthread_mutex_unlock(&up->lock);
+	return answer_json(conn, json);
+}
+
+static enum MHD_Result answer_cancel(struct emu_upstream *up, struct MHD_Connection *conn)
+{
+	emu_run_cancel(up, header(conn, "Currantscale-Request"),
+		       header(conn, "Currantscale-Attempt"));
+	return hsv_answer(conn, 200, "application/json", "{}", 2);
+}
+
+static bool is_down(struct emu_upstream *up)
+{
+	bool down;
+
+	pthread_mutex_lock(&up->lock);
+	down = up->set.down;
+	pthread_mutex_unlock(&up->lock);
+	return down;
+}
+
+static enum MHD_Result accept_client(void *arg, const struct sockaddr *at, socklen_t len)
+{
+	return is_down(arg) ? MHD_NO : MHD_YES;
 }
 
 static enum MHD_Result handle(void *arg, struct MHD_Connection *conn, const char *url,
@@ -131,7 +192,7 @@
 
 	if (!body) {
 		*state = g_byte_array_new();
-		return MHD_YES;
+		return is_down(up) ? MHD_NO : MHD_YES;
 	}
 	if (*len > 0) {
 		g_byte_array_append(body, (const guint8 *)data, (guint)*len);
@@ -143,7 +204,9 @@
 	if (strcmp(url, "/v1/load") == 0)
 		return answer_load(up, conn);
 	if (strcmp(url, "/v1/cancel") == 0)
-		return hsv_answer(conn, 200, "application/json", "{}", 2);
+		return answer_cancel(up, conn);
+	if (strcmp(url, "/v1/cache_events") == 0)
+		return answer_cache_events(up, conn);
 	return hsv_answer(conn, 404, "text/plain", "", 0);
 }
 
@@ -164,8 +227,10 @@
 	hsv_bound_address(fd, up->address);
 	up->daemon = MHD_start_daemon(
 		MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, 0,
-		NULL, NULL, handle, up, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED,
-		completed, up, MHD_OPTION_CONNECTION_LIMIT, EMU_CONNECTIONS, MHD_OPTION_END);
+		accept_client, up, handle, up, MHD_OPTION_LISTEN_SOCKET, fd,
+		MHD_OPTION_NOTIFY_COMPLETED, completed, up, MHD_OPTION_CONNECTION_LIMIT,
+		EMU_CONNECTIONS, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)EMU_CONNECTION_BYTES,
+		MHD_OPTION_END);
 	if (!up->daemon) {
 		close(fd);
 		return err_set(error, ERR_IO, "the listener of %s does not start", up->name);
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -321,6 +321,16 @@
 	return json;
 }
 
+void fleet_upstream(struct fleet *f, const char *name, const char *json)
+{
+	char *path = g_strdup_printf("/control/upstreams/%s", name);
+	json_t *parsed = json_loads(json, 0, NULL);
+
+	ck_assert_msg(parsed != NULL, "%s is no JSON", json);
+	fleet_control(f, path, parsed);
+	g_free(path);
+}
+
 json_t *fleet_log(struct fleet *f)
 {
 	return fleet_get_json(f, f->platform, "/control/log");
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -90,6 +90,9 @@
 /* PUT of JSON to a control of the emulator; takes json. */
 void fleet_control(struct fleet *f, const char *path, json_t *json);
 
+/* Changes settings or faults of an emulated upstream ("*": of all); json as text. */
+void fleet_upstream(struct fleet *f, const char *name, const char *json);
+
 /* The emulator's log of arrivals; the caller drops the reference. */
 json_t *fleet_log(struct fleet *f);
 
--- /dev/null
+++ b/tests/unit_emul.c
@@ -0,0 +1,397 @@
+/* The emulator alone: every control does what it says, and the log and counters tell of it. */
+#include "base/clk.h"
+#include "base/hcl.h"
+#include "emul/emu.h"
+
+#include <check.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALL_MS 10000
+#define STREAMS 500
+#define BODY_OF_X "encoder(x)"
+#define TEST_TIMEOUT_S 120
+
+static struct emu *emu;
+static struct hcl *http;
+
+static void set_up(void)
+{
+	const struct emu_options options = {
+		.config_path = CS_EXAMPLES "/association.yaml",
+		.listen = "127.0.0.1:0",
+		.seed = 1,
+	};
+
+	emu = emu_new(&options, NULL);
+	ck_assert_ptr_nonnull(emu);
+	http = hcl_new("127.0.1.9");
+}
+
+static void tear_down(void)
+{
+	hcl_free(http);
+	emu_free(emu);
+}
+
+static bool call(const char *method, const char *address, const char *path, const char *body,
+		 struct hcl_answer *answer)
+{
+	const struct hcl_call call = {
+		.method = method,
+		.address = address,
+		.path = path,
+		.body = body,
+		.body_len = body ? strlen(body) : 0,
+		.timeout_ms = CALL_MS,
+		.headers = {{"Currantscale-Request", "r1"}, {"Currantscale-Attempt", "0"}},
+		.n_headers = 2,
+		.want_headers = {"Currantscale-Request"},
+	};
+
+	return hcl_do(http, &call, answer, NULL);
+}
+
+static json_t *get_json(const char *path)
+{
+	struct hcl_answer answer;
+	json_t *json;
+
+	ck_assert(call("GET", emu_address(emu), path, NULL, &answer));
+	json = json_loadb((const char *)answer.body->data, answer.body->len, 0, NULL);
+	hcl_answer_clear(&answer);
+	return json;
+}
+
+static int control(const char *name, const char *json)
+{
+	char *path = g_strdup_printf("/control/upstreams/%s", name);
+	struct hcl_answer answer;
+	int status;
+
+	call("PUT", emu_address(emu), path, json, &answer);
+	status = answer.status;
+	hcl_answer_clear(&answer);
+	g_free(path);
+	return status;
+}
+
+/* The addresses stand in the document that the emulator publishes. */
+static char *address_of(const char *name)
+{
+	struct hcl_answer answer;
+	char *quoted;
+
+	ck_assert(call("GET", emu_address(emu), "/v1/config", NULL, &answer));
+	g_byte_array_append(answer.body, (const guint8 *)"", 1);
+	quoted = g_strdup_printf("{name: %s,", name);
+	const char *line = strstr((const char *)answer.body->data, quoted);
+	const char *from = strstr(line, "address: \"") + strlen("address: \"");
+	char *address = g_strndup(from, strcspn(from, "\""));
+	hcl_answer_clear(&answer);
+	g_free(quoted);
+	return address;
+}
+
+static bool run(const char *name, struct hcl_answer *answer)
+{
+	char *address = address_of(name);
+	bool ok = call("POST", address, "/v1/run/run", "x", answer);
+
+	g_byte_array_append(answer->body, (const guint8 *)"", 1);
+	g_free(address);
+	return ok;
+}
+
+static int64_t state_of(const char *name, const char *key)
+{
+	json_t *state = get_json("/control/state");
+	json_t *up = json_object_get(json_object_get(state, "upstreams"), name);
+	int64_t value = json_integer_value(json_object_get(up, key));
+
+	json_decref(state);
+	return value;
+}
+
+static json_t *last_arrival(json_t *log)
+{
+	return json_array_get(log, json_array_size(log) - 1);
+}
+
+static const char *text_of(json_t *entry, const char *key)
+{
+	return json_string_value(json_object_get(entry, key));
+}
+
+static const struct {
+	const char *upstream;
+	const char *control;
+	bool ok; /* a whole answer came */
+	int status;
+	const char *body; /* a part of it */
+	const char *end;  /* in the log */
+	bool ran;
+} faults[] = {
+	{"encoder-1", "{}", true, 200, BODY_OF_X, "complete", true},
+	{"encoder-1", "{\"odd_chunks\":true}", true, 200, BODY_OF_X, "complete", true},
+	{"encoder-1", "{\"fail_pct\":100}", true, 500, "", "failed", true},
+	{"encoder-1", "{\"refuse\":true}", true, 503, "", "refused", false},
+	{"encoder-1", "{\"drop_after_read\":true}", false, 0, "", "dropped", true},
+	{"encoder-1", "{\"cut_after_bytes\":0}", false, 200, "", "dropped", true},
+	{"encoder-1", "{\"cut_after_bytes\":3}", false, 200, "enc", "dropped", true},
+	{"chat-1", "{}", true, 200, "token9", "complete", true},
+	{"chat-1", "{\"tokens\":3,\"odd_chunks\":true}", true, 200, "token2", "complete", true},
+	{"chat-1", "{\"cut_after_bytes\":20}", false, 200, "\ntoke", "dropped", true},
+};
+
+START_TEST(fault)
+{
+	struct hcl_answer answer;
+	bool ok;
+
+	ck_assert_int_eq(control(faults[_i].upstream, faults[_i].control), 200);
+	ok = run(faults[_i].upstream, &answer);
+	ck_assert_int_eq(ok, faults[_i].ok);
+	ck_assert_int_eq(answer.status, faults[_i].status);
+	ck_assert_ptr_nonnull(strstr((const char *)answer.body->data, faults[_i].body));
+	json_t *log = get_json("/control/log");
+	json_t *entry = last_arrival(log);
+	ck_assert_int_eq(json_array_size(log), 1);
+	ck_assert_str_eq(text_of(entry, "end"), faults[_i].end);
+	ck_assert_str_eq(text_of(entry, "source"), "127.0.1.9");
+	ck_assert_int_eq(json_is_true(json_object_get(entry, "ran")), faults[_i].ran);
+	json_decref(log);
+	hcl_answer_clear(&answer);
+}
+END_TEST
+
+START_TEST(down_closes_connections)
+{
+	struct hcl_answer answer;
+
+	control("encoder-1", "{\"down\":true}");
+	ck_assert(!run("encoder-1", &answer));
+	ck_assert_int_eq(answer.status, 0);
+	hcl_answer_clear(&answer);
+	ck_assert_int_eq(state_of("encoder-1", "arrivals"), 0);
+	control("encoder-1", "{\"down\":false}");
+	ck_assert(run("encoder-1", &answer));
+	hcl_answer_clear(&answer);
+}
+END_TEST
+
+START_TEST(unknown_controls_are_refused)
+{
+	ck_assert_int_eq(control("encoder-1", "{\"sevice_ms\":1}"), 400);
+	ck_assert_int_eq(control("encoder-1", "{\"service_ms\":\"1\"}"), 400);
+	ck_assert_int_eq(control("none", "{}"), 404);
+	ck_assert_int_eq(control("*", "{\"service_ms\":7}"), 200);
+	ck_assert_int_eq(state_of("chat-9", "service_ms"), 7);
+}
+END_TEST
+
+static void *run_chat(void *arg)
+{
+	struct hcl_answer *answer = arg;
+
+	return GINT_TO_POINTER(run("chat-1", answer));
+}
+
+static void wait_for_running(const char *name, int64_t n)
+{
+	int64_t until_ms = clk_now_ms() + CALL_MS;
+
+	while (state_of(name, "running") != n) {
+		ck_assert_int_lt(clk_now_ms(), until_ms);
+		clk_sleep_ms(5);
+	}
+}
+
+static const struct {
+	bool cancel; /* else restart */
+	const char *end;
+} breaks[] = {{true, "cancelled"}, {false, "lost"}};
+
+START_TEST(running_stream_ends)
+{
+	struct hcl_answer answer;
+	struct hcl_answer got;
+	pthread_t thread;
+	void *ok;
+
+	control("chat-1", "{\"tokens\":1000,\"token_ms\":50}");
+	pthread_create(&thread, NULL, run_chat, &answer);
+	wait_for_running("chat-1", 1);
+	if (breaks[_i].cancel) {
+		char *address = address_of("chat-1");
+		ck_assert(call("POST", address, "/v1/cancel", "", &got));
+		hcl_answer_clear(&got);
+		g_free(address);
+	} else {
+		control("chat-1", "{\"restart\":true}");
+	}
+	pthread_join(thread, &ok);
+	ck_assert_int_eq(GPOINTER_TO_INT(ok), 0);
+	hcl_answer_clear(&answer);
+	json_t *log = get_json("/control/log");
+	ck_assert_str_eq(text_of(last_arrival(log), "end"), breaks[_i].end);
+	json_decref(log);
+	ck_assert_int_eq(state_of("chat-1", "running"), 0);
+}
+END_TEST
+
+START_TEST(restart_is_cold_again)
+{
+	struct hcl_answer answer;
+	char before[32];
+	char *address = address_of("encoder-1");
+
+	control("encoder-1", "{\"warm_after\":1}");
+	run("encoder-1", &answer);
+	hcl_answer_clear(&answer);
+	for (int restarted = 0; restarted < 2; restarted++) {
+		call("GET", address, "/v1/load", NULL, &answer);
+		json_t *load =
+			json_loadb((const char *)answer.body->data, answer.body->len, 0, NULL);
+		ck_assert_int_eq(json_is_true(json_object_get(load, "warm")), !restarted);
+		if (restarted)
+			ck_assert_str_ne(text_of(load, "incarnation"), before);
+		g_strlcpy(before, text_of(load, "incarnation"), sizeof(before));
+		json_decref(load);
+		hcl_answer_clear(&answer);
+		control("encoder-1", "{\"restart\":true}");
+	}
+	g_free(address);
+}
+END_TEST
+
+START_TEST(bookings_are_numbered_and_not_deduplicated)
+{
+	char *address = address_of("weighbridge-1");
+	struct hcl_answer answer;
+
+	for (int i = 0; i < 2; i++) {
+		ck_assert(call("POST", address, "/v1/run/book", "x", &answer));
+		hcl_answer_clear(&answer);
+	}
+	json_t *log = get_json("/control/log");
+	for (int i = 0; i < 2; i++)
+		ck_assert_int_eq(json_integer_value(json_object_get(json_array_get(log, (size_t)i),
+								    "booking")),
+				 i + 1);
+	/* what was read is not read again, and the path is the same for an empty rest */
+	json_int_t change = json_integer_value(json_object_get(last_arrival(log), "change"));
+	json_decref(log);
+	char *path = g_strdup_printf("/control/log?since=%" JSON_INTEGER_FORMAT, change);
+	log = get_json(path);
+	ck_assert_int_eq(json_array_size(log), 0);
+	json_decref(log);
+	ck_assert_int_eq(state_of("weighbridge-1", "bookings"), 2);
+	g_free(path);
+	g_free(address);
+}
+END_TEST
+
+START_TEST(resume_gives_the_rest)
+{
+	char *address = address_of("chat-1");
+	struct hcl_answer whole;
+	struct hcl_answer rest;
+	struct hcl_call resume = {
+		.method = "POST",
+		.address = address,
+		.path = "/v1/run/run",
+		.body = "x",
+		.body_len = 1,
+		.timeout_ms = CALL_MS,
+		.headers = {{"Currantscale-Offset", "33"}},
+		.n_headers = 1,
+	};
+
+	ck_assert(call("POST", address, "/v1/run/run", "x", &whole));
+	ck_assert(hcl_do(http, &resume, &rest, NULL));
+	ck_assert_uint_eq(rest.body->len, whole.body->len - 33);
+	ck_assert_mem_eq(rest.body->data, whole.body->data + 33, rest.body->len);
+	hcl_answer_clear(&whole);
+	hcl_answer_clear(&rest);
+	g_free(address);
+}
+END_TEST
+
+struct many {
+	const char *address;
+	gint whole;
+};
+
+static void *run_stream(void *arg)
+{
+	struct many *many = arg;
+	struct hcl_answer answer;
+
+	if (call("POST", many->address, "/v1/run/run", "x", &answer))
+		g_atomic_int_inc(&many->whole);
+	hcl_answer_clear(&answer);
+	return NULL;
+}
+
+START_TEST(many_streams_at_once)
+{
+	char *address = address_of("chat-1");
+	struct many many = {.address = address};
+	pthread_t threads[STREAMS];
+
+	control("chat-1", "{\"warm_limit\":1000,\"cold_limit\":1000,\"tokens\":10,"
+			  "\"token_ms\":100}");
+	for (int i = 0; i < STREAMS; i++)
+		pthread_create(&threads[i], NULL, run_stream, &many);
+	for (int i = 0; i < STREAMS; i++)
+		pthread_join(threads[i], NULL);
+	ck_assert_int_eq(many.whole, STREAMS);
+	ck_assert_int_eq(state_of("chat-1", "complete"), STREAMS);
+	ck_assert_int_gt(state_of("chat-1", "most_running"), STREAMS / 2);
+	g_free(address);
+}
+END_TEST
+
+START_TEST(cold_overload_fails_and_is_counted)
+{
+	char *address = address_of("chat-1");
+	struct many many = {.address = address};
+	pthread_t threads[10];
+
+	control("chat-1", "{\"service_ms\":50}");
+	for (int i = 0; i < 10; i++)
+		pthread_create(&threads[i], NULL, run_stream, &many);
+	for (int i = 0; i < 10; i++)
+		pthread_join(threads[i], NULL);
+	ck_assert_int_gt(state_of("chat-1", "overruns"), 0);
+	ck_assert_int_gt(state_of("chat-1", "failed"), 0);
+	g_free(address);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("emul");
+	TCase *tcase = tcase_create("emul");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_loop_test(tcase, fault, 0, G_N_ELEMENTS(faults));
+	tcase_add_test(tcase, down_closes_connections);
+	tcase_add_test(tcase, unknown_controls_are_refused);
+	tcase_add_loop_test(tcase, running_stream_ends, 0, G_N_ELEMENTS(breaks));
+	tcase_add_test(tcase, restart_is_cold_again);
+	tcase_add_test(tcase, bookings_are_numbered_and_not_deduplicated);
+	tcase_add_test(tcase, resume_gives_the_rest);
+	tcase_add_test(tcase, many_streams_at_once);
+	tcase_add_test(tcase, cold_overload_fails_and_is_counted);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
