--- a/packages/node/dmp.c
+++ b/packages/node/dmp.c
@@ -68,6 +68,33 @@
 	return json;
 }
 
+static uint64_t held_by(struct hrq *hrq)
+{
+	uint64_t bytes;
+
+	pthread_mutex_lock(&hrq->lock);
+	bytes = hrq->body->len;
+	for (guint i = 0; i < hrq->attempts->len; i++)
+		bytes += ((struct hrq_attempt *)g_ptr_array_index(hrq->attempts, i))->out->len;
+	pthread_mutex_unlock(&hrq->lock);
+	return bytes;
+}
+
+/* Bytes of bodies and answers that open requests hold. */
+static uint64_t held_bytes(struct nod *n)
+{
+	uint64_t bytes = 0;
+	GHashTableIter iter;
+	gpointer hrq;
+
+	pthread_mutex_lock(&n->table_lock);
+	g_hash_table_iter_init(&iter, n->reqs);
+	while (g_hash_table_iter_next(&iter, NULL, &hrq))
+		bytes += held_by(hrq);
+	pthread_mutex_unlock(&n->table_lock);
+	return bytes;
+}
+
 static json_t *dump_decisions(struct nod *n)
 {
 	const struct bb *bb = &n->dec->bb;
@@ -95,9 +122,9 @@
 	pthread_mutex_lock(&n->lock);
 	decisions = dump_decisions(n);
 	pthread_mutex_unlock(&n->lock);
-	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:o, s:o, s:o}", "vm", n->set->vm,
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:o, s:o, s:o}", "vm", n->set->vm,
 			 "data_centre", n->set->data_centre, "incarnation", incarnation, "version",
-			 CS_VERSION, "open_requests", (int)nod_requests(n), "forwarded",
-			 (int)fwd_pending(n->fwd), "drain", rel_dump(n->rel), "decisions",
-			 decisions, "counters", dump_counters());
+			 CS_VERSION, "open_requests", (int)nod_requests(n), "held_bytes",
+			 (json_int_t)held_bytes(n), "forwarded", (int)fwd_pending(n->fwd), "drain",
+			 rel_dump(n->rel), "decisions", decisions, "counters", dump_counters());
 }
--- /dev/null
+++ b/tests/proc_answer.c
@@ -0,0 +1,401 @@
+/*
+ * Whole answers to their own requests, and bad input of callers that harms nobody else, with real
+ * processes and callers that write and read byte by byte.
+ */
+#include "fleet.h"
+#include "raw.h"
+
+#include "base/clk.h"
+
+#include <check.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TEST_TIMEOUT_S 180
+#define READ_MS 8000 /* above the longest deadline */
+#define LOOKUP "/v1/services/weighbridge/lookup"
+#define BOOK "/v1/services/weighbridge/book"
+#define ADVISE "/v1/pipelines/advise"
+#define TERMINATOR "\r\n0\r\n\r\n"
+#define ANSWER "weighbridge(x)"
+#define TOKENS 4
+#define STREAM_BYTES (TOKENS * 16)
+#define CHATS 9
+#define CALLERS 4
+#define ROUNDS 50
+#define SLOW_WRITERS 50
+#define HELD_BYTES_MAX (96 * 1024) /* the bound of a stream, and a block */
+
+static struct fleet *fleet;
+
+static bool is_baseline(struct fleet *f, void *arg)
+{
+	json_t *dump = fleet_dump(f, 0);
+	json_t *revisions = json_object_get(json_object_get(dump, "decisions"), "revisions");
+	bool ready = json_integer_value(json_object_get(revisions, "routing")) == 2;
+
+	json_decref(dump);
+	return ready;
+}
+
+/* No upstream is ejected, so that every case meets its fault. */
+static void set_up(void)
+{
+	fleet = fleet_new("association.yaml", 1);
+	fleet_edit_config(fleet, "policy: adaptive", "policy: baseline\n  eject_failures: 1000");
+	fleet_edit_config(fleet, "routing:\n  revision: 1", "routing:\n  revision: 2");
+	fleet_wait(fleet, is_baseline, NULL, READ_MS, "the configuration");
+}
+
+static void tear_down(void)
+{
+	fleet_free(fleet);
+}
+
+static void set_chats(const char *json)
+{
+	for (int i = 1; i <= CHATS; i++) {
+		char *name = g_strdup_printf("chat-%d", i);
+		fleet_upstream(fleet, name, json);
+		g_free(name);
+	}
+}
+
+static void set_weighbridges(const char *json)
+{
+	fleet_upstream(fleet, "weighbridge-1", json);
+	fleet_upstream(fleet, "weighbridge-2", json);
+	fleet_upstream(fleet, "weighbridge-3", json);
+}
+
+static int open_post(const char *path)
+{
+	int fd = raw_connect(fleet->nodes[0].caller);
+	char *text = g_strdup_printf("POST %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+				     "Authorization: Bearer driver-key\r\n"
+				     "Content-Length: 1\r\n\r\nx",
+				     path);
+
+	raw_write_text(fd, text);
+	g_free(text);
+	return fd;
+}
+
+static GString *post(const char *path)
+{
+	int fd = open_post(path);
+	GString *answer = raw_read(fd, READ_MS);
+
+	close(fd);
+	return answer;
+}
+
+static void check_healthy(void)
+{
+	struct fleet_answer answer;
+
+	fleet_send(fleet, 0, &(struct fleet_request){.path = LOOKUP, .body = "x"}, &answer);
+	ck_assert_msg(strcmp(answer.outcome, "complete") == 0, "%s", answer.body);
+	ck_assert_str_eq(answer.body, ANSWER);
+	fleet_answer_clear(&answer);
+}
+
+/* The upstream ends its stream after each number of bytes: never a terminator for the caller. */
+START_TEST(cut_stream_has_no_terminator)
+{
+	char json[64];
+
+	for (int cut = 0; cut <= STREAM_BYTES; cut++) {
+		g_snprintf(json, sizeof(json), "{\"tokens\":%d,\"cut_after_bytes\":%d}", TOKENS,
+			   cut);
+		set_chats(json);
+		GString *answer = post(ADVISE);
+		bool looks_whole = g_str_has_prefix(answer->str, "HTTP/1.1 200") &&
+				   g_str_has_suffix(answer->str, TERMINATOR);
+		ck_assert_msg(!looks_whole, "cut at %d: %s", cut, answer->str);
+		g_string_free(answer, TRUE);
+	}
+	set_chats("{\"cut_after_bytes\":-1}");
+	GString *answer = post(ADVISE);
+	ck_assert_msg(g_str_has_suffix(answer->str, TERMINATOR), "%s", answer->str);
+	ck_assert_ptr_nonnull(strstr(answer->str, "token3"));
+	g_string_free(answer, TRUE);
+}
+END_TEST
+
+/* A plain answer that is cut is no answer; a booking among them is unknown and ran once. */
+START_TEST(cut_answer_is_never_complete)
+{
+	int bookings = 0;
+	char json[64];
+
+	for (int cut = 0; cut < (int)strlen(ANSWER); cut++) {
+		char *ticket = fleet_ticket(fleet, 0);
+		const struct fleet_request requests[] = {
+			{.path = LOOKUP, .body = "x"},
+			{.path = BOOK, .body = "x", .ticket = ticket},
+			{.path = BOOK, .body = "x", .ticket = ticket},
+		};
+		g_snprintf(json, sizeof(json), "{\"cut_after_bytes\":%d}", cut);
+		set_weighbridges(json);
+		for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+			struct fleet_answer answer;
+			fleet_send(fleet, 0, &requests[i], &answer);
+			ck_assert_msg(strcmp(answer.outcome, "unknown") == 0, "cut at %d: %s", cut,
+				      answer.body);
+			fleet_answer_clear(&answer);
+		}
+		bookings++;
+		g_free(ticket);
+	}
+	json_t *log = fleet_log(fleet);
+	ck_assert_int_eq(fleet_count(log, NULL, "book", NULL), bookings);
+	json_decref(log);
+}
+END_TEST
+
+static const struct {
+	const char *fault;
+	const char *outcome;
+} faults[] = {
+	{"{\"odd_chunks\":true}", "complete"},
+	{"{\"wrong_request\":true}", "unknown"},
+	{"{\"drop_after_read\":true}", "unknown"},
+	{"{\"fail_pct\":100}", "unknown"},
+	{"{\"refuse\":true}", "not_run"},
+};
+
+START_TEST(booking_under_a_fault)
+{
+	char *ticket = fleet_ticket(fleet, 0);
+	const struct fleet_request request = {.path = BOOK, .body = "x", .ticket = ticket};
+	bool refused = strcmp(faults[_i].outcome, "not_run") == 0;
+
+	set_weighbridges(faults[_i].fault);
+	for (int i = 0; i < 3; i++) {
+		struct fleet_answer answer;
+		fleet_send(fleet, 0, &request, &answer);
+		ck_assert_msg(strcmp(answer.outcome, faults[_i].outcome) == 0, "%s: %s %s",
+			      faults[_i].fault, answer.outcome, answer.body);
+		fleet_answer_clear(&answer);
+	}
+	json_t *log = fleet_log(fleet);
+	int ran = 0;
+	size_t i;
+	json_t *entry;
+	json_array_foreach(log, i, entry) ran += json_is_true(json_object_get(entry, "ran"));
+	ck_assert_int_eq(ran, refused ? 0 : 1);
+	json_decref(log);
+	g_free(ticket);
+}
+END_TEST
+
+static void *ask_often(void *arg)
+{
+	const char *name = arg;
+	struct hcl *http = hcl_new(NULL);
+
+	for (int i = 0; i < ROUNDS; i++) {
+		char *body = g_strdup_printf("%s%d", name, i);
+		char *wanted = g_strdup_printf("weighbridge(%s)", body);
+		const struct hcl_call call = {
+			.method = "POST",
+			.address = fleet->nodes[0].caller,
+			.path = LOOKUP,
+			.headers = {{"Authorization", "Bearer driver-key"}},
+			.n_headers = 1,
+			.body = body,
+			.body_len = strlen(body),
+			.timeout_ms = READ_MS,
+			.idempotent = true, /* keeps the connection */
+		};
+		struct hcl_answer answer;
+
+		ck_assert(hcl_do(http, &call, &answer, NULL));
+		ck_assert_msg(answer.body->len == strlen(wanted) &&
+				      memcmp(answer.body->data, wanted, strlen(wanted)) == 0,
+			      "%s: %.*s", body, (int)answer.body->len,
+			      (const char *)answer.body->data);
+		hcl_answer_clear(&answer);
+		g_free(body);
+		g_free(wanted);
+	}
+	hcl_free(http);
+	return NULL;
+}
+
+START_TEST(interleaved_callers_get_their_own)
+{
+	static const char *const names[CALLERS] = {"a", "b", "c", "d"};
+	pthread_t threads[CALLERS];
+
+	set_weighbridges("{\"odd_chunks\":true,\"straggle_pct\":20,\"straggle_ms\":30,"
+			 "\"warm_limit\":64,\"cold_limit\":64}");
+	for (int i = 0; i < CALLERS; i++)
+		pthread_create(&threads[i], NULL, ask_often, (void *)names[i]);
+	for (int i = 0; i < CALLERS; i++)
+		pthread_join(threads[i], NULL);
+}
+END_TEST
+
+static char *request_id(void)
+{
+	struct fleet_answer answer;
+	char *id;
+
+	fleet_send(fleet, 0, &(struct fleet_request){.path = LOOKUP, .body = "x"}, &answer);
+	ck_assert_str_eq(answer.outcome, "complete");
+	id = g_strdup(answer.request);
+	fleet_answer_clear(&answer);
+	return id;
+}
+
+START_TEST(restarted_node_reuses_no_request_id)
+{
+	char *before = request_id();
+
+	fleet_signal_node(fleet, 0, SIGKILL);
+	fleet_start_node(fleet, 0);
+	fleet_wait_ready(fleet, 0);
+	char *after = request_id();
+	ck_assert_str_eq(strrchr(before, '-'), strrchr(after, '-'));
+	ck_assert_str_ne(before, after);
+	g_free(before);
+	g_free(after);
+}
+END_TEST
+
+static json_int_t held_bytes(void)
+{
+	json_t *dump = fleet_dump(fleet, 0);
+	json_int_t bytes = json_integer_value(json_object_get(dump, "held_bytes"));
+
+	json_decref(dump);
+	return bytes;
+}
+
+/* The caller reads nothing for a while; what the node holds for it stays bounded. */
+START_TEST(slow_caller_has_a_bounded_share)
+{
+	json_int_t most = 0;
+	int64_t until_ms;
+	int fd;
+
+	set_chats("{\"tokens\":100000,\"token_ms\":0}");
+	fd = open_post(ADVISE);
+	until_ms = clk_now_ms() + 2 * CLK_MS_PER_S;
+	while (clk_now_ms() < until_ms) {
+		most = MAX(most, held_bytes());
+		clk_sleep_ms(20);
+	}
+	check_healthy();
+	GString *answer = raw_read(fd, READ_MS);
+	ck_assert_ptr_nonnull(strstr(answer->str, "token0."));
+	ck_assert_int_le(most, HELD_BYTES_MAX);
+	g_string_free(answer, TRUE);
+	close(fd);
+}
+END_TEST
+
+#define HEAD "POST " LOOKUP " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+#define KEY "Authorization: Bearer driver-key\r\n"
+
+static const struct {
+	const char *name;
+	const char *text;
+	size_t more_bytes; /* of 'x' after the text */
+	bool half_close;
+	const char *wanted; /* a part of the answer; "" for any, or none */
+} inputs[] = {
+	{"no key", HEAD "Content-Length: 1\r\n\r\nx", 0, false, "\"unauthorised\""},
+	{"repeated key", HEAD KEY KEY "Content-Length: 1\r\n\r\nx", 0, false, "\"bad_request\""},
+	{"repeated deadline",
+	 HEAD KEY "Currantscale-Deadline-Ms: 1\r\nCurrantscale-Deadline-Ms: 900\r\n"
+		  "Content-Length: 1\r\n\r\nx",
+	 0, false, "\"bad_request\""},
+	{"repeated ticket",
+	 HEAD KEY "Currantscale-Ticket: a\r\nCurrantscale-Ticket: b\r\n"
+		  "Content-Length: 1\r\n\r\nx",
+	 0, false, "\"bad_request\""},
+	{"repeated length", HEAD KEY "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx", 0, false,
+	 " 400 "},
+	{"negative deadline",
+	 HEAD KEY "Currantscale-Deadline-Ms: -1\r\nContent-Length: 1\r\n\r\nx", 0, false,
+	 "\"deadline_expired\""},
+	{"oversize", HEAD KEY "Content-Length: 3000000\r\n\r\n", 3000000, false, "\"too_large\""},
+	{"oversize head", HEAD KEY "X: ", 40000, false, " 431 "},
+	{"endless line", "POST /", 40000, false, " 414 "},
+	{"no HTTP", "what is this?\r\n\r\n", 0, false, ""},
+	{"half-closed after the request", HEAD KEY "Content-Length: 1\r\n\r\nx", 0, true, ""},
+	{"half-closed in the body", HEAD KEY "Content-Length: 9\r\n\r\nx", 0, true, ""},
+	{"half-closed in the head", HEAD, 0, true, ""},
+};
+
+START_TEST(bad_input_harms_nobody)
+{
+	int fd = raw_connect(fleet->nodes[0].caller);
+	char *more = g_strnfill(inputs[_i].more_bytes, 'x');
+
+	raw_write_text(fd, inputs[_i].text);
+	raw_write(fd, more, inputs[_i].more_bytes);
+	if (inputs[_i].half_close)
+		shutdown(fd, SHUT_WR);
+	GString *answer = raw_read(fd, READ_MS);
+	ck_assert_msg(strstr(answer->str, inputs[_i].wanted) != NULL, "%s: %s", inputs[_i].name,
+		      answer->str);
+	check_healthy();
+	ck_assert_int_eq(held_bytes(), 0);
+	g_string_free(answer, TRUE);
+	g_free(more);
+	close(fd);
+}
+END_TEST
+
+START_TEST(slow_writers_harm_nobody)
+{
+	static const char *const starts[] = {"P", HEAD, HEAD KEY "Content-Length: 9\r\n\r\nx"};
+	int fds[SLOW_WRITERS];
+
+	for (int i = 0; i < SLOW_WRITERS; i++) {
+		fds[i] = raw_connect(fleet->nodes[0].caller);
+		raw_write_text(fds[i], starts[i % 3]);
+	}
+	for (int i = 0; i < ROUNDS; i++)
+		check_healthy();
+	ck_assert_int_eq(held_bytes(), 0);
+	for (int i = 0; i < SLOW_WRITERS; i++)
+		close(fds[i]);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("answer");
+	TCase *tcase = tcase_create("answer");
+	TCase *input = tcase_create("input");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	suite_add_tcase(suite, input);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_set_timeout(input, TEST_TIMEOUT_S);
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_test(tcase, cut_stream_has_no_terminator);
+	tcase_add_test(tcase, cut_answer_is_never_complete);
+	tcase_add_loop_test(tcase, booking_under_a_fault, 0, G_N_ELEMENTS(faults));
+	tcase_add_test(tcase, interleaved_callers_get_their_own);
+	tcase_add_test(tcase, restarted_node_reuses_no_request_id);
+	tcase_add_test(tcase, slow_caller_has_a_bounded_share);
+	tcase_add_checked_fixture(input, set_up, tear_down);
+	tcase_add_loop_test(input, bad_input_harms_nobody, 0, G_N_ELEMENTS(inputs));
+	tcase_add_test(input, slow_writers_harm_nobody);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
