Read a forwarded request's indices against the configuration they came from

Cause: fwd_fill_event dropped its configuration before the event was handled, so a configuration put in force in between made the event's indices point elsewhere. Ruled out: holding the decision lock over the look-up. Change: the event carries the reference and its maker drops it. Conclusion: callers' and forwarded requests now go the same way.

--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -32,9 +32,9 @@
 
 struct dec_ev_request {
 	uint64_t id;
-	const struct cfg *cfg; /* that the indices refer to, borrowed; NULL: the one in force */
-	int pipeline;	       /* index, or -1 */
-	int service;	       /* index, or -1 */
+	struct cfg *cfg; /* that the indices refer to, borrowed; NULL: the one in force */
+	int pipeline;	 /* index, or -1 */
+	int service;	 /* index, or -1 */
 	char call[BB_NAME_BYTES];
 	int account;	 /* index */
 	int64_t wait_ms; /* the caller's deadline; 0: the pipeline's */
--- a/packages/node/fwd.c
+++ b/packages/node/fwd.c
@@ -233,7 +233,7 @@
 		if (strcmp(cfg->accounts.items[i].name, hrq->account) == 0)
 			ev->account = (int)i;
 	}
-	cfg_unref(cfg);
+	ev->cfg = cfg;
 	if (code == ERR_NONE && ev->account < 0)
 		code = ERR_UNAUTHORISED;
 	ev->id = hrq->id;
@@ -255,6 +255,7 @@
 		nod_event(f->node, &ev);
 	else
 		run_refusal(f->node, hrq, code, ERR_OUTCOME_UNKNOWN, 0);
+	cfg_unref(ev.u.request.cfg);
 }
 
 static bool is_given_up(const struct fwd_pending *pending, int64_t now_ms)
--- a/packages/node/fwd_in.c
+++ b/packages/node/fwd_in.c
@@ -149,14 +149,13 @@
 	enum err_code code = fwd_fill_event(f->node, hrq, MAX(wait_ms, 1), &ev.u.request);
 
 	ev.u.request.forwarded = true;
-	if (!nod_add_req(f->node, hrq)) {
+	if (!nod_add_req(f->node, hrq))
 		free_inbound(hrq->on_done_arg);
-		return;
-	}
-	if (code == ERR_NONE)
+	else if (code == ERR_NONE)
 		nod_event(f->node, &ev);
 	else
 		refuse(f->node, hrq, id, code);
+	cfg_unref(ev.u.request.cfg);
 }
 
 static bool is_running(struct fwd *f, const char *key)
--- a/packages/node/fwd_int.h
+++ b/packages/node/fwd_int.h
@@ -14,7 +14,10 @@
 	int64_t announce_at_ms;
 };
 
-/* Builds the event of a request from what a caller or another node gave. */
+/*
+ * Builds the event of a request from what a caller or another node gave. ev->cfg is a reference
+ * that the caller drops, also after an error.
+ */
 enum err_code fwd_fill_event(struct nod *n, const struct hrq *hrq, int64_t wait_ms,
 			     struct dec_ev_request *ev);
 
