Accept configuration by section, watch the platform, spread sections by peers

Cause: the node polled the whole document twice a second and put whatever it read in force: a stale reply reverted it, one bad section stopped all, and a node cut off from the service learned nothing. Ruled out: holding a section back wherever its references fail. Two sections that fit what was in force but not each other, read one after the other, then leave nodes apart for good. So only published sections are held back; what is in force anywhere is taken everywhere, and items whose reference fails are left out. Change: cfr judges sections (highest revision, then hash; refused contents are remembered), cfg_split cuts documents by lines so that a syntax error spoils one section, plt watches an index and reads changed sections, mcf spreads sections by digests and holds a start back until service and peers were heard. 304 answers are whole answers (hcl). The emulator's platform can be watched and has faults.

--- a/packages/base/hcl.c
+++ b/packages/base/hcl.c
@@ -13,6 +13,8 @@
 #define HCL_IDLE_MAX 32 /* kept sessions of one address */
 #define HCL_HOST_BYTES 64
 #define HCL_PORT_MAX 65535
+#define HCL_NO_CONTENT 204
+#define HCL_NOT_MODIFIED 304
 
 struct hcl {
 	pthread_mutex_t lock; /* guards idle; never held during a call */
@@ -196,8 +198,10 @@
 }
 
 /* A body without a length or chunks ends wherever the connection does: never known as whole. */
-static bool has_framing(ne_request *request)
+static bool has_framing(ne_request *request, int status)
 {
+	if (status == HCL_NO_CONTENT || status == HCL_NOT_MODIFIED)
+		return true; /* these have no body */
 	return ne_get_response_header(request, "Content-Length") ||
 	       ne_get_response_header(request, "Transfer-Encoding");
 }
@@ -214,7 +218,7 @@
 			answer->headers[i] =
 				g_strdup(ne_get_response_header(request, call->want_headers[i]));
 	}
-	if (!has_framing(request))
+	if (!has_framing(request, answer->status))
 		return err_set(error, ERR_PROTOCOL, "answer has neither length nor chunks");
 	while ((n = ne_read_response_block(request, block, sizeof(block))) > 0) {
 		if (!take_block(call, answer, block, (size_t)n, error))
--- a/packages/base/include/base/ctr.h
+++ b/packages/base/include/base/ctr.h
@@ -26,6 +26,8 @@
 	X(CTR_CONFIG_READS, "config_reads_total", "calls to the configuration service")            \
 	X(CTR_CONFIG_APPLIED, "config_applied_total", "configuration sections put in force")       \
 	X(CTR_CONFIG_REFUSED, "config_refused_total", "configuration sections refused")            \
+	X(CTR_CONFIG_STALE, "config_stale_total",                                                  \
+	  "sections read with a revision below that in force")                                     \
 	X(CTR_CONFIG_CONFLICTS, "config_conflicts_total", "equal revisions with unequal content")  \
 	X(CTR_TICKETS_ISSUED, "tickets_issued_total", "tickets issued")                            \
 	X(CTR_FORWARDS, "forwards_total", "requests forwarded to the owner of their ticket")       \
--- a/packages/decide/bb.c
+++ b/packages/decide/bb.c
@@ -233,3 +233,9 @@
 	}
 	apply_list(bb);
 }
+
+void bb_confirm_list(struct bb *bb, int64_t asked_ms)
+{
+	if (bb->list && asked_ms > bb->list_at_ms)
+		bb->list_at_ms = asked_ms;
+}
--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -339,6 +339,9 @@
 	case DEC_EV_LIST:
 		bb_set_list(&d->bb, ev->u.list, now_ms);
 		break;
+	case DEC_EV_LIST_CONFIRMED:
+		bb_confirm_list(&d->bb, ev->u.asked_ms);
+		break;
 	case DEC_EV_TICK:
 		d->bb.last_tick_ms = now_ms;
 		dec_tick_requests(d, now_ms, out);
--- a/packages/decide/include/decide/bb.h
+++ b/packages/decide/include/decide/bb.h
@@ -113,6 +113,9 @@
 /* Takes ownership of list. */
 void bb_set_list(struct bb *bb, struct vml *list, int64_t now_ms);
 
+/* The list in hand was the newest at asked_ms; what was known later stays. */
+void bb_confirm_list(struct bb *bb, int64_t asked_ms);
+
 /* NULL when there is none. */
 struct bb_upstream *bb_upstream(const struct bb *bb, uint32_t id);
 struct bb_service *bb_service(const struct bb *bb, const char *name);
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -18,15 +18,16 @@
 #endif
 
 enum dec_event_type {
-	DEC_EV_REQUEST,	    /* a request arrived */
-	DEC_EV_FIRST_BYTE,  /* an attempt's first byte of result came */
-	DEC_EV_RESULT,	    /* an attempt ended */
-	DEC_EV_CALLER_GONE, /* nobody waits for the answer any more */
-	DEC_EV_REPORT,	    /* an upstream's load report */
-	DEC_EV_CONFIG,	    /* a configuration to put in force */
-	DEC_EV_LIST,	    /* a VM list read from the platform */
-	DEC_EV_TICK,	    /* time passed */
-	DEC_EV_DRAIN,	    /* planned stop begins */
+	DEC_EV_REQUEST,	       /* a request arrived */
+	DEC_EV_FIRST_BYTE,     /* an attempt's first byte of result came */
+	DEC_EV_RESULT,	       /* an attempt ended */
+	DEC_EV_CALLER_GONE,    /* nobody waits for the answer any more */
+	DEC_EV_REPORT,	       /* an upstream's load report */
+	DEC_EV_CONFIG,	       /* a configuration to put in force */
+	DEC_EV_LIST,	       /* a VM list read from the platform */
+	DEC_EV_LIST_CONFIRMED, /* the platform said that the list in hand is still the newest */
+	DEC_EV_TICK,	       /* time passed */
+	DEC_EV_DRAIN,	       /* planned stop begins */
 };
 
 struct dec_ev_request {
@@ -71,6 +72,7 @@
 		struct dec_ev_report report;
 		struct cfg *cfg;  /* CONFIG; the event's reference stays the caller's */
 		struct vml *list; /* LIST; ownership passes */
+		int64_t asked_ms; /* LIST_CONFIRMED: when the platform was asked */
 	} u;
 };
 
--- a/packages/emul/emu.c
+++ b/packages/emul/emu.c
@@ -108,6 +108,8 @@
 	bool ok;
 
 	pthread_mutex_init(&e->lock, NULL);
+	pthread_cond_init(&e->changed, NULL);
+	e->calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	e->listen = g_strdup(options->listen);
 	e->vms = json_object();
 	e->vms_version = 1;
@@ -140,16 +142,19 @@
 
 void emu_free(struct emu *e)
 {
-	if (e->platform)
-		MHD_stop_daemon(e->platform);
+	emu_platform_stop(e);
 	for (uint32_t i = 0; i < e->n_upstreams; i++)
 		clear_upstream(&e->upstreams[i]);
 	g_free(e->upstreams);
+	g_hash_table_destroy(e->calls);
+	g_free(e->stale_document);
+	g_free(e->faults.only_source);
 	json_decref(e->vms);
 	json_decref(e->log);
 	g_free(e->document);
 	g_free(e->listen);
 	pthread_mutex_destroy(&e->lock);
+	pthread_cond_destroy(&e->changed);
 	g_free(e);
 }
 
--- a/packages/emul/emu_int.h
+++ b/packages/emul/emu_int.h
@@ -31,11 +31,25 @@
 	int64_t completions;  /* in this incarnation; warm after EMU_WARM_AFTER */
 };
 
+/* Faults of the platform that a test sets. */
+struct emu_faults {
+	bool down;	   /* every call is cut without an answer */
+	bool stale;	   /* serves the document of the time when this was set */
+	bool no_index;	   /* knows the whole document alone */
+	bool no_watch;	   /* answers at once */
+	char *only_source; /* calls from other addresses are cut; NULL: none */
+};
+
 struct emu {
 	char *listen;
 	char address[64];
 	struct MHD_Daemon *platform;
-	pthread_mutex_t lock; /* guards document, vms and log */
+	pthread_mutex_t lock;	/* guards all below but the upstreams */
+	pthread_cond_t changed; /* what a watch waits for, or stopping */
+	bool stopping;
+	struct emu_faults faults;
+	char *stale_document;	/* NULL: not stale */
+	GHashTable *calls;	/* source address -> GUINT calls of the platform */
 	char *document;
 	uint64_t document_version;
 	json_t *vms; /* id -> object of the VM list */
@@ -56,6 +70,11 @@
 
 /* emu_plt.c */
 bool emu_platform_start(struct emu *e, GError **error);
+void emu_platform_stop(struct emu *e);
+
+/* emu_wch.c: what of the platform can be watched; conn is answered. */
+enum MHD_Result emu_answer_config(struct emu *e, struct MHD_Connection *conn, const char *url);
+enum MHD_Result emu_answer_vms(struct emu *e, struct MHD_Connection *conn);
 
 /* Appends an arrival to the log; takes entry. */
 void emu_log(struct emu *e, json_t *entry);
--- a/packages/emul/emu_plt.c
+++ b/packages/emul/emu_plt.c
@@ -2,34 +2,12 @@
 #include "base/hsv.h"
 #include "emu_int.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <string.h>
 #include <unistd.h>
 
-#define EMU_ETAG_BYTES 32
-
-static enum MHD_Result answer_config(struct emu *e, struct MHD_Connection *conn)
-{
-	const char *have = MHD_lookup_connection_value(conn, MHD_HEADER_KIND, "If-None-Match");
-	struct MHD_Response *response;
-	char etag[EMU_ETAG_BYTES];
-	unsigned status = MHD_HTTP_OK;
-	enum MHD_Result rc;
-
-	pthread_mutex_lock(&e->lock);
-	g_snprintf(etag, sizeof(etag), "%" G_GUINT64_FORMAT, e->document_version);
-	if (have && strcmp(have, etag) == 0) {
-		status = MHD_HTTP_NOT_MODIFIED;
-		response = MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
-	} else {
-		response = MHD_create_response_from_buffer(strlen(e->document), e->document,
-							   MHD_RESPMEM_MUST_COPY);
-	}
-	pthread_mutex_unlock(&e->lock);
-	MHD_add_response_header(response, "ETag", etag);
-	rc = MHD_queue_response(conn, status, response);
-	MHD_destroy_response(response);
-	return rc;
-}
+#define EMU_PLATFORM_CONNECTIONS 1024
 
 static enum MHD_Result answer_json(struct MHD_Connection *conn, json_t *json)
 {
@@ -41,24 +19,6 @@
 	return rc;
 }
 
-static enum MHD_Result answer_vms(struct emu *e, struct MHD_Connection *conn)
-{
-	json_t *list = json_array();
-	const char *id;
-	json_t *vm;
-
-	pthread_mutex_lock(&e->lock);
-	json_object_foreach(e->vms, id, vm) json_array_append(list, vm);
-	json_t *json = json_pack("{s:I, s:O}", "version", (json_int_t)e->vms_version, "vms", list);
-	char *text = json_dumps(json, JSON_COMPACT);
-	pthread_mutex_unlock(&e->lock);
-	enum MHD_Result rc = hsv_answer(conn, 200, "application/json", text, strlen(text));
-	free(text);
-	json_decref(json);
-	json_decref(list);
-	return rc;
-}
-
 static enum MHD_Result answer_log(struct emu *e, struct MHD_Connection *conn)
 {
 	pthread_mutex_lock(&e->lock);
@@ -79,6 +39,7 @@
 	else
 		json_object_del(e->vms, id);
 	e->vms_version++;
+	pthread_cond_broadcast(&e->changed);
 	pthread_mutex_unlock(&e->lock);
 	return hsv_answer(conn, 200, "application/json", "{}", 2);
 }
@@ -90,24 +51,115 @@
 	g_free(e->document);
 	e->document = g_strndup((const char *)body->data, body->len);
 	e->document_version++;
+	pthread_cond_broadcast(&e->changed);
 	pthread_mutex_unlock(&e->lock);
 	return hsv_answer(conn, 200, "application/json", "{}", 2);
 }
 
+/* What is published, whatever faults are set. */
+static enum MHD_Result get_config(struct emu *e, struct MHD_Connection *conn)
+{
+	pthread_mutex_lock(&e->lock);
+	char *text = g_strdup(e->document);
+	pthread_mutex_unlock(&e->lock);
+	enum MHD_Result rc = hsv_answer(conn, 200, "application/yaml", text, strlen(text));
+
+	g_free(text);
+	return rc;
+}
+
+static void set_stale(struct emu *e, bool stale)
+{
+	g_free(e->stale_document);
+	e->stale_document = stale ? g_strdup(e->document) : NULL;
+	e->faults.stale = stale;
+}
+
+/* PUT /control/platform with the faults as JSON; those not named end. */
+static enum MHD_Result put_platform(struct emu *e, struct MHD_Connection *conn,
+				    const GByteArray *body)
+{
+	json_t *json = json_loadb((const char *)body->data, body->len, 0, NULL);
+
+	pthread_mutex_lock(&e->lock);
+	set_stale(e, json_is_true(json_object_get(json, "stale")));
+	e->faults.down = json_is_true(json_object_get(json, "down"));
+	e->faults.no_index = json_is_true(json_object_get(json, "no_index"));
+	e->faults.no_watch = json_is_true(json_object_get(json, "no_watch"));
+	g_free(e->faults.only_source);
+	e->faults.only_source = g_strdup(json_string_value(json_object_get(json, "only_source")));
+	pthread_cond_broadcast(&e->changed);
+	pthread_mutex_unlock(&e->lock);
+	json_decref(json);
+	return hsv_answer(conn, 200, "application/json", "{}", 2);
+}
+
+static enum MHD_Result answer_calls(struct emu *e, struct MHD_Connection *conn)
+{
+	json_t *json = json_object();
+	GHashTableIter iter;
+	gpointer source;
+	gpointer calls;
+
+	pthread_mutex_lock(&e->lock);
+	g_hash_table_iter_init(&iter, e->calls);
+	while (g_hash_table_iter_next(&iter, &source, &calls))
+		json_object_set_new(json, source, json_integer(GPOINTER_TO_INT(calls)));
+	pthread_mutex_unlock(&e->lock);
+	return answer_json(conn, json);
+}
+
+static void source_of(struct MHD_Connection *conn, char *text)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const struct sockaddr_in *in = (const struct sockaddr_in *)info->client_addr;
+
+	inet_ntop(AF_INET, &in->sin_addr, text, INET_ADDRSTRLEN);
+}
+
+/* Counts a call of the platform; false when a fault cuts it off. */
+static bool admit_call(struct emu *e, struct MHD_Connection *conn)
+{
+	char source[INET_ADDRSTRLEN];
+	bool admitted;
+
+	source_of(conn, source);
+	pthread_mutex_lock(&e->lock);
+	int calls = GPOINTER_TO_INT(g_hash_table_lookup(e->calls, source));
+	g_hash_table_insert(e->calls, g_strdup(source), GINT_TO_POINTER(calls + 1));
+	admitted = !e->faults.down &&
+		   (!e->faults.only_source || strcmp(e->faults.only_source, source) == 0);
+	pthread_mutex_unlock(&e->lock);
+	return admitted;
+}
+
+static enum MHD_Result answer_platform(struct emu *e, struct MHD_Connection *conn, const char *url)
+{
+	if (!admit_call(e, conn))
+		return MHD_NO;
+	if (strcmp(url, "/v1/vms") == 0)
+		return emu_answer_vms(e, conn);
+	return emu_answer_config(e, conn, url);
+}
+
 static enum MHD_Result route(struct emu *e, struct MHD_Connection *conn, const char *url,
 			     const char *method, const GByteArray *body)
 {
 	static const char vms[] = "/control/vms/";
+	bool put = strcmp(method, "PUT") == 0;
 
-	if (strcmp(url, "/v1/config") == 0)
-		return answer_config(e, conn);
-	if (strcmp(url, "/v1/vms") == 0)
-		return answer_vms(e, conn);
+	if (g_str_has_prefix(url, "/v1/"))
+		return answer_platform(e, conn, url);
 	if (strcmp(url, "/control/log") == 0)
 		return answer_log(e, conn);
-	if (strcmp(url, "/control/config") == 0 && strcmp(method, "PUT") == 0)
-		return put_config(e, conn, body);
-	if (strncmp(url, vms, strlen(vms)) == 0 && strcmp(method, "PUT") == 0)
+	if (strcmp(url, "/control/calls") == 0)
+		return answer_calls(e, conn);
+	if (strcmp(url, "/control/config") == 0)
+		return put ? put_config(e, conn, body) : get_config(e, conn);
+	if (put && strcmp(url, "/control/platform") == 0)
+		return put_platform(e, conn, body);
+	if (put && strncmp(url, vms, strlen(vms)) == 0)
 		return put_vm(e, conn, url + strlen(vms), body);
 	return hsv_answer(conn, 404, "text/plain", "", 0);
 }
@@ -145,12 +197,25 @@
 	if (fd < 0)
 		return false;
 	hsv_bound_address(fd, e->address);
-	e->platform = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL, handle, e,
-				       MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED,
-				       completed, e, MHD_OPTION_END);
+	/* a thread per connection, since a watch waits */
+	e->platform = MHD_start_daemon(
+		MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, 0,
+		NULL, NULL, handle, e, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED,
+		completed, e, MHD_OPTION_CONNECTION_LIMIT, EMU_PLATFORM_CONNECTIONS,
+		MHD_OPTION_END);
 	if (!e->platform) {
 		close(fd);
 		return err_set(error, ERR_IO, "the listener of the platform does not start");
 	}
 	return true;
 }
+
+void emu_platform_stop(struct emu *e)
+{
+	pthread_mutex_lock(&e->lock);
+	e->stopping = true;
+	pthread_cond_broadcast(&e->changed);
+	pthread_mutex_unlock(&e->lock);
+	if (e->platform)
+		MHD_stop_daemon(e->platform);
+}
--- a/packages/model/cfg.c
+++ b/packages/model/cfg.c
@@ -219,6 +219,17 @@
 	return sections[id].map;
 }
 
+const struct sch_map *cfg_item_map(enum cfg_section_id id)
+{
+	const struct sch_map *map = sections[id].map;
+
+	for (uint32_t i = 0; i < map->n_fields; i++) {
+		if (strcmp(map->fields[i].key, "items") == 0)
+			return map->fields[i].item;
+	}
+	return NULL;
+}
+
 void *cfg_section_at(struct cfg *cfg, enum cfg_section_id id)
 {
 	return (char *)cfg + sections[id].off;
@@ -252,6 +263,42 @@
 	return ok;
 }
 
+static struct cfg *new_cfg(void)
+{
+	struct cfg *cfg = g_new0(struct cfg, 1);
+
+	cfg->refs = 1;
+	return cfg;
+}
+
+/* The node cuts documents by lines, so a section must be one that this cut finds. */
+static bool check_layout(const char *text, size_t len, const struct cfg *cfg, GPtrArray *faults)
+{
+	struct cfg_text texts[CFG_SECTIONS];
+	GPtrArray *ignored = sch_faults_new();
+	bool ok = true;
+
+	cfg_split(text, len, texts, ignored);
+	g_ptr_array_unref(ignored);
+	for (int i = 0; i < CFG_SECTIONS; i++) {
+		if (cfg->lines[i] == 0 || cfg->lines[i] == texts[i].line)
+			continue;
+		sch_add_fault(faults, sections[i].name, cfg->lines[i], 1, sections[i].name,
+			      ERR_YAML, "a section's key stands unquoted in the first column");
+		ok = false;
+	}
+	return ok;
+}
+
+static bool check_locals(struct cfg *cfg, GPtrArray *faults)
+{
+	bool ok = true;
+
+	for (int i = 0; i < CFG_SECTIONS; i++)
+		ok &= cfg_check_local(cfg, i, faults);
+	return ok;
+}
+
 struct cfg *cfg_parse(const char *text, size_t len, GPtrArray *faults)
 {
 	struct sch_doc *doc = sch_doc_new(text, len, faults);
@@ -260,17 +307,93 @@
 
 	if (!doc)
 		return NULL;
-	cfg = g_new0(struct cfg, 1);
-	cfg->refs = 1;
+	cfg = new_cfg();
 	ok = load_sections(doc, cfg, faults);
 	sch_doc_free(doc);
-	if (!ok || !cfg_resolve(cfg, faults)) {
+	if (ok)
+		ok = check_layout(text, len, cfg, faults);
+	if (ok)
+		ok = check_locals(cfg, faults) & cfg_resolve(cfg, faults);
+	if (!ok) {
 		cfg_unref(cfg);
 		return NULL;
 	}
 	return cfg;
 }
 
+/* Turns lines of a section's text into lines of its document. */
+static void shift_lines(GPtrArray *faults, guint from, const struct cfg_text *text,
+			const char *section)
+{
+	for (guint i = from; i < faults->len; i++) {
+		struct sch_fault *fault = g_ptr_array_index(faults, i);
+
+		fault->line += text->line - 1;
+		if (fault->section[0] == '\0') {
+			g_free(fault->section);
+			fault->section = g_strdup(section);
+		}
+	}
+}
+
+static bool load_text(enum cfg_section_id id, const struct cfg_text *text, struct cfg *cfg,
+		      GPtrArray *faults)
+{
+	const char *const names[] = {sections[id].name, NULL};
+	guint before = faults->len;
+	struct sch_doc *doc = sch_doc_new(text->text, text->len, faults);
+	bool present = false;
+	bool ok = false;
+
+	if (doc) {
+		ok = sch_check_sections(doc, names, faults) &&
+		     sch_load_section(doc, sections[id].name, sections[id].map,
+				      cfg_section_at(cfg, id), &present, &cfg->lines[id], faults);
+		ok = ok && present && cfg_check_local(cfg, id, faults);
+	}
+	sch_doc_free(doc);
+	cfg->lines[id] = text->line;
+	shift_lines(faults, before, text, sections[id].name);
+	return ok;
+}
+
+int64_t cfg_check_section(enum cfg_section_id id, const struct cfg_text *text, GPtrArray *faults)
+{
+	struct cfg *cfg = new_cfg();
+	int64_t revision = 0;
+
+	if (load_text(id, text, cfg, faults))
+		revision = cfg_revision(cfg, id);
+	cfg_unref(cfg);
+	return revision;
+}
+
+struct cfg *cfg_join(const struct cfg_text texts[CFG_SECTIONS], GPtrArray *faults)
+{
+	struct cfg *cfg = new_cfg();
+	bool ok = true;
+
+	for (int i = 0; i < CFG_SECTIONS; i++) {
+		if (texts[i].text) {
+			ok &= load_text(i, &texts[i], cfg, faults);
+		} else if (sections[i].required) {
+			sch_add_fault(faults, sections[i].name, 1, 1, sections[i].name,
+				      ERR_CONFIG_MISSING_KEY, "section is missing");
+			ok = false;
+		}
+	}
+	if (!ok) {
+		cfg_unref(cfg);
+		return NULL;
+	}
+	return cfg;
+}
+
+bool cfg_is_required(enum cfg_section_id id)
+{
+	return sections[id].required;
+}
+
 struct cfg *cfg_ref(struct cfg *cfg)
 {
 	g_atomic_int_inc(&cfg->refs);
--- a/packages/model/cfg_resolve.c
+++ b/packages/model/cfg_resolve.c
@@ -52,7 +52,7 @@
 	return false;
 }
 
-static void resolve_places(struct resolve *r)
+static void check_places(struct resolve *r)
 {
 	const struct cfg_places *places = &r->cfg->places;
 
@@ -66,7 +66,7 @@
 	}
 }
 
-static void resolve_services(struct resolve *r)
+static void check_services(struct resolve *r)
 {
 	const struct cfg_services *services = &r->cfg->services;
 
@@ -83,12 +83,16 @@
 	}
 }
 
+static void check_upstreams(struct resolve *r)
+{
+	check_unique(r, CFG_UPSTREAMS, r->cfg->upstreams.items, r->cfg->upstreams.n_items,
+		     sizeof(struct cfg_upstream), offsetof(struct cfg_upstream, name));
+}
+
 static void resolve_upstreams(struct resolve *r)
 {
 	struct cfg_upstreams *upstreams = &r->cfg->upstreams;
 
-	check_unique(r, CFG_UPSTREAMS, upstreams->items, upstreams->n_items,
-		     sizeof(struct cfg_upstream), offsetof(struct cfg_upstream, name));
 	for (uint32_t i = 0; i < upstreams->n_items; i++) {
 		struct cfg_upstream *up = &upstreams->items[i];
 		int svc = cfg_find_service(r->cfg, up->service);
@@ -143,26 +147,37 @@
 		stage->idempotent = service->calls[call].idempotent;
 }
 
-static void resolve_pipelines(struct resolve *r)
+static void check_pipelines(struct resolve *r)
 {
-	struct cfg_pipelines *pipelines = &r->cfg->pipelines;
+	const struct cfg_pipelines *pipelines = &r->cfg->pipelines;
 
 	check_unique(r, CFG_PIPELINES, pipelines->items, pipelines->n_items,
 		     sizeof(struct cfg_pipeline), offsetof(struct cfg_pipeline, name));
 	for (uint32_t i = 0; i < pipelines->n_items; i++) {
-		struct cfg_pipeline *pipeline = &pipelines->items[i];
+		const struct cfg_pipeline *pipeline = &pipelines->items[i];
 
 		if (pipeline->n_stages == 0)
 			bad_value(r, CFG_PIPELINES, "stages", pipeline->name, "has no stage");
-		for (uint32_t k = 0; k < pipeline->n_stages; k++) {
-			resolve_stage(r, pipeline, &pipeline->stages[k]);
-			if (pipeline->stages[k].stream && k + 1 < pipeline->n_stages)
+		for (uint32_t k = 0; k + 1 < pipeline->n_stages; k++) {
+			if (pipeline->stages[k].stream)
 				bad_value(r, CFG_PIPELINES, "stream", pipeline->name,
 					  "only the last stage can stream");
 		}
 	}
 }
 
+static void resolve_pipelines(struct resolve *r)
+{
+	struct cfg_pipelines *pipelines = &r->cfg->pipelines;
+
+	for (uint32_t i = 0; i < pipelines->n_items; i++) {
+		struct cfg_pipeline *pipeline = &pipelines->items[i];
+
+		for (uint32_t k = 0; k < pipeline->n_stages; k++)
+			resolve_stage(r, pipeline, &pipeline->stages[k]);
+	}
+}
+
 static int find_class(const struct cfg *cfg, const char *name)
 {
 	for (uint32_t i = 0; i < cfg->accounts.n_classes; i++) {
@@ -172,7 +187,7 @@
 	return -1;
 }
 
-static void resolve_accounts(struct resolve *r)
+static void check_accounts(struct resolve *r)
 {
 	struct cfg_accounts *accounts = &r->cfg->accounts;
 	int64_t reserved_pct = 0;
@@ -196,15 +211,96 @@
 	}
 }
 
+bool cfg_check_local(struct cfg *cfg, enum cfg_section_id id, GPtrArray *faults)
+{
+	static void (*const checks[CFG_SECTIONS])(struct resolve * r) = {
+		[CFG_PLACES] = check_places,	   [CFG_SERVICES] = check_services,
+		[CFG_UPSTREAMS] = check_upstreams, [CFG_PIPELINES] = check_pipelines,
+		[CFG_ACCOUNTS] = check_accounts,
+	};
+	struct resolve r = {.cfg = cfg, .faults = faults};
+
+	if (checks[id])
+		checks[id](&r);
+	return r.n_faults == 0;
+}
+
 bool cfg_resolve(struct cfg *cfg, GPtrArray *faults)
 {
 	struct resolve r = {.cfg = cfg, .faults = faults};
 
-	resolve_places(&r);
-	resolve_services(&r);
 	resolve_upstreams(&r);
 	resolve_models(&r);
 	resolve_pipelines(&r);
-	resolve_accounts(&r);
 	return r.n_faults == 0;
 }
+
+/* Keeps the items for which keep holds; the others are freed. */
+static void keep_items(const struct sch_map *map, void *items, uint32_t *n,
+		       bool (*keep)(struct cfg *cfg, void *item), struct cfg *cfg)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < *n; i++) {
+		char *item = (char *)items + i * map->size;
+
+		if (!keep(cfg, item)) {
+			sch_clear(map, item);
+			continue;
+		}
+		if (kept != i)
+			memcpy((char *)items + kept * map->size, item, map->size);
+		kept++;
+	}
+	*n = kept;
+}
+
+static bool keeps_upstream(struct cfg *cfg, void *item)
+{
+	const struct cfg_upstream *up = item;
+
+	return cfg_find_service(cfg, up->service) >= 0 &&
+	       cfg_find_data_centre(cfg, up->data_centre) >= 0;
+}
+
+static bool keeps_pipeline(struct cfg *cfg, void *item)
+{
+	struct cfg_pipeline *pipeline = item;
+	struct resolve r = {.cfg = cfg, .faults = sch_faults_new()};
+
+	for (uint32_t k = 0; k < pipeline->n_stages; k++)
+		resolve_stage(&r, pipeline, &pipeline->stages[k]);
+	g_ptr_array_unref(r.faults);
+	return r.n_faults == 0;
+}
+
+static void prune_model(const struct cfg *cfg, struct cfg_model *model)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t k = 0; k < model->n_upstreams; k++) {
+		bool known = false;
+
+		for (uint32_t i = 0; i < cfg->upstreams.n_items && !known; i++)
+			known = strcmp(cfg->upstreams.items[i].name, model->upstreams[k]) == 0;
+		if (known)
+			model->upstreams[kept++] = model->upstreams[k];
+		else
+			g_free(model->upstreams[k]);
+	}
+	model->n_upstreams = kept;
+}
+
+void cfg_prune(struct cfg *cfg)
+{
+	GPtrArray *faults = sch_faults_new();
+
+	keep_items(cfg_item_map(CFG_UPSTREAMS), cfg->upstreams.items, &cfg->upstreams.n_items,
+		   keeps_upstream, cfg);
+	keep_items(cfg_item_map(CFG_PIPELINES), cfg->pipelines.items, &cfg->pipelines.n_items,
+		   keeps_pipeline, cfg);
+	for (uint32_t i = 0; i < cfg->models.n_items; i++)
+		prune_model(cfg, &cfg->models.items[i]);
+	cfg_resolve(cfg, faults);
+	g_ptr_array_unref(faults);
+}
--- a/packages/node/dmp.c
+++ b/packages/node/dmp.c
@@ -93,8 +93,8 @@
 	pthread_mutex_lock(&n->lock);
 	decisions = dump_decisions(n);
 	pthread_mutex_unlock(&n->lock);
-	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:o, s:o}", "vm", n->set->vm, "data_centre",
-			 n->set->data_centre, "incarnation", incarnation, "version", CS_VERSION,
-			 "open_requests", (int)nod_requests(n), "decisions", decisions, "counters",
-			 dump_counters());
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:o, s:o, s:o}", "vm", n->set->vm,
+			 "data_centre", n->set->data_centre, "incarnation", incarnation, "version",
+			 CS_VERSION, "open_requests", (int)nod_requests(n), "decisions", decisions,
+			 "counters", dump_counters(), "config", mcf_dump(n));
 }
--- a/packages/node/include/node/nod.h
+++ b/packages/node/include/node/nod.h
@@ -1,8 +1,8 @@
 /*
  * The node: joins the decisions to the listeners, the workers, the platform and the other nodes.
  *
- * Lock order, outermost first: nod.lock (decisions), nod.table_lock (requests), hrq.lock.
- * Commands of the decisions are carried out with nod.lock dropped.
+ * Lock order, outermost first: the lock of mcf.c, nod.lock (decisions), nod.table_lock (requests),
+ * hrq.lock. Commands of the decisions are carried out with nod.lock dropped.
  */
 #ifndef NODE_NOD_H
 #define NODE_NOD_H
@@ -37,9 +37,7 @@
 	struct MHD_Daemon *admin;
 	char caller_address[64];
 	char admin_address[64];
-	gint reading_config; /* atomic: a read is under way */
-	gint reading_list;
-	char *config_etag; /* touched by the config reader alone */
+	struct mcf *config; /* acceptance and spread of the configuration */
 	gint stopping;
 };
 
@@ -77,9 +75,33 @@
 /* Listener for operators. adn.c */
 bool adn_start(struct nod *n, GError **error);
 
-/* Reads configuration and VM list from the platform, periodically. plt.c */
+/* Watches configuration and VM list at the platform. plt.c */
 void plt_start(struct nod *n);
 
+/*
+ * Configuration of the node: what the service publishes and what other nodes have in force goes
+ * through one acceptance (decide/cfr.h), and spreads by digests. mcf.c
+ */
+struct mcf *mcf_new(struct nod *n);
+void mcf_start(struct nod *n);
+
+/* No message is sent by it any more. */
+void mcf_stop(struct nod *n);
+void mcf_free(struct mcf *m);
+
+/* Sections that the configuration service gave; blocks while they are parsed. */
+void mcf_offer_document(struct nod *n, const char *text, size_t len);
+void mcf_offer_section(struct nod *n, enum cfg_section_id id, const struct cfg_text *text);
+
+/* The service answered, whether or not there was news. */
+void mcf_service_answered(struct nod *n);
+
+/* Takes digests, questions for sections and their answers; does not block. */
+void mcf_take(struct nod *n, const Peer__Message *message);
+
+/* Sections in force with revision and hash; the caller drops the reference. */
+json_t *mcf_dump(struct nod *n);
+
 /* Sends one attempt to an upstream; owns att. ups.c */
 struct ups_attempt {
 	struct nod *node;
--- a/packages/node/msg.c
+++ b/packages/node/msg.c
@@ -3,6 +3,7 @@
 
 static void take_message(void *arg, const Peer__Message *message)
 {
+	mcf_take(arg, message);
 }
 
 bool msg_start(struct nod *n, GError **error)
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -120,11 +120,13 @@
 	n->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_pool);
 	n->http = hcl_new(set->source_address);
 	n->timers = tmr_new();
+	n->config = mcf_new(n);
 	n->side = wkp_new(NOD_SIDE_THREADS, NOD_SIDE_QUEUED);
 	if (!msg_start(n, error) || !ent_start(n, error) || !adn_start(n, error)) {
 		nod_free(n);
 		return NULL;
 	}
+	mcf_start(n);
 	plt_start(n);
 	tmr_every(n->timers, set->tick_ms, tick, n);
 	return n;
@@ -162,6 +164,7 @@
 	g_atomic_int_set(&n->stopping, 1);
 	tmr_free(n->timers);
 	answer_rest(n);
+	mcf_stop(n);
 	peer_free(n->peer);
 	n->peer = NULL;
 	wkp_free(n->side);
@@ -174,7 +177,7 @@
 	g_hash_table_destroy(n->reqs);
 	dec_free(n->dec);
 	cfg_unref(n->cfg);
-	g_free(n->config_etag);
+	mcf_free(n->config);
 	pthread_mutex_destroy(&n->lock);
 	pthread_mutex_destroy(&n->table_lock);
 	g_free(n);
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -355,7 +355,7 @@
 	struct hcl_answer answer;
 	char *text;
 
-	call(f, "GET", f->platform, "/v1/config", NULL, &answer);
+	call(f, "GET", f->platform, "/control/config", NULL, &answer);
 	text = g_strndup((const char *)answer.body->data, answer.body->len);
 	hcl_answer_clear(&answer);
 	return text;
--- /dev/null
+++ b/tests/unit_revision.c
@@ -0,0 +1,168 @@
+/* Acceptance of sections: tables of offers and what they come to. */
+#include "base/err.h"
+#include "decide/cfr.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static char *example;
+
+/* The example with the first from behind anchor replaced by to. */
+static char *edited(const char *anchor, const char *from, const char *to)
+{
+	const char *start = strstr(example, anchor);
+	const char *at = strstr(start, from);
+
+	return g_strdup_printf("%.*s%s%s", (int)(at - example), example, to, at + strlen(from));
+}
+
+static void set_up(void)
+{
+	ck_assert(g_file_get_contents(CS_EXAMPLES "/association.yaml", &example, NULL, NULL));
+}
+
+static void tear_down(void)
+{
+	g_free(example);
+}
+
+static void offer(struct cfr *c, const char *text, struct cfr_result *result)
+{
+	cfr_offer_document(c, text, strlen(text), result);
+}
+
+/* An edit of one section offered after the example, which is revision 1 of all. */
+static const struct {
+	const char *name;
+	const char *anchor;
+	const char *from;
+	const char *to;
+	uint32_t accepted;
+	uint32_t refused;
+	uint32_t conflicts;
+	int fault;	     /* code of the first fault; 0: none */
+	const char *section; /* of the fault */
+	const char *key;
+} cases[] = {
+	{"higher revision", "\nrouting:", "revision: 1", "revision: 2", .accepted = 1},
+	{"same document", "\nrouting:", "revision: 1", "revision: 1"},
+	{"comment between sections", "\nrouting:", "\nrouting:", "\n# note\n\nrouting:"},
+	{"bad value", "\nrouting:", "revision: 1", "revision: 2\n  eject_ms: soon", .refused = 1,
+	 .fault = ERR_CONFIG_BAD_VALUE, .section = "routing", .key = "eject_ms"},
+	{"syntax error", "\nrouting:", "revision: 1", "revision: [2", .refused = 1,
+	 .fault = ERR_YAML, .section = "routing", .key = ""},
+	{"unknown key", "\ncapacity:", "revision: 1", "revision: 2\n  speed: 1", .refused = 1,
+	 .fault = ERR_CONFIG_UNKNOWN_KEY, .section = "capacity", .key = "speed"},
+	{"failing reference", "\nupstreams:", "revision: 1\n  items:",
+	 "revision: 2\n  items:\n    - {name: x, service: none, address: \"h:1\", vm: v, "
+	 "data_centre: kosice}",
+	 .refused = 1, .fault = ERR_CONFIG_BAD_REFERENCE, .section = "upstreams", .key = "service"},
+	{"data centre in use is dropped",
+	 "\nplaces:", "revision: 1\n  data_centres:\n    - {name: bratislava,",
+	 "revision: 2\n  data_centres:\n    - {name: trnava,", .refused = 1,
+	 .fault = ERR_CONFIG_BAD_REFERENCE, .section = "upstreams", .key = "data_centre"},
+	{"section stands twice", "\nrouting:", "revision: 1", "revision: 2\nrouting:",
+	 .fault = ERR_CONFIG_DUPLICATE_KEY, .section = "", .key = "routing"},
+	{"unknown section", "\nrouting:", "\nrouting:", "\nrooting:\n  revision: 3\nrouting:",
+	 .fault = ERR_CONFIG_UNKNOWN_KEY, .section = "", .key = "rooting"},
+};
+
+START_TEST(judges_offers)
+{
+	struct cfr *c = cfr_new();
+	char *text = edited(cases[_i].anchor, cases[_i].from, cases[_i].to);
+	struct cfr_result result;
+
+	offer(c, example, &result);
+	ck_assert_ptr_nonnull(result.cfg);
+	ck_assert_uint_eq(result.accepted, CFG_SECTIONS);
+	cfr_result_clear(&result);
+	offer(c, text, &result);
+	ck_assert_msg(result.accepted == cases[_i].accepted, "%s: accepted", cases[_i].name);
+	ck_assert_msg(result.refused == cases[_i].refused, "%s: refused", cases[_i].name);
+	ck_assert_msg(result.conflicts == cases[_i].conflicts, "%s: conflicts", cases[_i].name);
+	ck_assert_msg((result.faults->len > 0) == (cases[_i].fault != 0), "%s: faults",
+		      cases[_i].name);
+	if (cases[_i].fault) {
+		const struct sch_fault *fault = g_ptr_array_index(result.faults, 0);
+		ck_assert_msg(fault->code == cases[_i].fault, "%s: %s", cases[_i].name,
+			      fault->reason);
+		ck_assert_str_eq(fault->section, cases[_i].section);
+		ck_assert_str_eq(fault->key, cases[_i].key);
+		ck_assert_int_gt(fault->line, 1);
+	}
+	cfr_result_clear(&result);
+	/* what was refused is not judged again */
+	offer(c, text, &result);
+	ck_assert_uint_eq(result.accepted + result.refused + result.conflicts, 0);
+	cfr_result_clear(&result);
+	g_free(text);
+	cfr_free(c);
+}
+END_TEST
+
+START_TEST(names_document_lines)
+{
+	struct cfr *c = cfr_new();
+	char *text = edited("\ncapacity:", "list_lag_ms: 2000", "list_lag_ms: two");
+	struct cfr_result result;
+	int line = 1;
+
+	for (const char *at = text; at < strstr(text, "two"); at++)
+		line += *at == '\n';
+	offer(c, text, &result);
+	ck_assert_uint_eq(result.faults->len, 1);
+	ck_assert_int_eq(((struct sch_fault *)g_ptr_array_index(result.faults, 0))->line, line);
+	ck_assert_ptr_null(result.cfg);
+	cfr_result_clear(&result);
+	/* the good sections were kept: the mended one completes them */
+	offer(c, example, &result);
+	ck_assert_ptr_nonnull(result.cfg);
+	cfr_result_clear(&result);
+	g_free(text);
+	cfr_free(c);
+}
+END_TEST
+
+START_TEST(orders_equal_revisions)
+{
+	char *a = edited("\nrouting:", "cost_weight_pct: 20", "cost_weight_pct: 21");
+	char *b = edited("\nrouting:", "cost_weight_pct: 20", "cost_weight_pct: 22");
+	uint64_t hashes[2];
+
+	for (int turn = 0; turn < 2; turn++) {
+		struct cfr *c = cfr_new();
+		struct cfr_result result;
+
+		offer(c, turn ? a : b, &result);
+		cfr_result_clear(&result);
+		offer(c, turn ? b : a, &result);
+		ck_assert_uint_eq(result.conflicts, 1);
+		cfr_result_clear(&result);
+		hashes[turn] = cfr_section(c, CFG_ROUTING)->hash;
+		cfr_free(c);
+	}
+	ck_assert_uint_eq(hashes[0], hashes[1]);
+	g_free(a);
+	g_free(b);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("revision");
+	TCase *tcase = tcase_create("revision");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_loop_test(tcase, judges_offers, 0, G_N_ELEMENTS(cases));
+	tcase_add_test(tcase, names_document_lines);
+	tcase_add_test(tcase, orders_equal_revisions);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
