--- a/packages/emul/emu_plt.c
+++ b/packages/emul/emu_plt.c
@@ -19,14 +19,6 @@
 	return rc;
 }
 
-static enum MHD_Result answer_log(struct emu *e, struct MHD_Connection *conn)
-{
-	pthread_mutex_lock(&e->lock);
-	json_t *copy = json_copy(e->log);
-	pthread_mutex_unlock(&e->lock);
-	return answer_json(conn, copy);
-}
-
 /* PUT /control/vms/ID with the VM's object adds or changes it; an empty body removes it. */
 static enum MHD_Result put_vm(struct emu *e, struct MHD_Connection *conn, const char *id,
 			      const GByteArray *body)
@@ -147,12 +139,13 @@
 			     const char *method, const GByteArray *body)
 {
 	static const char vms[] = "/control/vms/";
+	enum MHD_Result rc;
 	bool put = strcmp(method, "PUT") == 0;
 
 	if (g_str_has_prefix(url, "/v1/"))
 		return answer_platform(e, conn, url);
-	if (strcmp(url, "/control/log") == 0)
-		return answer_log(e, conn);
+	if (emu_control(e, conn, url, method, body, &rc))
+		return rc;
 	if (strcmp(url, "/control/calls") == 0)
 		return answer_calls(e, conn);
 	if (strcmp(url, "/control/config") == 0)
