--- a/packages/node/msg.c
+++ b/packages/node/msg.c
@@ -10,6 +10,7 @@
 	switch (message->kind_case) {
 	case PEER__MESSAGE__KIND_DIGEST:
 		rel_take_digest(n->rel, message);
+		mcf_take(n, message);
 		break;
 	case PEER__MESSAGE__KIND_FORWARD:
 		fwd_take_forward(n->fwd, message);
@@ -32,6 +33,10 @@
 	case PEER__MESSAGE__KIND_RELEASE_ACK:
 		rel_take_release_ack(n->rel, message);
 		break;
+	case PEER__MESSAGE__KIND_SECTION_ASK:
+	case PEER__MESSAGE__KIND_SECTION_REPLY:
+		mcf_take(n, message);
+		break;
 	default:
 		break;
 	}
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -68,7 +68,7 @@
 	bool ok;
 
 	pthread_mutex_lock(&n->table_lock);
-	ok = !n->stopping;
+	ok = !g_atomic_int_get(&n->stopping);
 	if (ok)
 		g_hash_table_insert(n->reqs, &hrq->id, hrq_ref(hrq));
 	pthread_mutex_unlock(&n->table_lock);
@@ -129,6 +129,7 @@
 	n->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_pool);
 	n->http = hcl_new(set->source_address);
 	n->timers = tmr_new();
+	n->config = mcf_new(n);
 	n->side = wkp_new(NOD_SIDE_THREADS, NOD_SIDE_QUEUED);
 	n->fwd = fwd_new(n);
 	n->rel = rel_new(n);
@@ -136,6 +137,7 @@
 		nod_free(n);
 		return NULL;
 	}
+	mcf_start(n);
 	plt_start(n);
 	fwd_start(n->fwd);
 	tmr_every(n->timers, set->tick_ms, tick, n);
@@ -176,7 +178,7 @@
 static void begin_stop(struct nod *n)
 {
 	pthread_mutex_lock(&n->table_lock);
-	n->stopping = true;
+	g_atomic_int_set(&n->stopping, 1);
 	pthread_mutex_unlock(&n->table_lock);
 }
 
@@ -200,6 +202,7 @@
 	answer_rest(n);
 	stop_pools(n);
 	answer_rest(n);
+	mcf_stop(n);
 	peer_free(n->peer);
 	n->peer = NULL;
 	if (n->entry)
@@ -214,7 +217,7 @@
 	g_hash_table_destroy(n->reqs);
 	dec_free(n->dec);
 	cfg_unref(n->cfg);
-	g_free(n->config_etag);
+	mcf_free(n->config);
 	pthread_mutex_destroy(&n->lock);
 	pthread_mutex_destroy(&n->table_lock);
 	g_free(n);
--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -15,7 +15,7 @@
 
 	pthread_mutex_lock(&n->table_lock);
 	pool = g_hash_table_lookup(n->pools, service);
-	if (!pool && !n->stopping) {
+	if (!pool && !g_atomic_int_get(&n->stopping)) {
 		pool = wkp_new((uint32_t)n->set->service_threads, RUN_POOL_QUEUED);
 		g_hash_table_insert(n->pools, g_strdup(service), pool);
 	}
