Call a request not run when every upstream said that nothing ran

Cause: asking before a send marked the whole request as run, also when the upstream then refused it with 503. proc_answer saw the outcome unknown. Change: the mark stands at the attempt and is taken back by its end.

--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -130,12 +130,21 @@
 	g_hash_table_remove(d->joins, &req->id);
 }
 
+static bool may_have_run(const struct req *req)
+{
+	bool ran = req->ran;
+
+	for (uint32_t i = 0; i < req->n_attempts; i++)
+		ran = ran || req->attempts[i].may_have_run;
+	return ran;
+}
+
 void dec_refuse(struct dec *d, struct req *req, int code, int64_t retry_after_ms, int64_t now_ms,
 		struct dec_out *out)
 {
 	struct tkt_answer answer = {.outcome = ERR_OUTCOME_NOT_RUN, .code = code};
 
-	if (req->ran)
+	if (may_have_run(req))
 		answer.outcome = ERR_OUTCOME_UNKNOWN;
 	dec_cancel_attempts(d, req, REQ_ATTEMPTS_MAX, now_ms, out);
 	push_refusal(out, req->id, code, answer.outcome, retry_after_ms);
--- a/packages/decide/dec_send.c
+++ b/packages/decide/dec_send.c
@@ -131,7 +131,7 @@
 	if (elg_check(&d->bb, bb_upstream(&d->bb, flight->upstream), now_ms) != ELG_OK)
 		return false;
 	flight->withheld = false;
-	req->ran = true;
+	req->attempts[attempt].may_have_run = true;
 	return true;
 }
 
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -83,6 +83,7 @@
 		dec_finish(d, req, ev->body, out);
 		return;
 	}
+	req->ran = true;
 	req->stage++;
 	req->n_attempts = 0;
 	req->hedge_at_ms = BB_NEVER;
@@ -150,8 +151,10 @@
 	}
 	book_result(d, &flight, ev, now_ms);
 	attempt = find_attempt(req, ev);
-	if (attempt)
+	if (attempt) {
 		attempt->state = REQ_ATTEMPT_ENDED;
+		attempt->may_have_run = ev->sent;
+	}
 	if (!attempt)
 		push_drop(ev, out);
 	else if (ev->code == ERR_NONE)
--- a/packages/decide/include/decide/req.h
+++ b/packages/decide/include/decide/req.h
@@ -30,6 +30,7 @@
 	uint32_t upstream;
 	int64_t sent_at_ms;
 	bool hedge;
+	bool may_have_run; /* its bytes may have left, and nobody said that nothing ran */
 };
 
 struct req {
@@ -49,7 +50,7 @@
 	bool has_ticket;
 	struct tkt_id ticket;
 	bool stream_open;	/* bytes of the last stage already went to the caller */
-	bool ran;		/* an attempt of any stage was sent: it may have run */
+	bool ran;		/* an attempt of an earlier stage ran */
 	GSequenceIter *waiting; /* place in its service's queue, NULL when not waiting */
 	GSequenceIter *wake;	/* place in the queue of times; NULL until the first one */
 	int64_t wake_at_ms;	/* when the request is looked at again */
--- a/packages/node/dmp.c
+++ b/packages/node/dmp.c
@@ -122,9 +122,9 @@
 	pthread_mutex_lock(&n->lock);
 	decisions = dump_decisions(n);
 	pthread_mutex_unlock(&n->lock);
-	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:o, s:o, s:o, s:o}", "vm", n->set->vm,
-			 "data_centre", n->set->data_centre, "incarnation", incarnation, "version",
-			 CS_VERSION, "open_requests", (int)nod_requests(n), "held_bytes",
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:o, s:o, s:o, s:o}", "vm",
+			 n->set->vm, "data_centre", n->set->data_centre, "incarnation", incarnation,
+			 "version", CS_VERSION, "open_requests", (int)nod_requests(n), "held_bytes",
 			 (json_int_t)held_bytes(n), "forwarded", (int)fwd_pending(n->fwd), "drain",
 			 rel_dump(n->rel), "decisions", decisions, "counters", dump_counters(),
 			 "config", mcf_dump(n));
