List a node to callers only once it is ready

The digest of the configuration's spread said draining=false for a node that was draining, so the others listed it again; with that mended 4 requests met a restarted node that was listed before it had a configuration. Ruled out: holding requests at a node that is not ready (hides the time); a longer stay of the stopping node (covers only the first fault). Change: every digest carries the draining flag, and a node that is not ready says that it takes no callers. Conclusion: one flag with one meaning: takes no new callers.

--- a/packages/node/mcf.c
+++ b/packages/node/mcf.c
@@ -132,6 +132,16 @@
 	return node != NULL;
 }
 
+static bool is_open(struct mcf *m)
+{
+	bool open;
+
+	pthread_mutex_lock(&m->lock);
+	open = m->open;
+	pthread_mutex_unlock(&m->lock);
+	return open;
+}
+
 static void send_digest(struct nod *n, const struct target *to, bool reply_wanted)
 {
 	struct mcf *m = n->config;
@@ -153,6 +163,8 @@
 	pthread_mutex_unlock(&m->view_lock);
 	digest.sections = list;
 	digest.list_age_ms = -1;
+	/* a node that is not ready yet takes no callers either */
+	digest.draining = g_atomic_int_get(&n->draining) != 0 || !is_open(n->config);
 	digest.reply_wanted = reply_wanted;
 	message.kind_case = PEER__MESSAGE__KIND_DIGEST;
 	message.digest = &digest;
@@ -324,16 +336,6 @@
 	pthread_mutex_unlock(&m->lock);
 }
 
-static bool is_open(struct mcf *m)
-{
-	bool open;
-
-	pthread_mutex_lock(&m->lock);
-	open = m->open;
-	pthread_mutex_unlock(&m->lock);
-	return open;
-}
-
 /* Until the node is open; a worker, since opening may wait for a parse. */
 static void start_up(void *arg)
 {
--- a/tests/proc_drain.c
+++ b/tests/proc_drain.c
@@ -320,8 +320,7 @@
 	}
 	for (uint32_t i = 0; i < NODES; i++) {
 		struct fleet_answer answer;
-		const struct fleet_request request = {
-			.path = BOOK, .body = "x", .ticket = ticket};
+		const struct fleet_request request = {.path = BOOK, .body = "x", .ticket = ticket};
 		if (i == 1)
 			continue;
 		fleet_send(fleet, i, &request, &answer);
