--- a/packages/cli/emulate.c
+++ b/packages/cli/emulate.c
@@ -14,6 +14,8 @@
 static const struct argp_option options[] = {
 	{"listen", 'l', "HOST:PORT", 0, "Address of the platform, 127.0.0.1:0 by default", 0},
 	{"seed", 's', "N", 0, "Seed of random behaviour, 1 by default", 0},
+	{"proxy", 'p', NULL, 0, "Front everything by the fault proxy", 0},
+	{"latency", 'L', NULL, 0, "As --proxy, and links have the latency of the document", 0},
 	{0},
 };
 
@@ -28,6 +30,12 @@
 	case 's':
 		args->options.seed = strtoll(arg, NULL, 10);
 		return 0;
+	case 'L':
+		args->options.latency = true;
+		G_GNUC_FALLTHROUGH;
+	case 'p':
+		args->options.proxy = true;
+		return 0;
 	case ARGP_KEY_ARG:
 		if (args->options.config_path)
 			argp_usage(state);
@@ -46,7 +54,10 @@
 	.options = options,
 	.parser = parse_arg,
 	.args_doc = "FILE",
-	.doc = "Publishes a configuration document and emulates its upstreams until SIGTERM.",
+	.doc = "Publishes a configuration document and emulates its upstreams until SIGTERM.\v"
+	       "Prints one line of JSON: the address of the platform and of its controls, and the "
+	       "address that nodes take, which differs with --proxy. Exit status: 0 after SIGTERM, "
+	       "2 when FILE or an address is bad.",
 };
 
 int cli_emulate(int argc, char **argv)
@@ -67,7 +78,8 @@
 		fprintf(stderr, "currantscale: %s\n", error->message);
 		return CLI_EXIT_USAGE;
 	}
-	printf("{\"event\":\"listening\",\"platform\":\"%s\"}\n", emu_address(e));
+	printf("{\"event\":\"listening\",\"platform\":\"%s\",\"platform_for_nodes\":\"%s\"}\n",
+	       emu_address(e), emu_node_address(e));
 	fflush(stdout);
 	sigwait(&signals, &sig);
 	emu_free(e);
--- a/packages/emul/emu.c
+++ b/packages/emul/emu.c
@@ -41,7 +41,7 @@
 		if (!found || next == e->n_upstreams)
 			break;
 		g_string_append_len(out, at, found - at);
-		g_string_append(out, e->upstreams[next++].address);
+		g_string_append(out, e->upstreams[next++].public_address);
 		at = found + strlen(ANY_PORT);
 	}
 	g_string_append(out, at);
@@ -106,6 +106,13 @@
 	return cfg;
 }
 
+static bool front_upstream(struct emu *e, struct emu_upstream *up, GError **error)
+{
+	g_strlcpy(up->public_address, up->address, sizeof(up->public_address));
+	return !e->proxy || emu_proxy_front(e->proxy, up->name, up->data_centre, up->address,
+					    up->public_address, error);
+}
+
 static bool start_upstreams(struct emu *e, const struct cfg *cfg, GError **error)
 {
 	e->n_upstreams = cfg->upstreams.n_items;
@@ -114,10 +121,21 @@
 		init_upstream(e, cfg, i);
 		if (!emu_upstream_start(&e->upstreams[i], error))
 			return false;
+		if (!front_upstream(e, &e->upstreams[i], error))
+			return false;
 	}
 	return true;
 }
 
+static bool start_platform(struct emu *e, GError **error)
+{
+	if (!emu_platform_start(e, error))
+		return false;
+	g_strlcpy(e->proxied, e->address, sizeof(e->proxied));
+	return !e->proxy ||
+	       emu_proxy_front(e->proxy, "platform", "", e->address, e->proxied, error);
+}
+
 struct emu *emu_new(const struct emu_options *options, GError **error)
 {
 	struct emu *e = g_new0(struct emu, 1);
@@ -131,11 +149,13 @@
 	e->document_version = 1;
 	e->rnd.state = (uint64_t)options->seed;
 	cfg = load_document(e, options->config_path, error);
+	if (cfg && options->proxy)
+		e->proxy = emu_proxy_new(cfg, options->latency, (uint64_t)options->seed);
 	ok = cfg && start_upstreams(e, cfg, error);
 	if (ok) {
 		fill_addresses(e);
 		list_upstream_vms(e, cfg);
-		ok = emu_platform_start(e, error);
+		ok = start_platform(e, error);
 	}
 	cfg_unref(cfg);
 	if (!ok) {
@@ -167,6 +187,8 @@
 {
 	if (e->platform)
 		MHD_stop_daemon(e->platform);
+	if (e->proxy)
+		emu_proxy_free(e->proxy);
 	for (uint32_t i = 0; i < e->n_upstreams; i++)
 		clear_upstream(&e->upstreams[i]);
 	g_free(e->upstreams);
@@ -182,3 +204,8 @@
 {
 	return e->address;
 }
+
+const char *emu_node_address(const struct emu *e)
+{
+	return e->proxied;
+}
--- a/packages/emul/emu_ctl.c
+++ b/packages/emul/emu_ctl.c
@@ -25,15 +25,15 @@
 
 #define KEY(field)                                                                                 \
 	{                                                                                          \
-		#field, offsetof(struct emu_set, field)                                            \
+#field, offsetof(struct emu_set, field)                                            \
 	}
 
 static const struct key keys[] = {
-	KEY(service_ms),      KEY(service_ms_p99),  KEY(tokens),	KEY(token_ms),
-	KEY(fail_pct),	      KEY(refuse),	    KEY(down),		KEY(straggle_pct),
-	KEY(straggle_ms),     KEY(lie_warm),	    KEY(report_lag_ms), KEY(drop_after_read),
-	KEY(cut_after_bytes), KEY(odd_chunks),	    KEY(wrong_request), KEY(warm_after),
-	KEY(warm_after_ms),   KEY(cold_limit),	    KEY(warm_limit),
+	KEY(service_ms),      KEY(service_ms_p99), KEY(tokens),	       KEY(token_ms),
+	KEY(fail_pct),	      KEY(refuse),	   KEY(down),	       KEY(straggle_pct),
+	KEY(straggle_ms),     KEY(lie_warm),	   KEY(report_lag_ms), KEY(drop_after_read),
+	KEY(cut_after_bytes), KEY(odd_chunks),	   KEY(wrong_request), KEY(warm_after),
+	KEY(warm_after_ms),   KEY(cold_limit),	   KEY(warm_limit),
 };
 
 static int64_t *value_at(struct emu_set *set, const struct key *key)
@@ -143,7 +143,8 @@
 	for (int end = EMU_END_COMPLETE; end < EMU_ENDS; end++)
 		json_object_set_new(json, emu_end_name(end), json_integer(counts->ends[end]));
 	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
-		json_object_set_new(json, keys[i].name, json_integer(*value_at(&up->set, &keys[i])));
+		json_object_set_new(json, keys[i].name,
+				    json_integer(*value_at(&up->set, &keys[i])));
 	pthread_mutex_unlock(&up->lock);
 	return json;
 }
@@ -155,7 +156,8 @@
 	for (uint32_t i = 0; i < e->n_upstreams; i++)
 		json_object_set_new(upstreams, e->upstreams[i].name,
 				    upstream_json(&e->upstreams[i]));
-	return json_pack("{s:I, s:o}", "t_ms", (json_int_t)clk_now_ms(), "upstreams", upstreams);
+	return json_pack("{s:I, s:o, s:o*}", "t_ms", (json_int_t)clk_now_ms(), "upstreams",
+			 upstreams, "links", e->proxy ? emu_proxy_json(e->proxy) : NULL);
 }
 
 static enum MHD_Result answer_json(struct MHD_Connection *conn, json_t *json)
@@ -175,6 +177,29 @@
 	return answer_json(conn, emu_log_json(e, since ? g_ascii_strtoll(since, NULL, 10) : 0));
 }
 
+/* PUT of a rule; DELETE or {} clears all. */
+static enum MHD_Result change_links(struct emu *e, struct MHD_Connection *conn, const char *method,
+				    const GByteArray *body)
+{
+	bool clear = strcmp(method, "DELETE") == 0 || body->len == 0;
+	json_t *json =
+		clear ? json_object() : json_loadb((const char *)body->data, body->len, 0, NULL);
+	bool ok = json && emu_proxy_rule(e->proxy, json);
+
+	json_decref(json);
+	return hsv_answer(conn, ok ? 200 : 400, "application/json", "{}", 2);
+}
+
+static enum MHD_Result answer_links(struct emu *e, struct MHD_Connection *conn, const char *method,
+				    const GByteArray *body)
+{
+	if (!e->proxy)
+		return hsv_answer(conn, 404, "application/json", "{}", 2);
+	if (strcmp(method, "GET") == 0)
+		return answer_json(conn, emu_proxy_json(e->proxy));
+	return change_links(e, conn, method, body);
+}
+
 bool emu_control(struct emu *e, struct MHD_Connection *conn, const char *url, const char *method,
 		 const GByteArray *body, enum MHD_Result *rc)
 {
@@ -182,6 +207,8 @@
 		*rc = answer_log(e, conn);
 	else if (strcmp(url, "/control/state") == 0)
 		*rc = answer_json(conn, state_json(e));
+	else if (strcmp(url, "/control/links") == 0)
+		*rc = answer_links(e, conn, method, body);
 	else if (g_str_has_prefix(url, PREFIX_UPSTREAMS) && strcmp(method, "PUT") == 0)
 		*rc = put_upstream(e, conn, url + strlen(PREFIX_UPSTREAMS), body);
 	else
--- a/packages/emul/emu_int.h
+++ b/packages/emul/emu_int.h
@@ -3,6 +3,7 @@
 #define EMUL_EMU_INT_H
 
 #include "base/rnd.h"
+#include "emu_prx.h"
 #include "emul/emu.h"
 #include "model/cfg.h"
 
@@ -117,8 +118,9 @@
 	char *data_centre;
 	int kind; /* enum cfg_kind */
 	int64_t cost_cents_per_k;
-	char **bookings; /* names of the non-idempotent calls */
-	char address[64];
+	char **bookings;	 /* names of the non-idempotent calls */
+	char address[64];	 /* where it listens */
+	char public_address[64]; /* in the document: the proxy's when there is one */
 	struct MHD_Daemon *daemon;
 	pthread_mutex_t lock;  /* guards all below */
 	pthread_cond_t slot;   /* a run may start */
@@ -151,8 +153,6 @@
 	uint32_t tag;
 };
 
-struct emu_proxy;
-
 struct emu {
 	char *listen;
 	char address[64];
@@ -167,6 +167,7 @@
 	uint32_t n_upstreams;
 	struct rnd rnd;
 	struct emu_proxy *proxy; /* NULL: none */
+	char proxied[64];	 /* address of the platform behind it */
 };
 
 /* emu_ups.c */
--- a/packages/emul/emu_plt.c
+++ b/packages/emul/emu_plt.c
@@ -55,6 +55,8 @@
 {
 	json_t *vm = json_loadb((const char *)body->data, body->len, 0, NULL);
 
+	if (vm && e->proxy)
+		emu_proxy_vm(e->proxy, id, vm);
 	pthread_mutex_lock(&e->lock);
 	if (vm)
 		json_object_set_new(e->vms, id, vm);
--- /dev/null
+++ b/packages/emul/emu_prx.c
@@ -0,0 +1,276 @@
+/*
+ * Fault-injecting TCP proxy: one thread with epoll carries every connection between a source
+ * address and a destination, under the rules that a test sets.
+ */
+#include "emu_prx.h"
+
+#include "base/clk.h"
+#include "base/hsv.h"
+#include "model/cfg.h"
+#include "prx_int.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#define PRX_EVENTS 64
+#define PRX_TICK_MS 1 /* while a connection waits for a time */
+
+static void accept_all(struct emu_proxy *proxy, const struct prx_listener *listener)
+{
+	struct sockaddr_in at;
+	socklen_t len = sizeof(at);
+	char from[INET_ADDRSTRLEN];
+	int fd;
+
+	while ((fd = accept4(listener->fd, (struct sockaddr *)&at, &len,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		inet_ntop(AF_INET, &at.sin_addr, from, sizeof(from));
+		prx_conn_open(proxy, listener, fd, from);
+		len = sizeof(at);
+	}
+}
+
+/* The listener of an event; NULL when it belongs to a connection. */
+static const struct prx_listener *find_listener(const struct emu_proxy *proxy, const void *ptr)
+{
+	for (guint i = 0; i < proxy->listeners->len; i++) {
+		if (g_ptr_array_index(proxy->listeners, i) == ptr)
+			return ptr;
+	}
+	return NULL;
+}
+
+static void take_event(struct emu_proxy *proxy, void *ptr, int64_t now_ms)
+{
+	const struct prx_listener *listener = find_listener(proxy, ptr);
+	eventfd_t count;
+
+	if (ptr == proxy)
+		eventfd_read(proxy->wake, &count);
+	else if (listener)
+		accept_all(proxy, listener);
+	else if (!((struct prx_conn *)ptr)->closed)
+		prx_conn_pump(ptr, now_ms);
+}
+
+/* Pumps connections that wait for a time and frees closed ones; true when any still waits. */
+static bool sweep(struct emu_proxy *proxy, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer key;
+	bool timed = false;
+
+	g_hash_table_iter_init(&iter, proxy->conns);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct prx_conn *conn = key;
+		if (conn->timed && !conn->closed)
+			prx_conn_pump(conn, now_ms);
+		timed = timed || (conn->timed && !conn->closed);
+		if (conn->closed) {
+			g_hash_table_iter_remove(&iter);
+			prx_conn_free(conn);
+		}
+	}
+	return timed;
+}
+
+static void *run(void *arg)
+{
+	struct emu_proxy *proxy = arg;
+	struct epoll_event events[PRX_EVENTS];
+	bool stopping = false;
+	bool timed = false;
+
+	while (!stopping) {
+		int n = epoll_wait(proxy->epoll, events, PRX_EVENTS, timed ? PRX_TICK_MS : -1);
+		int64_t now_ms = clk_now_ms();
+		pthread_mutex_lock(&proxy->lock);
+		for (int i = 0; i < n; i++)
+			take_event(proxy, events[i].data.ptr, now_ms);
+		timed = sweep(proxy, now_ms);
+		stopping = proxy->stopping;
+		pthread_mutex_unlock(&proxy->lock);
+	}
+	return NULL;
+}
+
+static void watch_in(struct emu_proxy *proxy, int fd, void *ptr)
+{
+	struct epoll_event event = {.events = EPOLLIN, .data.ptr = ptr};
+
+	epoll_ctl(proxy->epoll, EPOLL_CTL_ADD, fd, &event);
+}
+
+struct emu_proxy *emu_proxy_new(struct cfg *cfg, bool latency, uint64_t seed)
+{
+	struct emu_proxy *proxy = g_new0(struct emu_proxy, 1);
+
+	pthread_mutex_init(&proxy->lock, NULL);
+	proxy->cfg = cfg_ref(cfg);
+	proxy->latency = latency;
+	proxy->rnd.state = seed;
+	proxy->epoll = epoll_create1(EPOLL_CLOEXEC);
+	proxy->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	proxy->listeners = g_ptr_array_new_with_free_func(g_free);
+	proxy->conns = g_hash_table_new(NULL, NULL);
+	proxy->rules = g_ptr_array_new_with_free_func(prx_rule_free);
+	proxy->traffic = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	proxy->sources = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	watch_in(proxy, proxy->wake, proxy);
+	proxy->started = pthread_create(&proxy->thread, NULL, run, proxy) == 0;
+	return proxy;
+}
+
+static void close_all(struct emu_proxy *proxy)
+{
+	GHashTableIter iter;
+	gpointer conn;
+
+	g_hash_table_iter_init(&iter, proxy->conns);
+	while (g_hash_table_iter_next(&iter, &conn, NULL))
+		prx_conn_free(conn);
+	for (guint i = 0; i < proxy->listeners->len; i++)
+		close(((struct prx_listener *)g_ptr_array_index(proxy->listeners, i))->fd);
+}
+
+void emu_proxy_free(struct emu_proxy *proxy)
+{
+	pthread_mutex_lock(&proxy->lock);
+	proxy->stopping = true;
+	pthread_mutex_unlock(&proxy->lock);
+	eventfd_write(proxy->wake, 1);
+	if (proxy->started)
+		pthread_join(proxy->thread, NULL);
+	close_all(proxy);
+	close(proxy->wake);
+	close(proxy->epoll);
+	g_ptr_array_unref(proxy->listeners);
+	g_hash_table_destroy(proxy->conns);
+	g_ptr_array_unref(proxy->rules);
+	g_hash_table_destroy(proxy->traffic);
+	g_hash_table_destroy(proxy->sources);
+	cfg_unref((struct cfg *)proxy->cfg);
+	pthread_mutex_destroy(&proxy->lock);
+	g_free(proxy);
+}
+
+static struct prx_listener *find_named(const struct emu_proxy *proxy, const char *to)
+{
+	for (guint i = 0; i < proxy->listeners->len; i++) {
+		struct prx_listener *listener = g_ptr_array_index(proxy->listeners, i);
+		if (strcmp(listener->to, to) == 0)
+			return listener;
+	}
+	return NULL;
+}
+
+static struct prx_listener *make_listener(struct emu_proxy *proxy, const char *to, GError **error)
+{
+	struct prx_listener *listener;
+	int fd = hsv_listen("127.0.0.1:0", error);
+
+	if (fd < 0)
+		return NULL;
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	listener = g_new0(struct prx_listener, 1);
+	listener->fd = fd;
+	g_strlcpy(listener->to, to, sizeof(listener->to));
+	hsv_bound_address(fd, listener->address);
+	g_ptr_array_add(proxy->listeners, listener);
+	return listener;
+}
+
+bool emu_proxy_front(struct emu_proxy *proxy, const char *to, const char *data_centre,
+		     const char *target, char *address, GError **error)
+{
+	struct prx_listener *listener;
+	bool known;
+
+	pthread_mutex_lock(&proxy->lock);
+	listener = find_named(proxy, to);
+	known = listener != NULL;
+	if (!known)
+		listener = make_listener(proxy, to, error);
+	if (listener) {
+		g_strlcpy(listener->target, target, sizeof(listener->target));
+		g_strlcpy(listener->data_centre, data_centre, sizeof(listener->data_centre));
+		g_strlcpy(address, listener->address, PRX_ADDRESS_BYTES);
+	}
+	pthread_mutex_unlock(&proxy->lock);
+	if (listener && !known) {
+		struct epoll_event event = {.events = EPOLLIN | EPOLLET, .data.ptr = listener};
+		/* accept_all() reads until there is none */
+		epoll_ctl(proxy->epoll, EPOLL_CTL_ADD, listener->fd, &event);
+	}
+	return listener != NULL;
+}
+
+static void take_text(json_t *vm, const char *key, char *text, size_t room)
+{
+	const char *value = json_string_value(json_object_get(vm, key));
+
+	g_strlcpy(text, value ? value : "", room);
+}
+
+void emu_proxy_vm(struct emu_proxy *proxy, const char *id, json_t *vm)
+{
+	char address[PRX_ADDRESS_BYTES];
+	char target[PRX_ADDRESS_BYTES];
+	char source[PRX_ADDRESS_BYTES];
+	char data_centre[PRX_NAME_BYTES];
+	char *to = g_strdup_printf("peer:%s", id);
+
+	take_text(vm, "peer_address", target, sizeof(target));
+	take_text(vm, "source_address", source, sizeof(source));
+	take_text(vm, "data_centre", data_centre, sizeof(data_centre));
+	if (source[0]) {
+		pthread_mutex_lock(&proxy->lock);
+		g_hash_table_insert(proxy->sources, g_strdup(source), g_strdup(data_centre));
+		pthread_mutex_unlock(&proxy->lock);
+	}
+	if (target[0] && emu_proxy_front(proxy, to, data_centre, target, address, NULL))
+		json_object_set_new(vm, "peer_address", json_string(address));
+	g_free(to);
+}
+
+/* Rules hold for connections that stand as well. */
+static void apply_rules(struct emu_proxy *proxy)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, proxy->conns);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct prx_conn *conn = key;
+		prx_find_faults(proxy, conn->from, conn->to, &conn->faults);
+		conn->timed = true; /* pumped by the next sweep */
+	}
+}
+
+bool emu_proxy_rule(struct emu_proxy *proxy, json_t *json)
+{
+	bool ok;
+
+	pthread_mutex_lock(&proxy->lock);
+	ok = prx_change_rules(proxy, json);
+	if (ok)
+		apply_rules(proxy);
+	pthread_mutex_unlock(&proxy->lock);
+	eventfd_write(proxy->wake, 1);
+	return ok;
+}
+
+json_t *emu_proxy_json(struct emu_proxy *proxy)
+{
+	json_t *json;
+
+	pthread_mutex_lock(&proxy->lock);
+	json = json_pack("{s:o, s:o}", "rules", prx_rules_json(proxy), "traffic",
+			 prx_traffic_json(proxy));
+	pthread_mutex_unlock(&proxy->lock);
+	return json;
+}
--- a/packages/emul/include/emul/emu.h
+++ b/packages/emul/include/emul/emu.h
@@ -18,6 +18,8 @@
 	const char *config_path; /* document to publish; addresses with port 0 are filled in */
 	const char *listen;	 /* host:port of the platform */
 	int64_t seed;
+	bool proxy;   /* fronts upstreams, platform and nodes' peers by the fault proxy */
+	bool latency; /* with the proxy: links between regions have the document's latency */
 };
 
 /* NULL with *error set. The caller frees with emu_free(). */
@@ -27,6 +29,9 @@
 /* host:port of the platform; borrowed. */
 const char *emu_address(const struct emu *e);
 
+/* The same for nodes: the proxy's when there is one. */
+const char *emu_node_address(const struct emu *e);
+
 #ifdef __cplusplus
 }
 #endif
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -54,25 +54,26 @@
 	json_decref(json);
 }
 
-static void start_emulator(struct fleet *f, const char *example)
+static void start_emulator(struct fleet *f, const char *example, const char *option)
 {
 	char *path = g_build_filename(CS_EXAMPLES, example, NULL);
-	char *argv[] = {(char *)CS_CLI_PROGRAM, (char *)"emulate", path, NULL};
+	char *argv[] = {(char *)CS_CLI_PROGRAM, (char *)"emulate", path, (char *)option, NULL};
 	char line[LINE_BYTES];
 
 	f->emulator = spawn(f, argv, "emulator.log", line);
 	read_address(line, "platform", f->platform);
+	read_address(line, "platform_for_nodes", f->platform_for_nodes);
 	g_free(path);
 }
 
 static char *write_settings(struct fleet *f, const struct fleet_node *node)
 {
 	char *path = g_strdup_printf("%s/%s.yaml", f->dir, node->vm);
-	char *text =
-		g_strdup_printf("vm: %s\ndata_centre: %s\ncaller_address: 127.0.0.1:0\n"
-				"admin_address: 127.0.0.1:0\npeer_address: 127.0.0.1:0\n"
-				"platform_address: %s\nsource_address: %s\nadmin_key: %s\n",
-				node->vm, node->data_centre, f->platform, node->source, ADMIN_KEY);
+	char *text = g_strdup_printf("vm: %s\ndata_centre: %s\ncaller_address: 127.0.0.1:0\n"
+				     "admin_address: 127.0.0.1:0\npeer_address: 127.0.0.1:0\n"
+				     "platform_address: %s\nsource_address: %s\nadmin_key: %s\n",
+				     node->vm, node->data_centre, f->platform_for_nodes,
+				     node->source, ADMIN_KEY);
 
 	ck_assert(g_file_set_contents(path, text, -1, NULL));
 	g_free(text);
@@ -145,9 +146,10 @@
 	json_t *json = NULL;
 
 	if (state)
-		json = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s}", "id", node->vm, "role", "entry",
-				 "data_centre", node->data_centre, "state", state, "caller_address",
-				 node->caller, "peer_address", node->peer);
+		json = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "id", node->vm, "role",
+				 "entry", "data_centre", node->data_centre, "state", state,
+				 "caller_address", node->caller, "peer_address", node->peer,
+				 "source_address", node->source);
 	fleet_control(f, path, json);
 	g_free(path);
 }
@@ -204,7 +206,7 @@
 	g_snprintf(node->source, sizeof(node->source), "127.0.1.%u", i + 1);
 }
 
-struct fleet *fleet_new(const char *example, uint32_t n_nodes)
+static struct fleet *start(const char *example, uint32_t n_nodes, const char *option)
 {
 	struct fleet *f = g_new0(struct fleet, 1);
 
@@ -212,7 +214,7 @@
 	f->dir = g_dir_make_tmp("fleet-XXXXXX", NULL);
 	f->http = hcl_new(NULL);
 	f->n_nodes = n_nodes;
-	start_emulator(f, example);
+	start_emulator(f, example, option);
 	for (uint32_t i = 0; i < n_nodes; i++) {
 		name_node(f, i);
 		fleet_start_node(f, i);
@@ -222,6 +224,16 @@
 	return f;
 }
 
+struct fleet *fleet_new(const char *example, uint32_t n_nodes)
+{
+	return start(example, n_nodes, NULL);
+}
+
+struct fleet *fleet_new_proxied(const char *example, uint32_t n_nodes, bool latency)
+{
+	return start(example, n_nodes, latency ? "--latency" : "--proxy");
+}
+
 static void remove_dir(const char *path)
 {
 	GDir *dir = g_dir_open(path, 0, NULL);
@@ -331,6 +343,16 @@
 	g_free(path);
 }
 
+void fleet_link(struct fleet *f, const char *from, const char *to, const char *json)
+{
+	json_t *rule = json_loads(json, 0, NULL);
+
+	ck_assert_msg(rule != NULL, "%s is no JSON", json);
+	json_object_set_new(rule, "from", json_string(from));
+	json_object_set_new(rule, "to", json_string(to));
+	fleet_control(f, "/control/links", rule);
+}
+
 json_t *fleet_log(struct fleet *f)
 {
 	return fleet_get_json(f, f->platform, "/control/log");
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -26,7 +26,8 @@
 struct fleet {
 	char *dir; /* settings and logs */
 	pid_t emulator;
-	char platform[FLEET_ADDRESS_BYTES];
+	char platform[FLEET_ADDRESS_BYTES];	      /* of controls */
+	char platform_for_nodes[FLEET_ADDRESS_BYTES]; /* the proxy's when there is one */
 	struct fleet_node nodes[FLEET_NODES_MAX];
 	uint32_t n_nodes;
 	struct hcl *http;
@@ -35,6 +36,9 @@
 /* Starts the emulator on an example document and n nodes spread over its data centres. */
 struct fleet *fleet_new(const char *example, uint32_t n_nodes);
 
+/* The same behind the fault proxy; latency: links have the document's latency. */
+struct fleet *fleet_new_proxied(const char *example, uint32_t n_nodes, bool latency);
+
 /* Kills what still runs and removes the folder. */
 void fleet_free(struct fleet *f);
 
@@ -93,6 +97,12 @@
 /* Changes settings or faults of an emulated upstream ("*": of all); json as text. */
 void fleet_upstream(struct fleet *f, const char *name, const char *json);
 
+/*
+ * Sets faults of a link; to is an upstream, "platform" or "peer:VM", "*" matches any; json such as
+ * {"black_hole":true}, "{}" clears the rule.
+ */
+void fleet_link(struct fleet *f, const char *from, const char *to, const char *json);
+
 /* The emulator's log of arrivals; the caller drops the reference. */
 json_t *fleet_log(struct fleet *f);
 
--- /dev/null
+++ b/tests/proc_proxy.c
@@ -0,0 +1,251 @@
+/* Every fault of the proxy does what it says, between real processes. */
+#include "base/clk.h"
+#include "fleet.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TEST_TIMEOUT_S 120
+#define SOURCE "127.0.1.77"
+#define BLOCKED_MS 1000
+#define WAIT_MS 10000
+#define LINK_MS 14 /* west to east in the example */
+
+static struct fleet *fleet;
+static struct hcl *source;
+
+static void set_up(void)
+{
+	fleet = fleet_new_proxied("association.yaml", 2, false);
+	source = hcl_new(SOURCE);
+}
+
+static void set_up_latency(void)
+{
+	fleet = fleet_new_proxied("association.yaml", 2, true);
+	source = hcl_new(fleet->nodes[0].source);
+}
+
+static void tear_down(void)
+{
+	hcl_free(source);
+	fleet_free(fleet);
+}
+
+static char *address_of(const char *name)
+{
+	char *document = fleet_config(fleet);
+	char *entry = g_strdup_printf("{name: %s,", name);
+	const char *from = strstr(strstr(document, entry), "address: \"") + strlen("address: \"");
+	char *address = g_strndup(from, strcspn(from, "\""));
+
+	g_free(entry);
+	g_free(document);
+	return address;
+}
+
+static bool run(const char *name, const char *request, int64_t *took_ms)
+{
+	char *address = address_of(name);
+	const struct hcl_call call = {
+		.method = "POST",
+		.address = address,
+		.path = "/v1/run/run",
+		.body = "x",
+		.body_len = 1,
+		.timeout_ms = BLOCKED_MS,
+		.headers = {{"Currantscale-Request", request}},
+		.n_headers = 1,
+	};
+	struct hcl_answer answer;
+	int64_t began_ms = clk_now_ms();
+	bool ok = hcl_do(source, &call, &answer, NULL) && answer.status == 200;
+
+	*took_ms = clk_now_ms() - began_ms;
+	hcl_answer_clear(&answer);
+	g_free(address);
+	return ok;
+}
+
+static int arrivals(const char *request)
+{
+	json_t *log = fleet_log(fleet);
+	int count = fleet_count(log, NULL, NULL, request);
+
+	json_decref(log);
+	return count;
+}
+
+static const struct {
+	const char *from;
+	const char *to;
+	const char *json;
+	bool whole;
+	int arrivals;
+	int64_t least_ms;
+} faults[] = {
+	{SOURCE, "encoder-1", "{}", true, 1, 0},
+	{"127.0.1.78", "encoder-1", "{\"refuse\":true}", true, 1, 0},
+	{SOURCE, "encoder-2", "{\"refuse\":true}", true, 1, 0},
+	{SOURCE, "encoder-1", "{\"delay_ms\":150}", true, 1, 300},
+	{"*", "*", "{\"delay_ms\":150}", true, 1, 300},
+	{SOURCE, "enc*", "{\"refuse\":true}", false, 0, 0},
+	{SOURCE, "encoder-1", "{\"cut_after_bytes\":0}", false, 0, 0},
+	{SOURCE, "encoder-1", "{\"cut_after_bytes\":20}", false, 0, 0},
+	{SOURCE, "encoder-1", "{\"cut_answer_after_bytes\":0}", false, 1, 0},
+	{SOURCE, "encoder-1", "{\"cut_answer_after_bytes\":50}", false, 1, 0},
+	{SOURCE, "encoder-1", "{\"black_hole\":true}", false, 0, BLOCKED_MS},
+	{SOURCE, "encoder-1", "{\"one_way\":true}", false, 0, BLOCKED_MS},
+	{SOURCE, "encoder-1", "{\"one_way_back\":true}", false, 1, BLOCKED_MS},
+	{SOURCE, "encoder-1", "{\"drip_bps\":250}", true, 1, 500},
+};
+
+START_TEST(fault)
+{
+	int64_t took_ms;
+
+	fleet_link(fleet, faults[_i].from, faults[_i].to, faults[_i].json);
+	ck_assert_int_eq(run("encoder-1", "r", &took_ms), faults[_i].whole);
+	ck_assert_int_ge(took_ms, faults[_i].least_ms);
+	ck_assert_int_eq(arrivals("r"), faults[_i].arrivals);
+	fleet_control(fleet, "/control/links", json_object());
+	ck_assert(run("encoder-1", "after", &took_ms));
+}
+END_TEST
+
+static bool has_arrived(struct fleet *f, void *request)
+{
+	return arrivals(request) == 1;
+}
+
+/* What a black hole swallowed comes late, as TCP sends it again when the hole is gone. */
+START_TEST(held_bytes_come_late)
+{
+	int64_t took_ms;
+
+	fleet_link(fleet, SOURCE, "encoder-1", "{\"black_hole\":true}");
+	ck_assert(!run("encoder-1", "late", &took_ms));
+	ck_assert_int_eq(arrivals("late"), 0);
+	fleet_link(fleet, SOURCE, "encoder-1", "{}");
+	fleet_wait(fleet, has_arrived, (void *)"late", WAIT_MS, "the held request");
+}
+END_TEST
+
+START_TEST(rules_are_checked)
+{
+	static const char *const bad[] = {"{\"from\":\"*\"}", "[]", "x",
+					  "{\"from\":\"*\",\"to\":\"*\",\"delay\":1}",
+					  "{\"from\":\"*\",\"to\":\"*\",\"delay_ms\":\"1\"}"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		const struct hcl_call call = {
+			.method = "PUT",
+			.address = fleet->platform,
+			.path = "/control/links",
+			.body = bad[i],
+			.body_len = strlen(bad[i]),
+			.timeout_ms = WAIT_MS,
+		};
+		struct hcl_answer answer;
+		hcl_do(source, &call, &answer, NULL);
+		ck_assert_int_eq(answer.status, 400);
+		hcl_answer_clear(&answer);
+	}
+}
+END_TEST
+
+static int64_t bytes_to(const char *from, const char *to, const char *key)
+{
+	json_t *links = fleet_get_json(fleet, fleet->platform, "/control/links");
+	json_t *traffic = json_object_get(links, "traffic");
+	int64_t bytes = 0;
+	json_t *entry;
+	size_t i;
+
+	json_array_foreach(traffic, i, entry)
+	{
+		if (strcmp(json_string_value(json_object_get(entry, "from")), from) == 0 &&
+		    strcmp(json_string_value(json_object_get(entry, "to")), to) == 0)
+			bytes += json_integer_value(json_object_get(entry, key));
+	}
+	json_decref(links);
+	return bytes;
+}
+
+static bool platform_was_read(struct fleet *f, void *arg)
+{
+	return bytes_to(f->nodes[0].source, "platform", "bytes_down") > 0;
+}
+
+START_TEST(bytes_are_counted)
+{
+	int64_t took_ms;
+
+	ck_assert(run("encoder-1", "r", &took_ms));
+	ck_assert_int_gt(bytes_to(SOURCE, "encoder-1", "bytes_up"), 20);
+	ck_assert_int_gt(bytes_to(SOURCE, "encoder-1", "bytes_down"), 20);
+	ck_assert_int_eq(bytes_to(SOURCE, "encoder-2", "bytes_up"), 0);
+	fleet_wait(fleet, platform_was_read, NULL, WAIT_MS, "traffic of the platform");
+}
+END_TEST
+
+/* The list names the proxy's address of a peer; its transport greets whoever connects. */
+START_TEST(peers_are_fronted)
+{
+	json_t *list = fleet_get_json(fleet, fleet->platform, "/v1/vms");
+	json_t *vms = json_object_get(list, "vms");
+	const char *address = NULL;
+	struct hcl_answer answer;
+	json_t *vm;
+	size_t i;
+
+	json_array_foreach(vms, i, vm)
+	{
+		if (strcmp(json_string_value(json_object_get(vm, "id")), "node-1") == 0)
+			address = json_string_value(json_object_get(vm, "peer_address"));
+	}
+	ck_assert_str_ne(address, fleet->nodes[0].peer);
+	const struct hcl_call call = {
+		.method = "GET", .address = address, .path = "/", .timeout_ms = BLOCKED_MS};
+	ck_assert(!hcl_do(source, &call, &answer, NULL));
+	hcl_answer_clear(&answer);
+	ck_assert_int_gt(bytes_to(SOURCE, "peer:node-1", "bytes_down"), 0);
+	json_decref(list);
+}
+END_TEST
+
+START_TEST(regions_have_their_latency)
+{
+	int64_t took_ms;
+
+	ck_assert(run("encoder-3", "far", &took_ms));
+	ck_assert_int_ge(took_ms, 2 * LINK_MS);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("proxy");
+	TCase *tcase = tcase_create("faults");
+	TCase *latency = tcase_create("latency");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	suite_add_tcase(suite, latency);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_set_timeout(latency, TEST_TIMEOUT_S);
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_checked_fixture(latency, set_up_latency, tear_down);
+	tcase_add_loop_test(tcase, fault, 0, G_N_ELEMENTS(faults));
+	tcase_add_test(tcase, held_bytes_come_late);
+	tcase_add_test(tcase, rules_are_checked);
+	tcase_add_test(tcase, bytes_are_counted);
+	tcase_add_test(tcase, peers_are_fronted);
+	tcase_add_test(latency, regions_have_their_latency);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
