--- a/packages/emul/prx_con.c
+++ b/packages/emul/prx_con.c
@@ -102,7 +102,8 @@
 	if (cut >= 0)
 		len = MIN(len, cut - half->written);
 	if (drip_bps > 0) {
-		half->credit += (double)(now_ms - half->credit_ms) * (double)drip_bps / CLK_MS_PER_S;
+		half->credit +=
+			(double)(now_ms - half->credit_ms) * (double)drip_bps / CLK_MS_PER_S;
 		half->credit = MIN(half->credit, (double)MAX(drip_bps / DRIPS_PER_S, 1));
 		len = MIN(len, (int64_t)half->credit);
 	}
@@ -130,8 +131,7 @@
 
 	if (n == 0)
 		return true;
-	n = send(half->out, block->bytes->data + block->at, (size_t)n,
-		 MSG_DONTWAIT | MSG_NOSIGNAL);
+	n = send(half->out, block->bytes->data + block->at, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL);
 	if (n < 0) {
 		half->blocked = errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOTCONN;
 		return half->blocked;
--- a/packages/emul/prx_int.h
+++ b/packages/emul/prx_int.h
@@ -66,9 +66,9 @@
 	int64_t queued;
 	int64_t read;
 	int64_t written;
-	bool ended;   /* end of the input was read */
-	bool done;    /* end was passed on */
-	bool blocked; /* the last write found no room */
+	bool ended;    /* end of the input was read */
+	bool done;     /* end was passed on */
+	bool blocked;  /* the last write found no room */
 	double credit; /* bytes that may drip now */
 	int64_t credit_ms;
 };
--- a/packages/emul/prx_rul.c
+++ b/packages/emul/prx_rul.c
@@ -101,14 +101,14 @@
 	g_hash_table_iter_init(&iter, proxy->traffic);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct prx_traffic *t = value;
-		json_array_append_new(
-			list, json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:I}", "from", t->from,
-					"to", t->to, "from_region", t->from_region, "to_region",
-					t->to_region, "price_per_gb_cents",
-					(json_int_t)t->price_per_gb_cents, "connections",
-					(json_int_t)t->connections, "bytes_up",
-					(json_int_t)t->bytes_up, "bytes_down",
-					(json_int_t)t->bytes_down));
+		json_array_append_new(list,
+				      json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:I}", "from",
+						t->from, "to", t->to, "from_region", t->from_region,
+						"to_region", t->to_region, "price_per_gb_cents",
+						(json_int_t)t->price_per_gb_cents, "connections",
+						(json_int_t)t->connections, "bytes_up",
+						(json_int_t)t->bytes_up, "bytes_down",
+						(json_int_t)t->bytes_down));
 	}
 	return list;
 }
