Add the commands addresses, ticket, status, dump and drain; send finds its way by itself

send asks the node for addresses and goes on to the next when the node is gone, drains or is not ready; takes a ticket when 428 asks for one; takes a new one only when the ticket was taken in this run.

Proof: proc_cli, 25 rows of command, exit code and output; it failed first on an empty body given to fwrite (undefined behaviour, exit 1 instead of 3).

--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -6,9 +6,14 @@
 #include <string.h>
 
 static const struct cli_command commands[] = {
+	{"addresses", "list the addresses that callers should use", cli_addresses},
 	{"check", "name every fault of a configuration document", cli_check},
+	{"drain", "begin a planned stop of a node", cli_drain},
+	{"dump", "print a node's whole state", cli_dump},
 	{"emulate", "run the platform and the upstreams of a document", cli_emulate},
 	{"send", "send one request to a node", cli_send},
+	{"status", "show the fleet at a glance", cli_status},
+	{"ticket", "take a ticket for one non-idempotent request", cli_ticket},
 };
 
 static void usage(FILE *out)
--- a/packages/cli/send.c
+++ b/packages/cli/send.c
@@ -1,12 +1,12 @@
 /* currantscale send ADDRESS PATH [BODY]: one request to a node. */
-#include "base/hcl.h"
+#include "cli/ask.h"
 #include "cli/cli.h"
 
 #include <argp.h>
 #include <stdio.h>
 #include <string.h>
 
-#define SEND_TIMEOUT_MS 60000
+#define HTTP_TICKET_REQUIRED 428
 
 struct args {
 	const char *address;
@@ -15,12 +15,14 @@
 	const char *key;
 	const char *ticket;
 	const char *deadline_ms;
+	bool json;
 };
 
 static const struct argp_option options[] = {
 	{"key", 'k', "KEY", 0, "Key of the client account", 0},
 	{"ticket", 't', "TICKET", 0, "Ticket of a non-idempotent request", 0},
 	{"deadline-ms", 'd', "MS", 0, "Deadline of the request", 0},
+	{"json", 'j', NULL, 0, "Print outcome, request and answer as JSON", 0},
 	{0},
 };
 
@@ -38,6 +40,9 @@
 	case 'd':
 		args->deadline_ms = arg;
 		return 0;
+	case 'j':
+		args->json = true;
+		return 0;
 	case ARGP_KEY_ARG:
 		if (state->arg_num == 0)
 			args->address = arg;
@@ -62,55 +67,111 @@
 	.parser = parse_arg,
 	.args_doc = "ADDRESS PATH [BODY]",
 	.doc = "Sends one request, such as /v1/pipelines/advise, and prints the answer.\v"
-	       "Exit status: 0 complete, 3 unreachable, 4 not run, 5 unknown.",
+	       "ADDRESS is host:port of any node; another one is asked when it is gone or leaves. "
+	       "A non-idempotent call without --ticket takes one by itself. "
+	       "Exit status: 0 complete, 2 bad arguments, 3 unreachable, 4 not run, 5 unknown.",
 };
 
-static void add_header(struct hcl_call *call, const char *name, const char *value)
+static bool try_node(struct hcl *http, const struct args *args, const char *address,
+		     const char *ticket, struct hcl_answer *answer)
+{
+	const struct ask a = {
+		.method = "POST",
+		.address = address,
+		.path = args->path,
+		.key = args->key,
+		.ticket = ticket,
+		.deadline_ms = args->deadline_ms,
+		.body = args->body,
+	};
+
+	return ask(http, &a, answer);
+}
+
+/* Only a ticket that this run took, and sent once, is known not to have been sent before. */
+static bool wants_new_ticket(const struct hcl_answer *answer, const char *given, int tries)
+{
+	if (answer->status == HTTP_TICKET_REQUIRED)
+		return true;
+	return !given && tries == 0 && ask_has_error(answer, "ticket_unknown");
+}
+
+/* Asks one node: takes a ticket when the call needs one. */
+static int send_to(struct hcl *http, const struct args *args, const char *address,
+		   struct hcl_answer *answer)
 {
-	if (value)
-		call->headers[call->n_headers++] = (struct hcl_header){name, value};
+	char *ticket = g_strdup(args->ticket);
+	bool ok = try_node(http, args, address, ticket, answer);
+
+	for (int tries = 0; tries < 2; tries++) {
+		if (!wants_new_ticket(answer, args->ticket, tries) || !answer->headers[ASK_TICKET])
+			break;
+		g_free(ticket);
+		ticket = g_strdup(answer->headers[ASK_TICKET]);
+		hcl_answer_clear(answer);
+		ok = try_node(http, args, address, ticket, answer);
+	}
+	g_free(ticket);
+	return ask_exit_code(answer, ok);
 }
 
-static int exit_code(const struct hcl_answer *answer, bool ok)
+/* A node that is not there, or leaves, costs nothing: the next address is asked. */
+static bool may_go_on(const struct hcl_answer *answer, int code)
 {
-	const char *outcome = answer->headers[0];
-
-	if (!answer->status && !answer->sent)
-		return CLI_EXIT_UNREACHABLE;
-	if (outcome && strcmp(outcome, "not_run") == 0)
-		return CLI_EXIT_NOT_RUN;
-	if (!ok || !outcome || strcmp(outcome, "complete") != 0)
-		return CLI_EXIT_UNKNOWN;
-	return CLI_EXIT_OK;
+	return code == CLI_EXIT_UNREACHABLE ||
+	       (code == CLI_EXIT_NOT_RUN &&
+		(ask_has_error(answer, "draining") || ask_has_error(answer, "not_ready")));
+}
+
+static int send_anywhere(struct hcl *http, const struct args *args, struct hcl_answer *answer)
+{
+	json_t *json = ask_json(http, args->address, "/v1/addresses", args->key);
+	json_t *list = json_object_get(json, "addresses");
+	int code = send_to(http, args, args->address, answer);
+
+	for (size_t i = 0; may_go_on(answer, code) && i < json_array_size(list); i++) {
+		json_t *entry = json_array_get(list, i);
+		const char *next = json_string_value(json_object_get(entry, "address"));
+		if (!next || strcmp(next, args->address) == 0)
+			continue;
+		hcl_answer_clear(answer);
+		code = send_to(http, args, next, answer);
+	}
+	json_decref(json);
+	return code;
+}
+
+static void print_answer(const struct args *args, const struct hcl_answer *answer, int code)
+{
+	const char *request = answer->headers[ASK_REQUEST];
+	json_t *json;
+
+	if (!args->json) {
+		if (answer->body->len > 0)
+			fwrite(answer->body->data, 1, answer->body->len, stdout);
+		putchar('\n');
+		return;
+	}
+	json = json_pack("{s:s, s:i, s:s*, s:o*}", "outcome", ask_outcome(code), "status",
+			 answer->status, "request", request, "body",
+			 json_stringn((const char *)answer->body->data, answer->body->len));
+	json_dumpf(json, stdout, JSON_COMPACT);
+	putchar('\n');
+	json_decref(json);
 }
 
 int cli_send(int argc, char **argv)
 {
 	struct args args = {.body = ""};
-	struct hcl_call call = {.method = "POST", .timeout_ms = SEND_TIMEOUT_MS};
 	struct hcl_answer answer;
 	struct hcl *http;
-	char *bearer;
-	bool ok;
 	int code;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &args);
 	http = hcl_new(NULL);
-	bearer = g_strdup_printf("Bearer %s", args.key ? args.key : "");
-	call.address = args.address;
-	call.path = args.path;
-	call.body = args.body;
-	call.body_len = strlen(args.body);
-	call.want_headers[0] = "Currantscale-Outcome";
-	add_header(&call, "Authorization", args.key ? bearer : NULL);
-	add_header(&call, "Currantscale-Ticket", args.ticket);
-	add_header(&call, "Currantscale-Deadline-Ms", args.deadline_ms);
-	ok = hcl_do(http, &call, &answer, NULL);
-	fwrite(answer.body->data, 1, answer.body->len, stdout);
-	putchar('\n');
-	code = exit_code(&answer, ok);
+	code = send_anywhere(http, &args, &answer);
+	print_answer(&args, &answer, code);
 	hcl_answer_clear(&answer);
 	hcl_free(http);
-	g_free(bearer);
 	return code;
 }
--- a/packages/emul/emu_prx.c
+++ b/packages/emul/emu_prx.c
@@ -47,14 +47,15 @@
 static void take_event(struct emu_proxy *proxy, void *ptr, int64_t now_ms)
 {
 	const struct prx_listener *listener = find_listener(proxy, ptr);
+	struct prx_conn *conn = ptr;
 	eventfd_t count;
 
 	if (ptr == proxy)
 		eventfd_read(proxy->wake, &count);
 	else if (listener)
 		accept_all(proxy, listener);
-	else if (!((struct prx_conn *)ptr)->closed)
-		prx_conn_pump(ptr, now_ms);
+	else if (conn && !conn->closed)
+		prx_conn_pump(conn, now_ms);
 }
 
 /* Pumps connections that wait for a time and frees closed ones; true when any still waits. */
--- /dev/null
+++ b/tests/proc_cli.c
@@ -0,0 +1,111 @@
+/* Each command against real processes: exit code and a part of the output. */
+#include "fleet.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define TEST_TIMEOUT_S 120
+
+static struct fleet *fleet;
+
+static void set_up(void)
+{
+	fleet = fleet_new("association.yaml", 2);
+}
+
+static void tear_down(void)
+{
+	fleet_free(fleet);
+}
+
+/* CALLER, ADMIN, PLATFORM and EXAMPLES in a command stand for what they are here. */
+static char *fill(const char *command)
+{
+	GString *text = g_string_new(command);
+
+	g_string_replace(text, "CALLER", fleet->nodes[0].caller, 0);
+	g_string_replace(text, "ADMIN2", fleet->nodes[1].admin, 0);
+	g_string_replace(text, "ADMIN", fleet->nodes[0].admin, 0);
+	g_string_replace(text, "PLATFORM", fleet->platform, 0);
+	g_string_replace(text, "EXAMPLES", CS_EXAMPLES, 0);
+	return g_string_free(text, FALSE);
+}
+
+static int run(const char *command, char **out)
+{
+	char *filled = fill(command);
+	char *line = g_strdup_printf("%s %s", CS_CLI_PROGRAM, filled);
+	char *err = NULL;
+	int status = 0;
+
+	ck_assert(g_spawn_command_line_sync(line, out, &err, &status, NULL));
+	g_free(err);
+	g_free(line);
+	g_free(filled);
+	return WEXITSTATUS(status);
+}
+
+static const struct {
+	const char *command;
+	int code;
+	const char *out; /* a part of it */
+} cases[] = {
+	{"--help", 0, "addresses"},
+	{"--version", 0, "currantscale "},
+	{"none", 2, ""},
+	{"addresses --help", 0, "Exit status"},
+	{"addresses CALLER", 0, "node-1"},
+	{"addresses --json CALLER", 0, "\"ttl_ms\""},
+	{"addresses 127.0.0.1:1", 3, ""},
+	{"ticket -k driver-key CALLER", 0, "node-1."},
+	{"ticket -k driver-key -j CALLER", 0, "\"first\""},
+	{"ticket -k bad CALLER", 3, ""},
+	{"send -k driver-key CALLER /v1/pipelines/advise x", 0, "token9"},
+	{"send -k driver-key -j CALLER /v1/pipelines/advise x", 0, "\"outcome\":\"complete\""},
+	{"send -k driver-key CALLER /v1/services/weighbridge/book x", 0, "weighbridge(x)"},
+	{"send -k driver-key CALLER /v1/pipelines/none x", 4, "unknown_pipeline"},
+	{"send -k driver-key -t node-1.1.1.1 CALLER /v1/services/weighbridge/book x", 5,
+	 "ticket_unknown"},
+	{"send -k driver-key 127.0.0.1:1 /v1/pipelines/advise x", 3, ""},
+	{"status -k ops-key ADMIN ADMIN2", 0, "node-2 (zilina): ready"},
+	{"status -j -k ops-key ADMIN", 0, "\"decisions\""},
+	{"status -k bad ADMIN", 3, ""},
+	{"dump -k ops-key ADMIN", 0, "\"incarnation\""},
+	{"dump -k bad ADMIN", 3, ""},
+	{"drain -k bad ADMIN", 3, ""},
+	{"drain -k ops-key ADMIN2", 0, "draining"},
+	{"check EXAMPLES/association.yaml", 0, "no fault"},
+	{"emulate EXAMPLES/none.yaml", 2, ""},
+};
+
+START_TEST(commands)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *out = NULL;
+		int code = run(cases[i].command, &out);
+
+		ck_assert_msg(code == cases[i].code && strstr(out, cases[i].out),
+			      "%s: exit %d, printed %s", cases[i].command, code, out);
+		g_free(out);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("cli");
+	TCase *tcase = tcase_create("cli");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_test(tcase, commands);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
