--- /dev/null
+++ b/packages/decide/include/decide/plc.h
@@ -0,0 +1,64 @@
+/*
+ * Placement: which engine is to hold which model, and who tells it. The wanted placement is a
+ * function of the configuration in force alone, so nodes that disagree about the fleet still give
+ * the same orders. The fencing number of an order is the revision of the models section.
+ */
+#ifndef DECIDE_PLC_H
+#define DECIDE_PLC_H
+
+#include "decide/bb.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define PLC_ORDER_AGE_MS 2000 /* an order in hand for longer is not given */
+#define PLC_TURN_MS 3000      /* after which the next node in turn may give an order */
+#define PLC_LOADS_MAX 2	      /* concurrent loads of a model in a data centre */
+
+struct plc_order {
+	char engine[BB_NAME_BYTES];
+	char address[BB_ADDRESS_BYTES];
+	char model[BB_NAME_BYTES];
+	char version[BB_NAME_BYTES];
+	char role[BB_NAME_BYTES];
+	int64_t fence;
+	bool checks_fencing;
+	uint32_t dc;
+	int64_t made_ms; /* when the engine was asked what it holds */
+};
+
+/* How long this node has had its part in an order, without a break. */
+struct plc_claim {
+	int64_t fence;
+	int64_t wanted_ms; /* since when the order is wanted */
+	int64_t first_ms;  /* since when this node is first in turn; BB_NEVER: it is not */
+	int64_t seen_ms;   /* last plc_update() */
+};
+
+/* GArray of struct plc_order, one for each engine that a model names; the caller unrefs. */
+GArray *plc_wanted(const struct cfg *cfg);
+
+/*
+ * Turn of this node in giving orders of a model in a data centre, 0 first, by rendezvous hash over
+ * the listed nodes there, of all where none is; -1 when this node is not listed or leaves.
+ */
+int plc_turn(const struct bb *bb, const char *model, uint32_t dc);
+
+/* Brings a claim up to date; a gap in the calls, a stale list or a new order restarts it. */
+void plc_update(const struct bb *bb, const struct plc_order *order, struct plc_claim *claim,
+		int64_t now_ms);
+
+/*
+ * May the order be given now? Asked again right before its bytes leave. An engine that checks
+ * fencing numbers is told by the first in turn, and by the next ones when that one is silent; one
+ * that ignores them by the first in turn alone, after every earlier one has given up.
+ */
+bool plc_may_give(const struct bb *bb, const struct plc_order *order, const struct plc_claim *claim,
+		  int64_t now_ms);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/emul/emu.c
+++ b/packages/emul/emu.c
@@ -71,6 +71,8 @@
 	init_condition(&up->slot);
 	init_condition(&up->change);
 	g_strlcpy(up->address, from->address, sizeof(up->address));
+	up->orders_held.checks_fencing = service->checks_fencing;
+	up->orders_held.log = json_array();
 	pthread_mutex_init(&up->lock, NULL);
 }
 
@@ -162,6 +164,7 @@
 	g_free(up->data_centre);
 	pthread_cond_destroy(&up->slot);
 	pthread_cond_destroy(&up->change);
+	json_decref(up->orders_held.log);
 	pthread_mutex_destroy(&up->lock);
 }
 
--- a/packages/emul/emu_int.h
+++ b/packages/emul/emu_int.h
@@ -109,6 +109,19 @@
 	int64_t bytes_out; /* bodies of answers */
 };
 
+/* What an engine was ordered to hold. */
+struct emu_orders {
+	bool checks_fencing;
+	int64_t load_ms;   /* time of a load */
+	int64_t answer_ms; /* until it says what it holds */
+	int64_t fence;	   /* the highest seen */
+	char model[64];
+	char version[64];
+	char role[64];
+	int64_t loaded_ms;
+	json_t *log; /* every order that came */
+};
+
 /* An emulated upstream. */
 struct emu_upstream {
 	struct emu *emu;
@@ -136,6 +149,7 @@
 	struct emu_cache cache;
 	struct emu_report shown;
 	struct emu_counts counts;
+	struct emu_orders orders_held;
 	GHashTable *traffic; /* source address -> struct emu_traffic */
 };
 
@@ -170,8 +184,8 @@
 	pthread_cond_t changed; /* what a watch waits for, or stopping */
 	bool stopping;
 	struct emu_faults faults;
-	char *stale_document;	/* NULL: not stale */
-	GHashTable *calls;	/* source address -> GUINT calls of the platform */
+	char *stale_document; /* NULL: not stale */
+	GHashTable *calls;    /* source address -> GUINT calls of the platform */
 	char *document;
 	uint64_t document_version;
 	json_t *vms; /* id -> object of the VM list */
@@ -190,6 +204,12 @@
 bool emu_platform_start(struct emu *e, GError **error);
 void emu_platform_stop(struct emu *e);
 
+/* emu_ord.c */
+enum MHD_Result emu_answer_orders(struct emu_upstream *up, struct MHD_Connection *conn,
+				  const char *method, const GByteArray *body);
+enum MHD_Result emu_control_orders(struct emu *e, struct MHD_Connection *conn, const char *method,
+				   const GByteArray *body);
+
 /* emu_wch.c: what of the platform can be watched; conn is answered. */
 enum MHD_Result emu_answer_config(struct emu *e, struct MHD_Connection *conn, const char *url);
 enum MHD_Result emu_answer_vms(struct emu *e, struct MHD_Connection *conn);
--- a/packages/emul/emu_plt.c
+++ b/packages/emul/emu_plt.c
@@ -146,6 +146,8 @@
 		return answer_platform(e, conn, url);
 	if (emu_control(e, conn, url, method, body, &rc))
 		return rc;
+	if (strcmp(url, "/control/orders") == 0)
+		return emu_control_orders(e, conn, method, body);
 	if (strcmp(url, "/control/calls") == 0)
 		return answer_calls(e, conn);
 	if (strcmp(url, "/control/config") == 0)
--- a/packages/emul/emu_ups.c
+++ b/packages/emul/emu_ups.c
@@ -201,6 +201,8 @@
 	}
 	if (strncmp(url, run, strlen(run)) == 0)
 		return answer_run(up, conn, url + strlen(run), body);
+	if (strcmp(url, "/v1/orders") == 0)
+		return emu_answer_orders(up, conn, method, body);
 	if (strcmp(url, "/v1/load") == 0)
 		return answer_load(up, conn);
 	if (strcmp(url, "/v1/cancel") == 0)
--- a/packages/model/cfg.c
+++ b/packages/model/cfg.c
@@ -8,7 +8,11 @@
 #define COUNT(array) (sizeof(array) / sizeof((array)[0]))
 #define MAP_OF(owner, fields)                                                                      \
 	{                                                                                          \
-		fields, COUNT(fields), sizeof(struct owner)                                        \
+		fields, COUNT(fields), sizeof(struct owner), 0                                     \
+	}
+#define LINED_MAP_OF(owner, fields)                                                                \
+	{                                                                                          \
+		fields, COUNT(fields), sizeof(struct owner), offsetof(struct owner, line)          \
 	}
 
 #define STR(owner, member, must)                                                                   \
@@ -45,7 +49,7 @@
 	STR(cfg_data_centre, region, true),
 	BOOL(cfg_data_centre, in_service, true),
 };
-static const struct sch_map data_centre_map = MAP_OF(cfg_data_centre, data_centre_fields);
+static const struct sch_map data_centre_map = LINED_MAP_OF(cfg_data_centre, data_centre_fields);
 
 static const struct sch_field link_fields[] = {
 	STR(cfg_link, from, true),
@@ -53,7 +57,7 @@
 	INT(cfg_link, latency_ms, 0, FIELD_MAX_MS, 0),
 	INT(cfg_link, price_per_gb_cents, 0, 1000000, 0),
 };
-static const struct sch_map link_map = MAP_OF(cfg_link, link_fields);
+static const struct sch_map link_map = LINED_MAP_OF(cfg_link, link_fields);
 
 static const struct sch_field places_fields[] = {
 	REVISION(cfg_places),
@@ -66,7 +70,7 @@
 	STR(cfg_call, name, true),
 	BOOL(cfg_call, idempotent, false),
 };
-static const struct sch_map call_map = MAP_OF(cfg_call, call_fields);
+static const struct sch_map call_map = LINED_MAP_OF(cfg_call, call_fields);
 
 static const struct sch_field service_fields[] = {
 	STR(cfg_service, name, true),
@@ -81,7 +85,7 @@
 	INT(cfg_service, warm_limit, 1, 10000, 16),
 	INT(cfg_service, cost_cents_per_k, 0, 1000000, 0),
 };
-static const struct sch_map service_map = MAP_OF(cfg_service, service_fields);
+static const struct sch_map service_map = LINED_MAP_OF(cfg_service, service_fields);
 
 static const struct sch_field services_fields[] = {
 	REVISION(cfg_services),
@@ -94,7 +98,7 @@
 	STR(cfg_upstream, address, true),     STR(cfg_upstream, vm, true),
 	STR(cfg_upstream, data_centre, true),
 };
-static const struct sch_map upstream_map = MAP_OF(cfg_upstream, upstream_fields);
+static const struct sch_map upstream_map = LINED_MAP_OF(cfg_upstream, upstream_fields);
 
 static const struct sch_field upstreams_fields[] = {
 	REVISION(cfg_upstreams),
@@ -112,7 +116,7 @@
 	 .off_n = offsetof(struct cfg_model, n_upstreams),
 	 .required = true},
 };
-static const struct sch_map model_map = MAP_OF(cfg_model, model_fields);
+static const struct sch_map model_map = LINED_MAP_OF(cfg_model, model_fields);
 
 static const struct sch_field models_fields[] = {
 	REVISION(cfg_models),
@@ -126,14 +130,14 @@
 	STR(cfg_stage, call, false),
 	BOOL(cfg_stage, stream, false),
 };
-static const struct sch_map stage_map = MAP_OF(cfg_stage, stage_fields);
+static const struct sch_map stage_map = LINED_MAP_OF(cfg_stage, stage_fields);
 
 static const struct sch_field pipeline_fields[] = {
 	STR(cfg_pipeline, name, true),
 	INT(cfg_pipeline, deadline_ms, 1, FIELD_MAX_MS, 4000),
 	LIST(cfg_pipeline, "stages", stages, true, stage_map),
 };
-static const struct sch_map pipeline_map = MAP_OF(cfg_pipeline, pipeline_fields);
+static const struct sch_map pipeline_map = LINED_MAP_OF(cfg_pipeline, pipeline_fields);
 
 static const struct sch_field pipelines_fields[] = {
 	REVISION(cfg_pipelines),
@@ -146,7 +150,7 @@
 	INT(cfg_class, rank, 0, 100, 0),
 	INT(cfg_class, reserved_pct, 0, 100, 0),
 };
-static const struct sch_map class_map = MAP_OF(cfg_class, class_fields);
+static const struct sch_map class_map = LINED_MAP_OF(cfg_class, class_fields);
 
 static const struct sch_field account_fields[] = {
 	STR(cfg_account, name, true),
@@ -157,7 +161,7 @@
 	STR(cfg_account, key_sha256, true),
 	INT(cfg_account, limit_per_s, 1, 1000000, 1000000),
 };
-static const struct sch_map account_map = MAP_OF(cfg_account, account_fields);
+static const struct sch_map account_map = LINED_MAP_OF(cfg_account, account_fields);
 
 static const struct sch_field accounts_fields[] = {
 	REVISION(cfg_accounts),
@@ -345,15 +349,15 @@
 	bool present = false;
 	bool ok = false;
 
+	shift_lines(faults, before, text, sections[id].name);
 	if (doc) {
+		sch_doc_set_first_line(doc, text->line);
 		ok = sch_check_sections(doc, names, faults) &&
 		     sch_load_section(doc, sections[id].name, sections[id].map,
 				      cfg_section_at(cfg, id), &present, &cfg->lines[id], faults);
 		ok = ok && present && cfg_check_local(cfg, id, faults);
 	}
 	sch_doc_free(doc);
-	cfg->lines[id] = text->line;
-	shift_lines(faults, before, text, sections[id].name);
 	return ok;
 }
 
--- a/packages/model/cfg_resolve.c
+++ b/packages/model/cfg_resolve.c
@@ -12,33 +12,45 @@
 	uint32_t n_faults;
 };
 
-static void bad_reference(struct resolve *r, enum cfg_section_id id, const char *key,
+static void bad_reference(struct resolve *r, enum cfg_section_id id, int line, const char *key,
 			  const char *owner, const char *target)
 {
-	sch_add_fault(r->faults, cfg_section_name(id), r->cfg->lines[id], 1, key,
-		      ERR_CONFIG_BAD_REFERENCE, "%s names %s, which does not exist", owner, target);
+	sch_add_fault(r->faults, cfg_section_name(id), line, 1, key, ERR_CONFIG_BAD_REFERENCE,
+		      "%s names %s, which does not exist", owner, target);
 	r->n_faults++;
 }
 
-static void bad_value(struct resolve *r, enum cfg_section_id id, const char *key, const char *owner,
-		      const char *reason)
+static void bad_value(struct resolve *r, enum cfg_section_id id, int line, const char *key,
+		      const char *owner, const char *reason)
 {
-	sch_add_fault(r->faults, cfg_section_name(id), r->cfg->lines[id], 1, key,
-		      ERR_CONFIG_BAD_VALUE, "%s: %s", owner, reason);
+	sch_add_fault(r->faults, cfg_section_name(id), line, 1, key, ERR_CONFIG_BAD_VALUE, "%s: %s",
+		      owner, reason);
 	r->n_faults++;
 }
 
-/* names points at the first item's name; each item is stride bytes further. */
+/* Where a kind of item keeps what check_unique() needs. */
+struct item_layout {
+	size_t size;
+	size_t off_name;
+	size_t off_line;
+};
+
+#define LAYOUT(owner)                                                                              \
+	(&(const struct item_layout){sizeof(struct owner), offsetof(struct owner, name),           \
+				     offsetof(struct owner, line)})
+
 static void check_unique(struct resolve *r, enum cfg_section_id id, const void *items, uint32_t n,
-			 size_t stride, size_t name_off)
+			 const struct item_layout *at)
 {
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 
 	for (uint32_t i = 0; i < n; i++) {
-		char *name = *(char *const *)((const char *)items + i * stride + name_off);
+		const char *item = (const char *)items + i * at->size;
+		char *name = *(char *const *)(item + at->off_name);
 
 		if (!g_hash_table_add(seen, name))
-			bad_value(r, id, "name", name, "stands twice");
+			bad_value(r, id, *(const int *)(item + at->off_line), "name", name,
+				  "stands twice");
 	}
 	g_hash_table_destroy(seen);
 }
@@ -57,12 +69,14 @@
 	const struct cfg_places *places = &r->cfg->places;
 
 	check_unique(r, CFG_PLACES, places->data_centres, places->n_data_centres,
-		     sizeof(struct cfg_data_centre), offsetof(struct cfg_data_centre, name));
+		     LAYOUT(cfg_data_centre));
 	for (uint32_t i = 0; i < places->n_links; i++) {
 		if (!has_region(r->cfg, places->links[i].from))
-			bad_reference(r, CFG_PLACES, "from", "a link", places->links[i].from);
+			bad_reference(r, CFG_PLACES, places->links[i].line, "from", "a link",
+				      places->links[i].from);
 		if (!has_region(r->cfg, places->links[i].to))
-			bad_reference(r, CFG_PLACES, "to", "a link", places->links[i].to);
+			bad_reference(r, CFG_PLACES, places->links[i].line, "to", "a link",
+				      places->links[i].to);
 	}
 }
 
@@ -70,23 +84,21 @@
 {
 	const struct cfg_services *services = &r->cfg->services;
 
-	check_unique(r, CFG_SERVICES, services->items, services->n_items,
-		     sizeof(struct cfg_service), offsetof(struct cfg_service, name));
+	check_unique(r, CFG_SERVICES, services->items, services->n_items, LAYOUT(cfg_service));
 	for (uint32_t i = 0; i < services->n_items; i++) {
 		const struct cfg_service *service = &services->items[i];
 
 		if (service->cold_limit > service->warm_limit)
-			bad_value(r, CFG_SERVICES, "cold_limit", service->name,
+			bad_value(r, CFG_SERVICES, service->line, "cold_limit", service->name,
 				  "cold_limit is above warm_limit");
-		check_unique(r, CFG_SERVICES, service->calls, service->n_calls,
-			     sizeof(struct cfg_call), offsetof(struct cfg_call, name));
+		check_unique(r, CFG_SERVICES, service->calls, service->n_calls, LAYOUT(cfg_call));
 	}
 }
 
 static void check_upstreams(struct resolve *r)
 {
 	check_unique(r, CFG_UPSTREAMS, r->cfg->upstreams.items, r->cfg->upstreams.n_items,
-		     sizeof(struct cfg_upstream), offsetof(struct cfg_upstream, name));
+		     LAYOUT(cfg_upstream));
 }
 
 static void resolve_upstreams(struct resolve *r)
@@ -99,14 +111,34 @@
 		int dc = cfg_find_data_centre(r->cfg, up->data_centre);
 
 		if (svc < 0)
-			bad_reference(r, CFG_UPSTREAMS, "service", up->name, up->service);
+			bad_reference(r, CFG_UPSTREAMS, up->line, "service", up->name, up->service);
 		if (dc < 0)
-			bad_reference(r, CFG_UPSTREAMS, "data_centre", up->name, up->data_centre);
+			bad_reference(r, CFG_UPSTREAMS, up->line, "data_centre", up->name,
+				      up->data_centre);
 		up->svc = (uint32_t)svc;
 		up->dc = (uint32_t)dc;
 	}
 }
 
+/* An engine holds one model, so that an order tells it all. */
+static void check_models(struct resolve *r)
+{
+	GHashTable *engines = g_hash_table_new(g_str_hash, g_str_equal);
+
+	check_unique(r, CFG_MODELS, r->cfg->models.items, r->cfg->models.n_items,
+		     LAYOUT(cfg_model));
+	for (uint32_t i = 0; i < r->cfg->models.n_items; i++) {
+		const struct cfg_model *model = &r->cfg->models.items[i];
+
+		for (uint32_t k = 0; k < model->n_upstreams; k++) {
+			if (!g_hash_table_add(engines, model->upstreams[k]))
+				bad_value(r, CFG_MODELS, model->line, "upstreams",
+					  model->upstreams[k], "is placed twice");
+		}
+	}
+	g_hash_table_destroy(engines);
+}
+
 static void resolve_models(struct resolve *r)
 {
 	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
@@ -118,7 +150,7 @@
 
 		for (uint32_t k = 0; k < model->n_upstreams; k++) {
 			if (!g_hash_table_contains(names, model->upstreams[k]))
-				bad_reference(r, CFG_MODELS, "upstreams", model->name,
+				bad_reference(r, CFG_MODELS, model->line, "upstreams", model->name,
 					      model->upstreams[k]);
 		}
 	}
@@ -131,7 +163,8 @@
 	int svc = cfg_find_service(r->cfg, stage->service);
 
 	if (svc < 0) {
-		bad_reference(r, CFG_PIPELINES, "service", pipeline->name, stage->service);
+		bad_reference(r, CFG_PIPELINES, stage->line, "service", pipeline->name,
+			      stage->service);
 		return;
 	}
 	stage->svc = (uint32_t)svc;
@@ -141,7 +174,7 @@
 		return;
 	int call = stage->call ? cfg_find_call(service, stage->call) : -1;
 	if (call < 0)
-		bad_reference(r, CFG_PIPELINES, "call", pipeline->name,
+		bad_reference(r, CFG_PIPELINES, stage->line, "call", pipeline->name,
 			      stage->call ? stage->call : "no call of its plain service");
 	else
 		stage->idempotent = service->calls[call].idempotent;
@@ -151,17 +184,17 @@
 {
 	const struct cfg_pipelines *pipelines = &r->cfg->pipelines;
 
-	check_unique(r, CFG_PIPELINES, pipelines->items, pipelines->n_items,
-		     sizeof(struct cfg_pipeline), offsetof(struct cfg_pipeline, name));
+	check_unique(r, CFG_PIPELINES, pipelines->items, pipelines->n_items, LAYOUT(cfg_pipeline));
 	for (uint32_t i = 0; i < pipelines->n_items; i++) {
 		const struct cfg_pipeline *pipeline = &pipelines->items[i];
 
 		if (pipeline->n_stages == 0)
-			bad_value(r, CFG_PIPELINES, "stages", pipeline->name, "has no stage");
+			bad_value(r, CFG_PIPELINES, pipeline->line, "stages", pipeline->name,
+				  "has no stage");
 		for (uint32_t k = 0; k + 1 < pipeline->n_stages; k++) {
 			if (pipeline->stages[k].stream)
-				bad_value(r, CFG_PIPELINES, "stream", pipeline->name,
-					  "only the last stage can stream");
+				bad_value(r, CFG_PIPELINES, pipeline->stages[k].line, "stream",
+					  pipeline->name, "only the last stage can stream");
 		}
 	}
 }
@@ -192,20 +225,21 @@
 	struct cfg_accounts *accounts = &r->cfg->accounts;
 	int64_t reserved_pct = 0;
 
-	check_unique(r, CFG_ACCOUNTS, accounts->items, accounts->n_items,
-		     sizeof(struct cfg_account), offsetof(struct cfg_account, name));
+	check_unique(r, CFG_ACCOUNTS, accounts->items, accounts->n_items, LAYOUT(cfg_account));
 	for (uint32_t i = 0; i < accounts->n_classes; i++)
 		reserved_pct += accounts->classes[i].reserved_pct;
 	if (reserved_pct > 100)
-		bad_value(r, CFG_ACCOUNTS, "reserved_pct", "classes", "shares exceed 100");
+		bad_value(r, CFG_ACCOUNTS, r->cfg->lines[CFG_ACCOUNTS], "reserved_pct", "classes",
+			  "shares exceed 100");
 	for (uint32_t i = 0; i < accounts->n_items; i++) {
 		struct cfg_account *account = &accounts->items[i];
 		int cls = find_class(r->cfg, account->class_name);
 
 		if (cls < 0)
-			bad_reference(r, CFG_ACCOUNTS, "class", account->name, account->class_name);
+			bad_reference(r, CFG_ACCOUNTS, account->line, "class", account->name,
+				      account->class_name);
 		if (strlen(account->key_sha256) != KEY_DIGEST_CHARS)
-			bad_value(r, CFG_ACCOUNTS, "key_sha256", account->name,
+			bad_value(r, CFG_ACCOUNTS, account->line, "key_sha256", account->name,
 				  "expected 64 hexadecimal digits");
 		account->cls = (uint32_t)cls;
 	}
@@ -216,7 +250,7 @@
 	static void (*const checks[CFG_SECTIONS])(struct resolve * r) = {
 		[CFG_PLACES] = check_places,	   [CFG_SERVICES] = check_services,
 		[CFG_UPSTREAMS] = check_upstreams, [CFG_PIPELINES] = check_pipelines,
-		[CFG_ACCOUNTS] = check_accounts,
+		[CFG_ACCOUNTS] = check_accounts,   [CFG_MODELS] = check_models,
 	};
 	struct resolve r = {.cfg = cfg, .faults = faults};
 
--- a/packages/model/include/model/cfg.h
+++ b/packages/model/include/model/cfg.h
@@ -35,6 +35,7 @@
 	char *name;
 	char *region;
 	bool in_service; /* false: taken out by operators */
+	int line;	 /* in the document */
 };
 
 struct cfg_link {
@@ -42,6 +43,7 @@
 	char *to;   /* region */
 	int64_t latency_ms;
 	int64_t price_per_gb_cents;
+	int line; /* in the document */
 };
 
 struct cfg_places {
@@ -55,6 +57,7 @@
 struct cfg_call {
 	char *name;
 	bool idempotent;
+	int line; /* in the document */
 };
 
 struct cfg_service {
@@ -66,6 +69,7 @@
 	int64_t cold_limit;	  /* concurrent requests that an upstream in a cold start bears */
 	int64_t warm_limit;	  /* concurrent requests that a warm upstream bears */
 	int64_t cost_cents_per_k; /* price of a thousand requests, for cost by stage */
+	int line;		  /* in the document */
 };
 
 struct cfg_services {
@@ -82,6 +86,7 @@
 	char *data_centre;
 	uint32_t svc; /* index into services, set by cfg_resolve() */
 	uint32_t dc;  /* index into data centres, set by cfg_resolve() */
+	int line;     /* in the document */
 };
 
 struct cfg_upstreams {
@@ -96,6 +101,7 @@
 	char *role;	  /* "prefill", "decode" or "mixed" */
 	char **upstreams; /* engines that have to hold it */
 	uint32_t n_upstreams;
+	int line; /* in the document */
 };
 
 struct cfg_models {
@@ -111,6 +117,7 @@
 	bool stream;	 /* its output is passed on to the caller as it is made */
 	uint32_t svc;	 /* set by cfg_resolve() */
 	bool idempotent; /* set by cfg_resolve() */
+	int line;	 /* in the document */
 };
 
 struct cfg_pipeline {
@@ -118,6 +125,7 @@
 	int64_t deadline_ms;
 	struct cfg_stage *stages;
 	uint32_t n_stages;
+	int line; /* in the document */
 };
 
 struct cfg_pipelines {
@@ -130,6 +138,7 @@
 	char *name;
 	int64_t rank;	      /* 0 is served first */
 	int64_t reserved_pct; /* share of each stage kept for it */
+	int line;	      /* in the document */
 };
 
 struct cfg_account {
@@ -138,6 +147,7 @@
 	char *key_sha256;    /* lower-case hex digest of the key */
 	int64_t limit_per_s; /* over the whole fleet */
 	uint32_t cls;	     /* set by cfg_resolve() */
+	int line;	     /* in the document */
 };
 
 struct cfg_accounts {
--- a/packages/model/include/model/sch.h
+++ b/packages/model/include/model/sch.h
@@ -41,7 +41,8 @@
 struct sch_map {
 	const struct sch_field *fields;
 	uint32_t n_fields;
-	size_t size; /* of the struct */
+	size_t size;	 /* of the struct */
+	size_t off_line; /* of an int that takes the line of the mapping; 0: none */
 };
 
 /* One fault of a document. */
@@ -71,6 +72,9 @@
 struct sch_doc *sch_doc_new(const char *text, size_t len, GPtrArray *faults);
 void sch_doc_free(struct sch_doc *doc);
 
+/* The text is a part of a larger one: its first line is that line there, from 1. */
+void sch_doc_set_first_line(struct sch_doc *doc, int line);
+
 /* Fills dst (zeroed by the call) from the whole document. False when a fault was added. */
 bool sch_load_doc(struct sch_doc *doc, const struct sch_map *map, void *dst, GPtrArray *faults);
 
--- a/packages/model/sch.c
+++ b/packages/model/sch.c
@@ -8,11 +8,13 @@
 
 struct sch_doc {
 	yaml_document_t yaml;
+	int first_line; /* of the text within its document, from 1 */
 };
 
 /* Where a load stands: what faults are reported against. */
 struct sch_ctx {
 	yaml_document_t *yaml;
+	int first_line;
 	const char *section;
 	GPtrArray *faults;
 	uint32_t n_faults; /* added by this load */
@@ -55,6 +57,11 @@
 	va_end(args);
 }
 
+static int line_of(int first_line, const yaml_node_t *node)
+{
+	return (int)node->start_mark.line + first_line;
+}
+
 static void fault_at(struct sch_ctx *ctx, const yaml_node_t *node, const char *key, int code,
 		     const char *format, ...) G_GNUC_PRINTF(5, 6);
 
@@ -64,7 +71,7 @@
 	va_list args;
 
 	va_start(args, format);
-	add_fault(ctx->faults, ctx->section, (int)node->start_mark.line + 1,
+	add_fault(ctx->faults, ctx->section, line_of(ctx->first_line, node),
 		  (int)node->start_mark.column + 1, key, code, g_strdup_vprintf(format, args));
 	va_end(args);
 	ctx->n_faults++;
@@ -244,6 +251,8 @@
 	uint64_t seen = 0;
 
 	memset(dst, 0, map->size);
+	if (map->off_line)
+		*(int *)((char *)dst + map->off_line) = line_of(ctx->first_line, node);
 	for (uint32_t i = 0; i < map->n_fields; i++)
 		set_fallback(&map->fields[i], dst);
 	if (node->type != YAML_MAPPING_NODE) {
@@ -294,6 +303,7 @@
 		g_free(doc);
 		return NULL;
 	}
+	doc->first_line = 1;
 	yaml_parser_initialize(&parser);
 	yaml_parser_set_input_string(&parser, (const unsigned char *)text, len);
 	ok = yaml_parser_load(&parser, &doc->yaml);
@@ -316,6 +326,11 @@
 	return doc;
 }
 
+void sch_doc_set_first_line(struct sch_doc *doc, int line)
+{
+	doc->first_line = line;
+}
+
 void sch_doc_free(struct sch_doc *doc)
 {
 	if (!doc)
@@ -326,7 +341,8 @@
 
 bool sch_load_doc(struct sch_doc *doc, const struct sch_map *map, void *dst, GPtrArray *faults)
 {
-	struct sch_ctx ctx = {.yaml = &doc->yaml, .section = "", .faults = faults};
+	struct sch_ctx ctx = {
+		.yaml = &doc->yaml, .first_line = doc->first_line, .section = "", .faults = faults};
 
 	return load_map(&ctx, yaml_document_get_root_node(&doc->yaml), map, dst);
 }
@@ -334,7 +350,10 @@
 bool sch_load_section(struct sch_doc *doc, const char *section, const struct sch_map *map,
 		      void *dst, bool *present, int *line, GPtrArray *faults)
 {
-	struct sch_ctx ctx = {.yaml = &doc->yaml, .section = section, .faults = faults};
+	struct sch_ctx ctx = {.yaml = &doc->yaml,
+			      .first_line = doc->first_line,
+			      .section = section,
+			      .faults = faults};
 	yaml_node_t *root = yaml_document_get_root_node(&doc->yaml);
 
 	*present = false;
@@ -345,7 +364,7 @@
 		if (key->type != YAML_SCALAR_NODE || strcmp(scalar(key), section) != 0)
 			continue;
 		*present = true;
-		*line = (int)key->start_mark.line + 1;
+		*line = line_of(doc->first_line, key);
 		return load_map(&ctx, yaml_document_get_node(&doc->yaml, pair->value), map, dst);
 	}
 	return true;
@@ -353,7 +372,8 @@
 
 bool sch_check_sections(struct sch_doc *doc, const char *const *names, GPtrArray *faults)
 {
-	struct sch_ctx ctx = {.yaml = &doc->yaml, .section = "", .faults = faults};
+	struct sch_ctx ctx = {
+		.yaml = &doc->yaml, .first_line = doc->first_line, .section = "", .faults = faults};
 	yaml_node_t *root = yaml_document_get_root_node(&doc->yaml);
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 
--- a/packages/node/include/node/nod.h
+++ b/packages/node/include/node/nod.h
@@ -37,6 +37,7 @@
 	struct MHD_Daemon *admin;
 	char caller_address[64];
 	char admin_address[64];
+	struct ord *orders;
 	struct mcf *config; /* acceptance and spread of the configuration */
 	gint stopping;
 };
@@ -102,6 +103,11 @@
 /* Sections in force with revision and hash; the caller drops the reference. */
 json_t *mcf_dump(struct nod *n);
 
+/* Orders to engines. ord.c */
+struct ord *ord_new(void);
+void ord_start(struct nod *n);
+void ord_free(struct ord *o);
+
 /* Sends one attempt to an upstream; owns att. ups.c */
 struct ups_attempt {
 	struct nod *node;
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -121,6 +121,7 @@
 	n->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_pool);
 	n->http = hcl_new(set->source_address);
 	n->timers = tmr_new();
+	n->orders = ord_new();
 	n->config = mcf_new(n);
 	n->side = wkp_new(NOD_SIDE_THREADS, NOD_SIDE_QUEUED);
 	if (!msg_start(n, error) || !ent_start(n, error) || !adn_start(n, error)) {
@@ -128,6 +129,7 @@
 		return NULL;
 	}
 	mcf_start(n);
+	ord_start(n);
 	plt_start(n);
 	tmr_every(n->timers, set->tick_ms, tick, n);
 	return n;
@@ -179,6 +181,7 @@
 	dec_free(n->dec);
 	cfg_unref(n->cfg);
 	mcf_free(n->config);
+	ord_free(n->orders);
 	pthread_mutex_destroy(&n->lock);
 	pthread_mutex_destroy(&n->table_lock);
 	g_free(n);
--- a/tests/proc_config.c
+++ b/tests/proc_config.c
@@ -17,9 +17,24 @@
 
 static struct fleet *fleet;
 
+/* Every node has read a list with all of them, so that none is a stranger to another. */
+static bool all_listed(struct fleet *f, void *arg)
+{
+	for (uint32_t i = 0; i < f->n_nodes; i++) {
+		json_t *dump = fleet_dump(f, i);
+		size_t listed = json_array_size(
+			json_object_get(json_object_get(dump, "decisions"), "nodes"));
+		json_decref(dump);
+		if (listed < f->n_nodes)
+			return false;
+	}
+	return true;
+}
+
 static void set_up(void)
 {
 	fleet = fleet_new("association.yaml", NODES);
+	fleet_wait(fleet, all_listed, NULL, IN_FORCE_MS, "the whole list at every node");
 }
 
 static void tear_down(void)
@@ -295,7 +310,12 @@
 
 START_TEST(stays_within_share)
 {
+	int64_t sent_bytes = counter_sum("peer_sent_bytes_total");
+
 	check_rate("at rest", 6000);
+	sent_bytes = counter_sum("peer_sent_bytes_total") - sent_bytes;
+	printf("measured: at rest: %d bytes a second sent to nodes by a node\n",
+	       (int)(sent_bytes / (NODES * INT64_C(6))));
 	set_faults(json_pack("{s:b}", "no_watch", 1));
 	check_rate("watch not known", 6000);
 }
--- a/tests/unit_config.c
+++ b/tests/unit_config.c
@@ -44,12 +44,30 @@
 	return result;
 }
 
-static bool has_fault(const GPtrArray *faults, int i)
+static int count_lines(const char *text, const char *end)
+{
+	int lines = 0;
+
+	for (; text < end; text++)
+		lines += *text == '\n';
+	return lines;
+}
+
+/* Line on which the replacement of an edit ends. */
+static int edit_line(const char *text, int i)
+{
+	const char *at = strstr(text, edits[i].to);
+
+	return 1 + count_lines(text, at + strlen(edits[i].to));
+}
+
+static bool has_fault(const GPtrArray *faults, const char *text, int i)
 {
 	for (guint k = 0; k < faults->len; k++) {
 		const struct sch_fault *fault = g_ptr_array_index(faults, k);
 		if (fault->code == edits[i].code && strcmp(fault->key, edits[i].key) == 0 &&
-		    strcmp(fault->section, edits[i].section) == 0 && fault->line > 0)
+		    strcmp(fault->section, edits[i].section) == 0 &&
+		    (fault->code == ERR_YAML || fault->line == edit_line(text, i)))
 			return true;
 	}
 	return false;
@@ -61,7 +79,7 @@
 	GPtrArray *faults = sch_faults_new();
 
 	ck_assert_ptr_null(cfg_parse(text, strlen(text), faults));
-	ck_assert_msg(has_fault(faults, _i), "%s", edits[_i].to);
+	ck_assert_msg(has_fault(faults, text, _i), "%s", edits[_i].to);
 	g_ptr_array_unref(faults);
 	g_free(text);
 }
--- /dev/null
+++ b/tests/unit_orders.c
@@ -0,0 +1,173 @@
+/* Who gives which order, and when: tables over placement and turns. */
+#include "base/err.h"
+#include "decide/plc.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define START_MS 100000
+#define NODES 7
+
+static const char list_format[] = "{\"version\":%d,\"vms\":[%s]}";
+static struct cfg *cfg;
+static struct bb bbs[NODES];
+
+/* A list of the nodes of a bit mask, spread over the data centres. */
+static struct vml *make_list(unsigned mask)
+{
+	static const char *const centres[] = {"bratislava", "zilina", "kosice"};
+	GString *vms = g_string_new(NULL);
+
+	for (int i = 0; i < NODES; i++) {
+		if (mask & (1u << i))
+			g_string_append_printf(
+				vms,
+				"%s{\"id\":\"n%d\",\"role\":\"entry\",\"state\":\"live\","
+				"\"data_centre\":\"%s\"}",
+				vms->len ? "," : "", i, centres[i % 3]);
+	}
+	char *text = g_strdup_printf(list_format, 1, vms->str);
+	struct vml *list = vml_parse(text, strlen(text), NULL);
+	g_free(text);
+	g_string_free(vms, TRUE);
+	return list;
+}
+
+static void set_up(void)
+{
+	char *text;
+	gsize len;
+	GPtrArray *faults = sch_faults_new();
+
+	ck_assert(g_file_get_contents(CS_EXAMPLES "/association.yaml", &text, &len, NULL));
+	cfg = cfg_parse(text, len, faults);
+	ck_assert_ptr_nonnull(cfg);
+	for (int i = 0; i < NODES; i++) {
+		char vm[8];
+
+		g_snprintf(vm, sizeof(vm), "n%d", i);
+		bb_init(&bbs[i], vm, "zilina", 1, 1, START_MS);
+		bb_set_config(&bbs[i], cfg, START_MS);
+		bb_set_list(&bbs[i], make_list((1u << NODES) - 1), START_MS);
+	}
+	g_ptr_array_unref(faults);
+	g_free(text);
+}
+
+static void tear_down(void)
+{
+	for (int i = 0; i < NODES; i++)
+		bb_clear(&bbs[i]);
+	cfg_unref(cfg);
+}
+
+/* Of the nodes that read the same list one is first for each model and data centre. */
+START_TEST(one_is_first)
+{
+	for (int i = 0; i < NODES; i++)
+		bb_set_list(&bbs[i], make_list((unsigned)_i), START_MS);
+	for (uint32_t dc = 0; dc < cfg->places.n_data_centres; dc++) {
+		int first = 0;
+
+		for (int i = 0; i < NODES; i++)
+			first += plc_turn(&bbs[i], "route-chat", dc) == 0;
+		ck_assert_int_eq(first, 1);
+	}
+}
+END_TEST
+
+/* Whatever the lists, nodes with the same configuration want the same. */
+START_TEST(wants_by_configuration)
+{
+	GArray *a = plc_wanted(bbs[0].cfg);
+	GArray *b = plc_wanted(bbs[1].cfg);
+
+	ck_assert_uint_eq(a->len, 3);
+	ck_assert_uint_eq(b->len, 3);
+	ck_assert_mem_eq(a->data, b->data, a->len * sizeof(struct plc_order));
+	ck_assert_int_eq(g_array_index(a, struct plc_order, 0).fence, cfg->models.revision);
+	g_array_unref(a);
+	g_array_unref(b);
+}
+END_TEST
+
+/* An order in hand, and what has come to pass when its bytes are about to leave. */
+static const struct {
+	const char *name;
+	bool checks_fencing;
+	int64_t after_ms;   /* since the node is first */
+	int64_t in_hand_ms; /* since the engine was asked */
+	int64_t list_age_ms;
+	int64_t fence_behind; /* the order is of an earlier revision */
+	bool paused;	      /* no update for longer than a pause is taken for none */
+	bool may;
+} cases[] = {
+	{"fenced, at once", true, 0, 0, 0, 0, false, true},
+	{"fenced, list old", true, 0, 0, 60000, 0, false, true},
+	{"fenced, long in hand", true, 20000, 2001, 0, 0, false, false},
+	{"fenced, configuration changed", true, 20000, 0, 0, 1, false, false},
+	{"unfenced, at once", false, 0, 0, 0, 0, false, false},
+	{"unfenced, before the hold-off", false, 6999, 0, 0, 0, false, false},
+	{"unfenced, after the hold-off", false, 7000, 0, 0, 0, false, true},
+	{"unfenced, list old", false, 20000, 0, 3001, 0, false, false},
+	{"unfenced, long in hand", false, 20000, 2001, 0, 0, false, false},
+	{"unfenced, configuration changed", false, 20000, 0, 0, 1, false, false},
+	{"unfenced, woken from a pause", false, 20000, 0, 0, 0, true, false},
+};
+
+static struct bb *first_node(const struct plc_order *order)
+{
+	for (int i = 0; i < NODES; i++) {
+		if (plc_turn(&bbs[i], order->model, order->dc) == 0)
+			return &bbs[i];
+	}
+	return NULL;
+}
+
+START_TEST(asks_before_bytes_leave)
+{
+	GArray *wanted = plc_wanted(cfg);
+	struct plc_order order = g_array_index(wanted, struct plc_order, 0);
+	struct bb *bb = first_node(&order);
+	struct plc_claim claim = {.first_ms = BB_NEVER};
+	int64_t now_ms = START_MS;
+
+	order.checks_fencing = cases[_i].checks_fencing;
+	plc_update(bb, &order, &claim, now_ms);
+	for (; now_ms < START_MS + cases[_i].after_ms; now_ms += 1) {
+		bb_confirm_list(bb, now_ms);
+		if (now_ms % 500 == 0)
+			plc_update(bb, &order, &claim, now_ms);
+	}
+	if (cases[_i].paused) {
+		now_ms += 10000;
+		bb_confirm_list(bb, now_ms);
+		plc_update(bb, &order, &claim, now_ms);
+	}
+	bb->list_at_ms = now_ms - cases[_i].list_age_ms;
+	order.made_ms = now_ms - cases[_i].in_hand_ms;
+	order.fence -= cases[_i].fence_behind;
+	ck_assert_msg(plc_may_give(bb, &order, &claim, now_ms) == cases[_i].may, "%s",
+		      cases[_i].name);
+	g_array_unref(wanted);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("orders");
+	TCase *tcase = tcase_create("orders");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_loop_test(tcase, one_is_first, 1, 1 << NODES);
+	tcase_add_test(tcase, wants_by_configuration);
+	tcase_add_loop_test(tcase, asks_before_bytes_leave, 0, G_N_ELEMENTS(cases));
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
