Keep for a class what its recent peak asks for, up to its reserved share

Hedges were never sent while any low class waited, so class 0 missed with one slow engine (96.91 % at 1.0).

Change: use by rank for each service with a fading peak; queues of all stages to come count at arrival; a hedge goes before those that wait when its class does; low classes leave the last hedge tokens; a faded latency is tried by one request.

--- a/packages/decide/adm.c
+++ b/packages/decide/adm.c
@@ -6,6 +6,7 @@
 
 #define ADM_RETRY_AFTER_MIN_MS 200
 #define ADM_RETRY_AFTER_MAX_MS 30000
+#define ADM_HEADROOM 1.0 /* of a rank's recent peak, for which room is kept */
 
 static struct adm_verdict admit(void)
 {
@@ -16,7 +17,7 @@
 {
 	const struct bb_service *service = req->stages[req->stage].service;
 	int32_t before = g_sequence_get_length(service->waiting) + service->in_flight;
-	int64_t drain_ms = ddl_drain_ms(service, before);
+	int64_t drain_ms = ddl_drain_ms(service, before, service->capacity);
 
 	drain_ms = CLAMP(drain_ms, ADM_RETRY_AFTER_MIN_MS, ADM_RETRY_AFTER_MAX_MS);
 	return drain_ms + (int64_t)rnd_below(&bb->rnd, (uint64_t)drain_ms);
@@ -63,7 +64,7 @@
 static int64_t priority_give_up_at(const struct req *req)
 {
 	if (req->waiting)
-		return req->deadline_at_ms - ddl_usual_left_ms(req);
+		return req->deadline_at_ms - ddl_likely_left_ms(req);
 	return req->stream_open ? req->deadline_at_ms : ddl_stage_end_ms(req);
 }
 
@@ -74,28 +75,60 @@
 		return refuse(bb, req, ERR_DEADLINE_EXPIRED);
 	if (lacks_upstream(req))
 		return refuse(bb, req, ERR_NO_UPSTREAM);
-	if (start_ms + ddl_usual_left_ms(req) > req->deadline_at_ms)
+	if (start_ms + ddl_likely_left_ms(req) > req->deadline_at_ms)
 		return refuse(bb, req, ERR_DEADLINE_UNREACHABLE);
 	return admit();
 }
 
-/* Share of a service's capacity that is kept for classes served before this one, in percent. */
-static int64_t reserved_before_pct(const struct bb *bb, int64_t rank)
+/* Requests of a rank that a service has to leave room for, beside those that run. */
+static int64_t kept_for(const struct bb *bb, const struct bb_service *service, uint32_t rank,
+			int64_t width)
 {
 	const struct cfg_accounts *accounts = &bb->cfg->accounts;
-	int64_t pct = 0;
+	const struct bb_use *use = &service->uses[rank];
+	int64_t wanted = (int64_t)(use->peak * ADM_HEADROOM) + 1;
+	int64_t reserved = 0;
 
 	for (uint32_t i = 0; i < accounts->n_classes; i++) {
-		if (accounts->classes[i].rank < rank)
-			pct += accounts->classes[i].reserved_pct;
+		if (bb_rank(accounts->classes[i].rank) == rank)
+			reserved += width * accounts->classes[i].reserved_pct / 100;
 	}
-	return pct;
+	return MAX(MIN(reserved, wanted) - use->in_flight, 0);
 }
 
-/* Requests that wait and would be served before this one, were it to wait now. */
-static int32_t count_before(const struct req *req)
+static int64_t kept_before(const struct bb *bb, const struct bb_service *service, int64_t rank,
+			   int64_t width)
+{
+	int64_t kept = 0;
+
+	for (uint32_t i = 0; i < bb_rank(rank); i++)
+		kept += kept_for(bb, service, i, width);
+	return kept;
+}
+
+static int64_t width_of(const struct bb *bb, const struct bb_service *service)
+{
+	int64_t width = service->capacity;
+
+	if (bb->stage_workers > 0 && (width > bb->stage_workers || width == 0))
+		width = bb->stage_workers;
+	return width;
+}
+
+/* What a rank can have of a service while the ranks before it stay as they are. */
+static int64_t width_for(const struct bb *bb, const struct bb_service *service, int64_t rank)
+{
+	int64_t width = width_of(bb, service);
+
+	width -= kept_before(bb, service, rank, width);
+	for (uint32_t i = 0; i < bb_rank(rank); i++)
+		width -= service->uses[i].in_flight;
+	return MAX(width, 1);
+}
+
+/* Requests that wait for a service and go before one of this rank that comes now. */
+static int32_t count_before(const struct bb_service *service, int64_t rank)
 {
-	const struct bb_service *service = req->stages[req->stage].service;
 	int32_t from = 0;
 	int32_t to = g_sequence_get_length(service->waiting);
 
@@ -103,7 +136,7 @@
 		int32_t middle = from + (to - from) / 2;
 		const struct req *waits =
 			g_sequence_get(g_sequence_get_iter_at_pos(service->waiting, middle));
-		if (waits->rank <= req->rank)
+		if (waits->rank <= rank)
 			from = middle + 1;
 		else
 			to = middle;
@@ -111,11 +144,22 @@
 	return from;
 }
 
-static struct adm_verdict priority_arrive(struct bb *bb, const struct req *req, int64_t now_ms)
+/* Time in the queues of the stages to be done, as they stand. */
+static int64_t queues_ms(const struct bb *bb, const struct req *req)
 {
-	const struct bb_service *service = req->stages[req->stage].service;
+	int64_t sum_ms = 0;
 
-	return judge(bb, req, now_ms + ddl_drain_ms(service, count_before(req)), now_ms);
+	for (uint32_t i = req->stage; i < req->n_stages; i++) {
+		const struct bb_service *service = req->stages[i].service;
+		sum_ms += ddl_drain_ms(service, count_before(service, req->rank),
+				       width_for(bb, service, req->rank));
+	}
+	return sum_ms;
+}
+
+static struct adm_verdict priority_arrive(struct bb *bb, const struct req *req, int64_t now_ms)
+{
+	return judge(bb, req, now_ms + queues_ms(bb, req), now_ms);
 }
 
 static struct adm_verdict priority_wait(struct bb *bb, const struct req *req, int64_t now_ms)
@@ -132,17 +176,17 @@
 	return admit();
 }
 
-/* Trunk reservation: a class starts only below what is kept for the classes before it. */
+/*
+ * A class starts only below what is kept for the classes before it: their reserved share, as far
+ * as their recent peak asks for it. One may always run.
+ */
 static bool priority_may_start(const struct bb *bb, const struct req *req)
 {
 	const struct bb_service *service = req->stages[req->stage].service;
-	int64_t width = service->capacity;
+	int64_t width = width_of(bb, service);
 
-	if (bb->stage_workers > 0 && (width > bb->stage_workers || width == 0))
-		width = bb->stage_workers;
-	/* at least one, or a class would never be served while capacity is not known */
-	int64_t usable = MAX(width - width * reserved_before_pct(bb, req->rank) / 100, 1);
-	return service->in_flight < usable || (width == 0 && req->rank == 0);
+	return service->in_flight == 0 || (width == 0 && req->rank == 0) ||
+	       service->in_flight + kept_before(bb, service, req->rank, width) < width;
 }
 
 static int compare_rank(const struct req *a, const struct req *b)
--- a/packages/decide/bb.c
+++ b/packages/decide/bb.c
@@ -84,6 +84,21 @@
 	g_free(bb->self_dc);
 }
 
+uint32_t bb_rank(int64_t rank)
+{
+	return rank < BB_RANKS ? (uint32_t)rank : BB_RANKS - 1;
+}
+
+void bb_count(struct bb_upstream *up, struct bb_service *service, uint32_t rank, int32_t n)
+{
+	struct bb_use *use = &service->uses[rank];
+
+	up->in_flight += n;
+	service->in_flight += n;
+	use->in_flight += n;
+	use->peak = MAX(use->peak, use->in_flight);
+}
+
 struct bb_upstream *bb_upstream(const struct bb *bb, uint32_t id)
 {
 	if (id >= bb->upstreams->len)
--- a/packages/decide/ddl.c
+++ b/packages/decide/ddl.c
@@ -1,6 +1,7 @@
 #include "decide/ddl.h"
 
 #define DDL_USUAL_PCT 50
+#define DDL_LIKELY_PCT 75
 #define DDL_BEST_PCT 10
 #define DDL_SLOW_PCT 95
 #define DDL_US_PER_MS 1000
@@ -14,9 +15,9 @@
 	return sum;
 }
 
-int64_t ddl_usual_left_ms(const struct req *req)
+int64_t ddl_likely_left_ms(const struct req *req)
 {
-	return sum_us(req, req->stage, DDL_USUAL_PCT) / DDL_US_PER_MS;
+	return sum_us(req, req->stage, DDL_LIKELY_PCT) / DDL_US_PER_MS;
 }
 
 int64_t ddl_stage_end_ms(const struct req *req)
@@ -34,10 +35,9 @@
 	return (req->deadline_at_ms - now_ms) * own_us / sum_us(req, req->stage, DDL_SLOW_PCT);
 }
 
-int64_t ddl_drain_ms(const struct bb_service *service, int32_t n)
+int64_t ddl_drain_ms(const struct bb_service *service, int32_t n, int64_t width)
 {
 	int64_t usual_us = qnt_get(&service->latencies, DDL_USUAL_PCT);
-	int32_t width = service->capacity > 0 ? service->capacity : 1;
 
-	return usual_us * n / width / DDL_US_PER_MS;
+	return usual_us * n / MAX(width, 1) / DDL_US_PER_MS;
 }
--- a/packages/decide/dec_int.h
+++ b/packages/decide/dec_int.h
@@ -12,6 +12,7 @@
 	uint32_t upstream;
 	struct bb_service
 		*service; /* it counts for, also when a configuration moves the upstream */
+	uint32_t rank;	  /* place in bb_service.uses */
 	int64_t sent_at_ms;
 	bool cancelled; /* its failure says nothing of the upstream */
 	bool withheld;	/* dec_may_send() forbade it */
--- a/packages/decide/dec_queue.c
+++ b/packages/decide/dec_queue.c
@@ -6,6 +6,8 @@
 
 #include "decide/elg.h"
 
+#define PEAK_HALF_MS 2000
+#define HEDGE_TOKENS_KEPT 5.0
 #define REFRESH_PER_TICK 32 /* upstreams of a service looked at for its capacity */
 
 static gint compare_waiting(gconstpointer a, gconstpointer b, gpointer data)
@@ -125,6 +127,17 @@
 	return true;
 }
 
+/* Low classes leave the last tokens to the first one. */
+static void hedge(struct dec *d, struct req *req, int64_t now_ms, struct dec_out *out)
+{
+	struct rty_budget *budget = &req->stages[req->stage].service->budget;
+	double kept = req->rank > 0 ? HEDGE_TOKENS_KEPT : 0;
+
+	req->hedge_at_ms = BB_NEVER;
+	if (budget->hedge_tokens >= 1.0 + kept && dec_send_attempt(d, req, true, now_ms, out))
+		d->policy.retry->may_hedge(&d->bb, budget);
+}
+
 static void wake(struct dec *d, struct req *req, int64_t now_ms, struct dec_out *out)
 {
 	bool due = req->hedge_at_ms != BB_NEVER && now_ms >= req->hedge_at_ms;
@@ -135,16 +148,22 @@
 		dec_refuse(d, req, verdict.code, verdict.retry_after_ms, now_ms, out);
 		return;
 	}
-	if (due && !req->waiting) {
-		struct bb_service *service = req->stages[req->stage].service;
-		req->hedge_at_ms = BB_NEVER;
-		if (service->budget.hedge_tokens >= 1.0 &&
-		    dec_send_attempt(d, req, true, now_ms, out))
-			d->policy.retry->may_hedge(&d->bb, &service->budget);
-	}
+	if (due && !req->waiting)
+		hedge(d, req, now_ms, out);
 	dec_plan_wake(d, req, now_ms);
 }
 
+/* Peaks halve over PEAK_HALF_MS; linear for the short steps between ticks. */
+static void fade_peaks(struct bb_service *service, int64_t passed_ms)
+{
+	double keep = 1.0 - (double)MIN(passed_ms, PEAK_HALF_MS) / 2 / PEAK_HALF_MS;
+
+	for (uint32_t i = 0; i < BB_RANKS; i++) {
+		struct bb_use *use = &service->uses[i];
+		use->peak = MAX(use->peak * keep, use->in_flight);
+	}
+}
+
 static void refresh_capacity(struct dec *d, struct bb_service *service, int64_t now_ms)
 {
 	uint32_t n = MIN(service->upstreams->len, REFRESH_PER_TICK);
@@ -158,6 +177,9 @@
 
 void dec_tick_requests(struct dec *d, int64_t now_ms, struct dec_out *out)
 {
+	int64_t passed_ms = now_ms - d->peaks_at_ms;
+
+	d->peaks_at_ms = now_ms;
 	while (g_sequence_get_length(d->wakes) > 0) {
 		struct req *req = g_sequence_get(g_sequence_get_begin_iter(d->wakes));
 
@@ -167,6 +189,7 @@
 	}
 	for (uint32_t i = 0; i < d->bb.services->len; i++) {
 		struct bb_service *service = g_ptr_array_index(d->bb.services, i);
+		fade_peaks(service, passed_ms);
 		refresh_capacity(d, service, now_ms);
 		dec_run_queue(d, service, now_ms, out);
 	}
--- a/packages/decide/dec_send.c
+++ b/packages/decide/dec_send.c
@@ -69,6 +69,7 @@
 		.attempt = req->n_attempts - 1,
 		.upstream = up->id,
 		.service = req->stages[req->stage].service,
+		.rank = bb_rank(req->rank),
 		.sent_at_ms = now_ms,
 	};
 
@@ -89,14 +90,24 @@
 	return d->policy.route->pick(&d->bb, d->policy.slots, &ask, now_ms);
 }
 
+/* A hedge goes before those that wait only when its class does. */
+static bool yields(const struct bb_service *service, const struct req *req)
+{
+	const struct req *first;
+
+	if (g_sequence_get_length(service->waiting) == 0)
+		return false;
+	first = g_sequence_get(g_sequence_get_begin_iter(service->waiting));
+	return first->rank <= req->rank;
+}
+
 bool dec_send_attempt(struct dec *d, struct req *req, bool hedge, int64_t now_ms,
 		      struct dec_out *out)
 {
 	struct bb_service *service = req->stages[req->stage].service;
 	struct bb_upstream *up;
 
-	if (req->n_attempts == REQ_ATTEMPTS_MAX ||
-	    (hedge && g_sequence_get_length(service->waiting) > 0) ||
+	if (req->n_attempts == REQ_ATTEMPTS_MAX || (hedge && yields(service, req)) ||
 	    !d->policy.admit->may_start(&d->bb, req))
 		return false;
 	up = pick(d, req, hedge, now_ms);
@@ -109,9 +120,8 @@
 		.hedge = hedge,
 	};
 	add_flight(d, req, up, now_ms);
-	up->in_flight++;
+	bb_count(up, service, bb_rank(req->rank), 1);
 	up->sent_since_report++;
-	service->in_flight++;
 	push_send(req, up, now_ms, out);
 	return true;
 }
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -27,8 +27,7 @@
 	struct bb_upstream *up = bb_upstream(&d->bb, flight->upstream);
 	bool healthy = ev->code == ERR_NONE;
 
-	up->in_flight--;
-	flight->service->in_flight--;
+	bb_count(up, flight->service, flight->rank, -1);
 	if (healthy)
 		book_latency(up, flight->service, ev->latency_us, now_ms);
 	if (!healthy && (flight->cancelled || flight->withheld || ev->code == ERR_OVERLOADED))
--- a/packages/decide/include/decide/bb.h
+++ b/packages/decide/include/decide/bb.h
@@ -64,6 +64,14 @@
 	double hedge_tokens;
 };
 
+#define BB_RANKS 16 /* ranks told apart in what is reserved; later ones count as the last */
+
+/* What requests of one rank use of a service. */
+struct bb_use {
+	int32_t in_flight;
+	double peak; /* of in_flight, fading */
+};
+
 /* A service and the requests that wait for one of its upstreams. */
 struct bb_service {
 	uint32_t id;
@@ -81,6 +89,7 @@
 	GPtrArray **by_dc; /* upstreams by data centre, n_dcs arrays, owned */
 	uint32_t n_dcs;
 	int32_t in_flight;
+	struct bb_use uses[BB_RANKS];
 	int32_t capacity;   /* requests that this node may have at it, as last seen */
 	uint32_t refreshed; /* upstreams up to here were looked at for capacity */
 };
@@ -137,6 +146,12 @@
 /* Takes ownership of list. */
 void bb_set_list(struct bb *bb, struct vml *list, int64_t now_ms);
 
+/* Place of a rank in bb_service.uses. */
+uint32_t bb_rank(int64_t rank);
+
+/* Counts an attempt of a rank at an upstream and its service in (1) or out (-1). */
+void bb_count(struct bb_upstream *up, struct bb_service *service, uint32_t rank, int32_t n);
+
 /* NULL when there is none. */
 struct bb_upstream *bb_upstream(const struct bb *bb, uint32_t id);
 struct bb_service *bb_service(const struct bb *bb, const char *name);
--- a/packages/decide/include/decide/ddl.h
+++ b/packages/decide/include/decide/ddl.h
@@ -8,8 +8,11 @@
 extern "C" {
 #endif
 
-/* Usual time of the current stage and all after it, in ms; unknown services count as 0. */
-int64_t ddl_usual_left_ms(const struct req *req);
+/*
+ * Time that the current stage and all after it take in three of four cases, in ms; services
+ * without figures count as 0.
+ */
+int64_t ddl_likely_left_ms(const struct req *req);
 
 /*
  * Latest time at which the current stage may end so that the stages after it, each at its 10th
@@ -23,8 +26,8 @@
  */
 int64_t ddl_stage_share_ms(const struct req *req, int64_t now_ms);
 
-/* Time until a service has served n requests more, in ms, at its usual pace. */
-int64_t ddl_drain_ms(const struct bb_service *service, int32_t n);
+/* Time until a service has served n requests more, width at a time, in ms, at its usual pace. */
+int64_t ddl_drain_ms(const struct bb_service *service, int32_t n, int64_t width);
 
 #ifdef __cplusplus
 }
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -134,6 +134,7 @@
 	struct tkt_table *tickets;
 	GHashTable *reqs;    /* id -> struct req, owned */
 	GSequence *wakes;    /* struct req, borrowed, by wake_at_ms */
+	int64_t peaks_at_ms; /* when the peaks of use last faded */
 	GHashTable *flights; /* set of struct dec_flight, owned: attempts not yet ended */
 	GHashTable *joins;   /* running id -> GArray of uint64_t ids that wait for its answer */
 };
--- a/packages/decide/rte.c
+++ b/packages/decide/rte.c
@@ -59,8 +59,10 @@
 	int64_t usual_us = qnt_get(&up->service->latencies, 50);
 	int64_t own_us = up->latency_us;
 
-	if (own_us == 0 || (usual_us > 0 && usual_us < own_us &&
-			    now_ms - up->latency_at_ms > RTE_LATENCY_FADES_MS))
+	/* one at a time finds out whether it still is as slow */
+	bool faded = now_ms - up->latency_at_ms > RTE_LATENCY_FADES_MS && up->in_flight == 0;
+
+	if (own_us == 0 || (faded && usual_us > 0 && usual_us < own_us))
 		own_us = usual_us;
 	return own_us > 0 ? own_us : 1;
 }
