--- a/packages/decide/include/decide/bb.h
+++ b/packages/decide/include/decide/bb.h
@@ -108,8 +108,9 @@
 	char caller_address[BB_ADDRESS_BYTES];
 	bool in_list;
 	bool leaving;
-	uint64_t incarnation; /* 0: never heard */
-	int64_t heard_at_ms;  /* BB_NEVER: never */
+	uint64_t incarnation;	   /* 0: never heard */
+	int64_t heard_at_ms;	   /* BB_NEVER: never */
+	int64_t draining_until_ms; /* it said that it stops; lapses unless it says so again */
 };
 
 struct bb {
@@ -152,6 +153,9 @@
 /* Counts an attempt of a rank at an upstream and its service in (1) or out (-1). */
 void bb_count(struct bb_upstream *up, struct bb_service *service, uint32_t rank, int32_t n);
 
+/* The list in hand was the newest at asked_ms; what was known later stays. */
+void bb_confirm_list(struct bb *bb, int64_t asked_ms);
+
 /* NULL when there is none. */
 struct bb_upstream *bb_upstream(const struct bb *bb, uint32_t id);
 struct bb_service *bb_service(const struct bb *bb, const char *name);
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -18,22 +18,24 @@
 #endif
 
 enum dec_event_type {
-	DEC_EV_REQUEST,	    /* a request arrived */
-	DEC_EV_FIRST_BYTE,  /* an attempt's first byte of result came */
-	DEC_EV_RESULT,	    /* an attempt ended */
-	DEC_EV_CALLER_GONE, /* nobody waits for the answer any more */
-	DEC_EV_REPORT,	    /* an upstream's load report */
-	DEC_EV_CONFIG,	    /* a configuration to put in force */
-	DEC_EV_LIST,	    /* a VM list read from the platform */
-	DEC_EV_TICK,	    /* time passed */
-	DEC_EV_DRAIN,	    /* planned stop begins */
+	DEC_EV_REQUEST,	       /* a request arrived */
+	DEC_EV_FIRST_BYTE,     /* an attempt's first byte of result came */
+	DEC_EV_RESULT,	       /* an attempt ended */
+	DEC_EV_CALLER_GONE,    /* nobody waits for the answer any more */
+	DEC_EV_REPORT,	       /* an upstream's load report */
+	DEC_EV_CONFIG,	       /* a configuration to put in force */
+	DEC_EV_LIST,	       /* a VM list read from the platform */
+	DEC_EV_LIST_CONFIRMED, /* the platform said that the list in hand is still the newest */
+	DEC_EV_TICK,	       /* time passed */
+	DEC_EV_DRAIN,	       /* planned stop begins */
+	DEC_EV_CLOSE,	       /* planned stop: new work is refused from here on */
 };
 
 struct dec_ev_request {
 	uint64_t id;
-	const struct cfg *cfg; /* that the indices refer to, borrowed; NULL: the one in force */
-	int pipeline;	       /* index, or -1 */
-	int service;	       /* index, or -1 */
+	struct cfg *cfg; /* that the indices refer to, borrowed; NULL: the one in force */
+	int pipeline;	 /* index, or -1 */
+	int service;	 /* index, or -1 */
 	char call[BB_NAME_BYTES];
 	int account;	 /* index */
 	int64_t wait_ms; /* the caller's deadline; 0: the pipeline's */
@@ -41,6 +43,7 @@
 	uint64_t prefix_hash;
 	bool has_ticket;
 	struct tkt_id ticket;
+	bool forwarded;	     /* by another node: not handed on again */
 	int64_t now_wall_ms; /* for the ticket's expiry */
 };
 
@@ -72,6 +75,7 @@
 		struct dec_ev_report report;
 		struct cfg *cfg;  /* CONFIG; the event's reference stays the caller's */
 		struct vml *list; /* LIST; ownership passes */
+		int64_t asked_ms; /* LIST_CONFIRMED: when the platform was asked */
 	} u;
 };
 
@@ -84,7 +88,7 @@
 	DEC_CMD_FINISH,	 /* the last accepted result is the answer */
 	DEC_CMD_REFUSE,	 /* answer with an error; final */
 	DEC_CMD_REPLAY,	 /* answer with a stored body */
-	DEC_CMD_FORWARD, /* hand the request to the node that issued its ticket */
+	DEC_CMD_FORWARD, /* hand the request to the owner of its ticket */
 	DEC_CMD_POLL,	 /* read an upstream's load report */
 };
 
@@ -98,8 +102,10 @@
 	char service[BB_NAME_BYTES];
 	char call[BB_NAME_BYTES];
 	char vm[BB_NAME_BYTES]; /* FORWARD */
+	struct tkt_id ticket;	/* FORWARD */
 	bool idempotent;
 	bool stream;
+	bool keep_body; /* the result goes into the ticket table */
 	int64_t rank;
 	int64_t timeout_ms;
 	int code;		  /* REFUSE */
@@ -132,6 +138,7 @@
 	struct bb bb;
 	struct dec_policy policy;
 	struct tkt_table *tickets;
+	bool closing;	     /* refuses new work of callers; that of other nodes goes on */
 	GHashTable *reqs;    /* id -> struct req, owned */
 	GSequence *wakes;    /* struct req, borrowed, by wake_at_ms */
 	int64_t peaks_at_ms; /* when the peaks of use last faded */
--- a/tests/bench_decide.c
+++ b/tests/bench_decide.c
@@ -5,7 +5,6 @@
  */
 #include "policy_doc.h"
 
-
 #include <gsl/gsl_sort.h>
 #include <gsl/gsl_statistics.h>
 #include <malloc.h>
--- a/tests/unit_admit.c
+++ b/tests/unit_admit.c
@@ -104,10 +104,8 @@
 	int64_t wait_ms;
 	int code;
 } arrivals[] = {
-	{0, 1000, ERR_NONE},
-	{0, 100, ERR_DEADLINE_UNREACHABLE},
-	{0, 360, ERR_NONE},
-	{11, 360, ERR_DEADLINE_UNREACHABLE},
+	{0, 1000, ERR_NONE},  {0, 100, ERR_DEADLINE_UNREACHABLE},
+	{0, 360, ERR_NONE},   {11, 360, ERR_DEADLINE_UNREACHABLE},
 	{11, 1000, ERR_NONE},
 };
 
--- a/tests/unit_deadline.c
+++ b/tests/unit_deadline.c
@@ -45,7 +45,7 @@
 /* Stages with equal latencies each; deadline 1,000 ms from now. */
 static const struct {
 	int64_t stage_us[3];
-	int64_t share_ms;   /* of the first, within a bucket's width; -1: none */
+	int64_t share_ms; /* of the first, within a bucket's width; -1: none */
 	int64_t likely_ms;
 	int64_t end_ms; /* latest end of the first */
 } splits[] = {
--- a/tests/unit_route.c
+++ b/tests/unit_route.c
@@ -33,13 +33,13 @@
 	int64_t weight_pct;
 	uint32_t pick;
 } picks[] = {
-	{{{100000}, {100000}}, 1000, 0, 0},			/* the nearer of equals */
-	{{{100000}, {50000}}, 1000, 0, 1},			/* faster in spite of the link */
-	{{{100000}, {50000}}, 1000, 1000000, 0},		/* the price outweighs it */
-	{{{100000}, {50000}}, 90, 1000000, 1},			/* but not the deadline */
-	{{{100000, 10, 100, 0}, {100000}}, 1000, 0, 1},		/* reported as loaded */
-	{{{100000, 10, 9000, 0}, {100000}}, 1000, 0, 0},	/* too long ago to count */
-	{{{100000, 0, 100, 10}, {100000}}, 1000, 0, 1},		/* sent since the report */
+	{{{100000}, {100000}}, 1000, 0, 0},		 /* the nearer of equals */
+	{{{100000}, {50000}}, 1000, 0, 1},		 /* faster in spite of the link */
+	{{{100000}, {50000}}, 1000, 1000000, 0},	 /* the price outweighs it */
+	{{{100000}, {50000}}, 90, 1000000, 1},		 /* but not the deadline */
+	{{{100000, 10, 100, 0}, {100000}}, 1000, 0, 1},	 /* reported as loaded */
+	{{{100000, 10, 9000, 0}, {100000}}, 1000, 0, 0}, /* too long ago to count */
+	{{{100000, 0, 100, 10}, {100000}}, 1000, 0, 1},	 /* sent since the report */
 };
 
 START_TEST(weighs_load_and_links)
@@ -60,8 +60,7 @@
 		up->report_at_ms = NOW_MS - known->age_ms;
 		up->sent_since_report = known->sent;
 	}
-	ck_assert_uint_eq(rte_score.pick(&d->bb, &slt_unlimited, &ask, NOW_MS)->id,
-			  picks[_i].pick);
+	ck_assert_uint_eq(rte_score.pick(&d->bb, &slt_unlimited, &ask, NOW_MS)->id, picks[_i].pick);
 	dec_free(d);
 }
 END_TEST
