--- a/packages/emul/emu_int.h
+++ b/packages/emul/emu_int.h
@@ -3,6 +3,7 @@
 #define EMUL_EMU_INT_H
 
 #include "base/rnd.h"
+#include "emu_prx.h"
 #include "emul/emu.h"
 #include "model/cfg.h"
 
@@ -109,6 +110,19 @@
 	int64_t bytes_out; /* bodies of answers */
 };
 
+/* What an engine was ordered to hold. */
+struct emu_orders {
+	bool checks_fencing;
+	int64_t load_ms;   /* time of a load */
+	int64_t answer_ms; /* until it says what it holds */
+	int64_t fence;	   /* the highest seen */
+	char model[64];
+	char version[64];
+	char role[64];
+	int64_t loaded_ms;
+	json_t *log; /* every order that came */
+};
+
 /* An emulated upstream. */
 struct emu_upstream {
 	struct emu *emu;
@@ -117,8 +131,9 @@
 	char *data_centre;
 	int kind; /* enum cfg_kind */
 	int64_t cost_cents_per_k;
-	char **bookings; /* names of the non-idempotent calls */
-	char address[64];
+	char **bookings;	 /* names of the non-idempotent calls */
+	char address[64];	 /* where it listens */
+	char public_address[64]; /* in the document: the proxy's when there is one */
 	struct MHD_Daemon *daemon;
 	pthread_mutex_t lock;  /* guards all below */
 	pthread_cond_t slot;   /* a run may start */
@@ -136,6 +151,7 @@
 	struct emu_cache cache;
 	struct emu_report shown;
 	struct emu_counts counts;
+	struct emu_orders orders_held;
 	GHashTable *traffic; /* source address -> struct emu_traffic */
 };
 
@@ -160,8 +176,6 @@
 	uint32_t tag;
 };
 
-struct emu_proxy;
-
 struct emu {
 	char *listen;
 	char address[64];
@@ -181,6 +195,7 @@
 	uint32_t n_upstreams;
 	struct rnd rnd;
 	struct emu_proxy *proxy; /* NULL: none */
+	char proxied[64];	 /* address of the platform behind it */
 };
 
 /* emu_ups.c */
@@ -190,6 +205,12 @@
 bool emu_platform_start(struct emu *e, GError **error);
 void emu_platform_stop(struct emu *e);
 
+/* emu_ord.c */
+enum MHD_Result emu_answer_orders(struct emu_upstream *up, struct MHD_Connection *conn,
+				  const char *method, const GByteArray *body);
+enum MHD_Result emu_control_orders(struct emu *e, struct MHD_Connection *conn, const char *method,
+				   const GByteArray *body);
+
 /* emu_wch.c: what of the platform can be watched; conn is answered. */
 enum MHD_Result emu_answer_config(struct emu *e, struct MHD_Connection *conn, const char *url);
 enum MHD_Result emu_answer_vms(struct emu *e, struct MHD_Connection *conn);
--- a/packages/emul/emu_plt.c
+++ b/packages/emul/emu_plt.c
@@ -25,6 +25,8 @@
 {
 	json_t *vm = json_loadb((const char *)body->data, body->len, 0, NULL);
 
+	if (vm && e->proxy)
+		emu_proxy_vm(e->proxy, id, vm);
 	pthread_mutex_lock(&e->lock);
 	if (vm)
 		json_object_set_new(e->vms, id, vm);
@@ -146,6 +148,8 @@
 		return answer_platform(e, conn, url);
 	if (emu_control(e, conn, url, method, body, &rc))
 		return rc;
+	if (strcmp(url, "/control/orders") == 0)
+		return emu_control_orders(e, conn, method, body);
 	if (strcmp(url, "/control/calls") == 0)
 		return answer_calls(e, conn);
 	if (strcmp(url, "/control/config") == 0)
