Count hedges apart from retries; show capacity and p95 in the dump

Cause: the counter of hedges was never raised, and a hedge counted as a retry, so that operators could not tell a straggler from a failing upstream.

Conclusion: unit_retry checks the mark on the command.

--- a/packages/base/include/base/ctr.h
+++ b/packages/base/include/base/ctr.h
@@ -16,7 +16,7 @@
 	X(CTR_NOT_RUN, "not_run_total", "requests answered with outcome not_run")                  \
 	X(CTR_UNKNOWN, "unknown_total", "requests answered with outcome unknown")                  \
 	X(CTR_SENDS, "upstream_sends_total", "attempts sent to upstreams")                         \
-	X(CTR_RETRIES, "upstream_retries_total", "attempts beyond the first of a stage")           \
+	X(CTR_RETRIES, "upstream_retries_total", "attempts after a failed one")                    \
 	X(CTR_HEDGES, "upstream_hedges_total", "hedged attempts")                                  \
 	X(CTR_LATE_RESULTS, "late_results_total", "results dropped as late or second")             \
 	X(CTR_CROSS_BYTES, "cross_region_bytes_total", "bytes sent over links between regions")    \
--- a/packages/decide/dec_send.c
+++ b/packages/decide/dec_send.c
@@ -57,6 +57,7 @@
 	cmd->idempotent = stage->idempotent;
 	/* a ticket's answer is kept whole for repeats */
 	cmd->stream = stage->stream && !req->has_ticket;
+	cmd->hedge = req->attempts[req->n_attempts - 1].hedge;
 	cmd->keep_body = req->has_ticket && req->stage + 1 == req->n_stages;
 	cmd->rank = req->rank;
 	cmd->timeout_ms = req->deadline_at_ms - now_ms;
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -105,6 +105,7 @@
 	struct tkt_id ticket;	/* FORWARD */
 	bool idempotent;
 	bool stream;
+	bool hedge;
 	bool keep_body; /* the result goes into the ticket table */
 	int64_t rank;
 	int64_t timeout_ms;
--- a/packages/node/dmp.c
+++ b/packages/node/dmp.c
@@ -40,11 +40,13 @@
 
 	for (guint i = 0; i < bb->services->len; i++) {
 		const struct bb_service *service = g_ptr_array_index(bb->services, i);
-		json_array_append_new(list,
-				      json_pack("{s:s, s:i, s:i, s:I}", "name", service->name,
-						"in_flight", service->in_flight, "waiting",
-						g_sequence_get_length(service->waiting),
-						"latency_us", (json_int_t)service->latency_us));
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:i, s:i, s:i, s:I, s:I}", "name", service->name,
+				  "capacity", service->capacity, "in_flight", service->in_flight,
+				  "waiting", g_sequence_get_length(service->waiting), "latency_us",
+				  (json_int_t)service->latency_us, "p95_us",
+				  (json_int_t)qnt_get(&service->latencies, 95)));
 	}
 	return list;
 }
--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -57,7 +57,9 @@
 	struct ups_attempt *att = make_attempt(n, hrq, cmd);
 
 	ctr_add(CTR_SENDS, 1);
-	if (cmd->attempt > 0)
+	if (cmd->hedge)
+		ctr_add(CTR_HEDGES, 1);
+	else if (cmd->attempt > 0)
 		ctr_add(CTR_RETRIES, 1);
 	struct wkp *pool = pool_of(n, cmd->service);
 	if (!pool || !wkp_submit(pool, ups_send, att)) {
--- a/tests/unit_retry.c
+++ b/tests/unit_retry.c
@@ -73,6 +73,7 @@
 	ck_assert_uint_eq(policy_doc_count(&out, DEC_CMD_SEND), 1);
 	policy_doc_tick(d, NOW_MS + 40, &out);
 	ck_assert_uint_eq(policy_doc_count(&out, DEC_CMD_SEND), 2);
+	ck_assert(policy_doc_last(&out, DEC_CMD_SEND)->hedge);
 	ck_assert_uint_ne(policy_doc_last(&out, DEC_CMD_SEND)->upstream, first);
 	/* the loser is cancelled, and its end is no failure of its upstream when it was not slow */
 	policy_doc_end(d, NOW_MS + 41, 500, 0, ERR_NONE, &out);
