--- a/packages/decide/bb.c
+++ b/packages/decide/bb.c
@@ -13,7 +13,7 @@
 
 static void clear_data_centres(struct bb_service *service)
 {
-	for (uint32_t i = 0; i < service->n_dcs; i++)
+	for (uint32_t i = 0; service->by_dc && i < service->n_dcs; i++)
 		g_ptr_array_unref(service->by_dc[i]);
 	g_free(service->by_dc);
 	service->by_dc = NULL;
--- a/packages/decide/ddl.c
+++ b/packages/decide/ddl.c
@@ -30,9 +30,10 @@
 	const struct qnt *own = &req->stages[req->stage].service->latencies;
 	int64_t own_us = qnt_get(own, DDL_SLOW_PCT);
 
-	if (own_us == 0)
+	if (own_us <= 0)
 		return -1;
-	return (req->deadline_at_ms - now_ms) * own_us / sum_us(req, req->stage, DDL_SLOW_PCT);
+	int64_t after_us = sum_us(req, req->stage + 1, DDL_SLOW_PCT);
+	return (req->deadline_at_ms - now_ms) * own_us / (own_us + after_us);
 }
 
 int64_t ddl_drain_ms(const struct bb_service *service, int32_t n, int64_t width)
