--- a/packages/cli/include/cli/cli.h
+++ b/packages/cli/include/cli/cli.h
@@ -25,6 +25,7 @@
 int cli_drain(int argc, char **argv);
 int cli_dump(int argc, char **argv);
 int cli_emulate(int argc, char **argv);
+int cli_load(int argc, char **argv);
 int cli_send(int argc, char **argv);
 int cli_status(int argc, char **argv);
 int cli_ticket(int argc, char **argv);
--- /dev/null
+++ b/packages/cli/load.c
@@ -0,0 +1,326 @@
+/*
+ * currantscale load NODE: an open loop of seeded requests. Their times are planned beforehand, and
+ * latency counts from the planned time, so a slow system can't slow its own load down.
+ */
+#include "cli/load.h"
+
+#include "base/clk.h"
+#include "base/wkp.h"
+#include "cli/cli.h"
+
+#include <argp.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOAD_BINS 240
+#define LOAD_LEAST_US 100.0
+#define LOAD_MOST_US 1e8
+#define LOAD_QUEUED_MAX 100000
+#define LOAD_TTL_MS 1000 /* when the answer names none */
+
+enum { KEY_OUT = 1000, KEY_CSV };
+
+static const struct argp_option options[] = {
+	{"rate", 'r', "N", 0, "Requests a second, 50 by default", 0},
+	{"seconds", 't', "N", 0, "Length, 10 by default", 0},
+	{"deadline-ms", 'd', "N", 0, "Deadline of each request, 4000 by default", 0},
+	{"seed", 's', "N", 0, "Seed, 1 by default", 0},
+	{"threads", 'c', "N", 0, "Most requests at a time, 256 by default", 0},
+	{"entry", 'e', "WEIGHT,CLASS,KEY,PATH,BYTES", 0, "Part of the mix; may be repeated", 0},
+	{"mix", 'm', "FILE", 0, "Lines as of --entry; # begins a comment", 0},
+	{"platform", 'p', "HOST:PORT", 0, "Emulator, for cost and the judgement of promises", 0},
+	{"out", KEY_OUT, "DC,FROM,UNTIL", 0, "Take a data centre out between these seconds", 0},
+	{"csv", KEY_CSV, "FILE", 0, "Write a row by part of the mix", 0},
+	{"json", 'j', NULL, 0, "Print the result as JSON", 0},
+	{0},
+};
+
+static bool add_entry(struct load *load, const char *text)
+{
+	char **parts = g_strsplit(text, ",", 5);
+	struct load_entry *entry = &load->entries[load->n_entries];
+	bool ok = g_strv_length(parts) == 5 && load->n_entries < LOAD_CLASSES_MAX;
+
+	if (ok) {
+		entry->weight = g_ascii_strtoll(parts[0], NULL, 10);
+		g_strlcpy(entry->class_name, parts[1], sizeof(entry->class_name));
+		g_strlcpy(entry->key, parts[2], sizeof(entry->key));
+		g_strlcpy(entry->path, parts[3], sizeof(entry->path));
+		entry->bytes = g_ascii_strtoll(parts[4], NULL, 10);
+		load->n_entries++;
+	}
+	g_strfreev(parts);
+	return ok && entry->weight > 0 && entry->bytes >= 0;
+}
+
+static bool read_mix(struct load *load, const char *path)
+{
+	char *text = NULL;
+	char **lines;
+	bool ok = g_file_get_contents(path, &text, NULL, NULL);
+
+	lines = g_strsplit(ok ? text : "", "\n", -1);
+	for (char **line = lines; *line; line++) {
+		if (**line && **line != '#')
+			ok = add_entry(load, *line) && ok;
+	}
+	g_strfreev(lines);
+	g_free(text);
+	return ok;
+}
+
+static bool read_out(struct load_options *o, char *text)
+{
+	char *from = strchr(text, ',');
+	char *until = from ? strchr(from + 1, ',') : NULL;
+
+	if (!until)
+		return false;
+	*from = '\0';
+	o->out_dc = text;
+	o->out_s = g_ascii_strtod(from + 1, NULL);
+	o->back_s = g_ascii_strtod(until + 1, NULL);
+	return o->back_s > o->out_s;
+}
+
+static error_t parse_arg(int key, char *arg, struct argp_state *state)
+{
+	struct load *load = state->input;
+	struct load_options *o = &load->options;
+	bool ok = true;
+
+	switch (key) {
+	case 'r':
+		o->rate = g_ascii_strtod(arg, NULL);
+		break;
+	case 't':
+		o->seconds = g_ascii_strtod(arg, NULL);
+		break;
+	case 'd':
+		o->deadline_ms = g_ascii_strtoll(arg, NULL, 10);
+		break;
+	case 's':
+		o->seed = g_ascii_strtoull(arg, NULL, 10);
+		break;
+	case 'c':
+		o->threads = g_ascii_strtoll(arg, NULL, 10);
+		break;
+	case 'e':
+		ok = add_entry(load, arg);
+		break;
+	case 'm':
+		ok = read_mix(load, arg);
+		break;
+	case 'p':
+		o->platform = arg;
+		break;
+	case KEY_OUT:
+		ok = read_out(o, arg);
+		break;
+	case KEY_CSV:
+		o->csv = arg;
+		break;
+	case 'j':
+		o->json = true;
+		break;
+	case ARGP_KEY_ARG:
+		ok = !o->node;
+		o->node = arg;
+		break;
+	case ARGP_KEY_END:
+		ok = o->node && load->n_entries && o->rate > 0 && o->threads > 0 &&
+		     o->deadline_ms > 0 && (!o->out_dc || o->platform);
+		break;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+	if (!ok)
+		argp_usage(state);
+	return 0;
+}
+
+static const struct argp argp = {
+	.options = options,
+	.parser = parse_arg,
+	.args_doc = "NODE",
+	.doc = "Sends an open loop of requests to the fleet that NODE belongs to.\v"
+	       "Addresses are asked for again when their time to live ends. With --platform the "
+	       "emulator's log judges: doubled bookings, false not_run and complete, answers of "
+	       "another request, work sent to a data centre more than 3 s after it was taken "
+	       "out. Exit status: 0, 1 a promise was broken, 2 bad arguments, 3 no answer.",
+};
+
+/* Logarithmic bins: the error of a quantile is the width of a bin, 6%. */
+static gsl_histogram *make_histogram(void)
+{
+	gsl_histogram *h = gsl_histogram_alloc(LOAD_BINS);
+	double range[LOAD_BINS + 1];
+
+	range[0] = 0;
+	for (int i = 1; i <= LOAD_BINS; i++)
+		range[i] = LOAD_LEAST_US *
+			   pow(LOAD_MOST_US / LOAD_LEAST_US, (double)(i - 1) / (LOAD_BINS - 1));
+	gsl_histogram_set_ranges(h, range, LOAD_BINS + 1);
+	return h;
+}
+
+/* Keeps the old addresses when no node answers. Returns their time to live in ms; 0: no answer. */
+static int64_t refresh_from(struct load *load, const char *node)
+{
+	json_t *json = ask_json(load->http, node, "/v1/addresses", NULL);
+	json_t *list = json_object_get(json, "addresses");
+	int64_t ttl_ms = json_integer_value(json_object_get(json, "ttl_ms"));
+	bool any = json_array_size(list) > 0;
+	json_t *entry;
+	size_t i;
+
+	pthread_mutex_lock(&load->lock);
+	if (any)
+		g_ptr_array_set_size(load->addresses, 0);
+	json_array_foreach(list, i, entry)
+		g_ptr_array_add(load->addresses,
+				g_strdup(json_string_value(json_object_get(entry, "address"))));
+	pthread_mutex_unlock(&load->lock);
+	json_decref(json);
+	return any ? MAX(ttl_ms, LOAD_TTL_MS) : 0;
+}
+
+static int64_t refresh(struct load *load)
+{
+	int64_t ttl_ms = 0;
+
+	for (guint i = 0; i <= load->addresses->len && ttl_ms == 0; i++) {
+		char *node = g_strdup(i == 0 ? load->options.node
+					     : g_ptr_array_index(load->addresses, i - 1));
+		ttl_ms = refresh_from(load, node);
+		g_free(node);
+	}
+	return ttl_ms;
+}
+
+static struct load_entry *pick_entry(struct load *load, struct rnd *rnd)
+{
+	int64_t sum = 0;
+	int64_t at;
+
+	for (unsigned i = 0; i < load->n_entries; i++)
+		sum += load->entries[i].weight;
+	at = (int64_t)rnd_below(rnd, (uint64_t)sum);
+	for (unsigned i = 0; i < load->n_entries; i++) {
+		at -= load->entries[i].weight;
+		if (at < 0)
+			return &load->entries[i];
+	}
+	return &load->entries[0];
+}
+
+/* Things beside the load: addresses, the data centre, progress. */
+struct chores {
+	int64_t began_ms;
+	int64_t refresh_ms;
+	int64_t progress_ms;
+	bool out;
+	bool back;
+};
+
+static void do_chores(struct load *load, struct chores *c)
+{
+	const struct load_options *o = &load->options;
+	int64_t now_ms = clk_now_ms();
+	double at_s = (double)(now_ms - c->began_ms) / CLK_MS_PER_S;
+
+	if (now_ms >= c->refresh_ms) {
+		int64_t ttl_ms = refresh(load);
+		c->refresh_ms = now_ms + (ttl_ms ? ttl_ms : LOAD_TTL_MS);
+	}
+	if (o->out_dc && !c->out && at_s >= o->out_s) {
+		c->out = load_set_service(load, false);
+		fprintf(stderr, "%5.1f s  %s is out of service\n", at_s, o->out_dc);
+	}
+	if (o->out_dc && c->out && !c->back && at_s >= o->back_s) {
+		c->back = load_set_service(load, true);
+		fprintf(stderr, "%5.1f s  %s is back in service\n", at_s, o->out_dc);
+	}
+	if (now_ms >= c->progress_ms) {
+		pthread_mutex_lock(&load->lock);
+		fprintf(stderr, "%5.1f s  %lld answered, %u nodes\n", at_s, (long long)load->done,
+			load->addresses->len);
+		pthread_mutex_unlock(&load->lock);
+		c->progress_ms = now_ms + 5 * CLK_MS_PER_S;
+	}
+}
+
+static void submit(struct load *load, struct wkp *pool, struct rnd *rnd, int64_t number,
+		   int64_t due_us)
+{
+	struct load_job *job = g_new0(struct load_job, 1);
+
+	job->load = load;
+	job->entry = pick_entry(load, rnd);
+	job->number = number;
+	job->due_us = due_us;
+	if (!wkp_submit(pool, load_run, job))
+		g_free(job);
+}
+
+static void drive(struct load *load, struct wkp *pool)
+{
+	const struct load_options *o = &load->options;
+	int64_t began_us = clk_now_us();
+	struct chores chores = {.began_ms = clk_now_ms()};
+	struct rnd rnd = {.state = o->seed};
+	double at_s = 0;
+
+	for (int64_t number = 0; at_s < o->seconds; number++) {
+		int64_t due_us = began_us + (int64_t)(at_s * CLK_MS_PER_S * CLK_US_PER_MS);
+		do_chores(load, &chores);
+		while (clk_now_us() < due_us)
+			clk_sleep_ms(1);
+		submit(load, pool, &rnd, number, due_us);
+		at_s += -log(1 - rnd_unit(&rnd)) / o->rate;
+	}
+}
+
+static void clear(struct load *load)
+{
+	for (unsigned i = 0; i < load->n_entries; i++) {
+		gsl_histogram_free(load->entries[i].whole_us);
+		gsl_histogram_free(load->entries[i].first_us);
+	}
+	g_ptr_array_unref(load->addresses);
+	g_ptr_array_unref(load->records);
+	hcl_free(load->http);
+	pthread_mutex_destroy(&load->lock);
+	g_free(load);
+}
+
+int cli_load(int argc, char **argv)
+{
+	struct load *load = g_new0(struct load, 1);
+	struct wkp *pool;
+	int code = CLI_EXIT_UNREACHABLE;
+
+	load->options = (struct load_options){
+		.rate = 50, .seconds = 10, .deadline_ms = 4000, .threads = 256, .seed = 1};
+	argp_parse(&argp, argc, argv, 0, NULL, load);
+	pthread_mutex_init(&load->lock, NULL);
+	load->http = hcl_new(NULL);
+	load->rnd.state = load->options.seed;
+	load->addresses = g_ptr_array_new_with_free_func(g_free);
+	load->records = g_ptr_array_new_with_free_func(g_free);
+	for (unsigned i = 0; i < load->n_entries; i++) {
+		load->entries[i].whole_us = make_histogram();
+		load->entries[i].first_us = make_histogram();
+	}
+	if (refresh(load) > 0) {
+		pool = wkp_new((uint32_t)load->options.threads, LOAD_QUEUED_MAX);
+		drive(load, pool);
+		wkp_free(pool);
+		code = load_report(load);
+	} else {
+		fprintf(stderr, "currantscale: no answer of %s\n", load->options.node);
+	}
+	clear(load);
+	return code;
+}
--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -11,6 +11,7 @@
 	{"drain", "begin a planned stop of a node", cli_drain},
 	{"dump", "print a node's whole state", cli_dump},
 	{"emulate", "run the platform and the upstreams of a document", cli_emulate},
+	{"load", "send a mixed load and judge what came of it", cli_load},
 	{"send", "send one request to a node", cli_send},
 	{"status", "show the fleet at a glance", cli_status},
 	{"ticket", "take a ticket for one non-idempotent request", cli_ticket},
