--- a/packages/cli/include/cli/load.h
+++ b/packages/cli/include/cli/load.h
@@ -30,11 +30,11 @@
 	int64_t bytes; /* of the body */
 	int64_t sent;
 	int64_t outcomes[LOAD_OUTCOMES];
-	int64_t in_deadline;	   /* complete within it */
-	int64_t sent_away;	   /* planned while the data centre was out */
-	int64_t in_deadline_away;  /* of these, complete within the deadline */
-	gsl_histogram *whole_us;   /* of complete ones, from their planned time */
-	gsl_histogram *first_us;   /* to the first byte of a stream */
+	int64_t in_deadline;	  /* complete within it */
+	int64_t sent_away;	  /* planned while the data centre was out */
+	int64_t in_deadline_away; /* of these, complete within the deadline */
+	gsl_histogram *whole_us;  /* of complete ones, from their planned time */
+	gsl_histogram *first_us;  /* to the first byte of a stream */
 };
 
 /* What the judge needs of one request that was answered. */
--- a/packages/cli/load.c
+++ b/packages/cli/load.c
@@ -178,9 +178,8 @@
 	pthread_mutex_lock(&load->lock);
 	if (any)
 		g_ptr_array_set_size(load->addresses, 0);
-	json_array_foreach(list, i, entry)
-		g_ptr_array_add(load->addresses,
-				g_strdup(json_string_value(json_object_get(entry, "address"))));
+	json_array_foreach(list, i, entry) g_ptr_array_add(
+		load->addresses, g_strdup(json_string_value(json_object_get(entry, "address"))));
 	pthread_mutex_unlock(&load->lock);
 	json_decref(json);
 	return any ? MAX(ttl_ms, LOAD_TTL_MS) : 0;
--- a/packages/cli/load_out.c
+++ b/packages/cli/load_out.c
@@ -37,8 +37,9 @@
 static char *edit(const char *text, const char *dc, bool in_service)
 {
 	char *entry = g_strdup_printf("name: %s,", dc);
-	char *flipped = replace_first(text, entry, in_service ? "in_service: false" : "in_service: true",
-				      in_service ? "in_service: true" : "in_service: false");
+	char *flipped =
+		replace_first(text, entry, in_service ? "in_service: false" : "in_service: true",
+			      in_service ? "in_service: true" : "in_service: false");
 	char *edited = flipped ? raise_revision(flipped) : NULL;
 
 	g_free(flipped);
--- a/packages/cli/load_rpt.c
+++ b/packages/cli/load_rpt.c
@@ -15,13 +15,13 @@
 struct verdict {
 	int64_t bookings_sent;
 	int64_t outcomes[LOAD_OUTCOMES];
-	int64_t doubled;	 /* one ticket, more than one run */
-	int64_t false_not_run;	 /* said not_run, but it ran */
-	int64_t false_complete;	 /* said complete, but it did not run */
-	int64_t wrong_answers;	 /* tokens of another request, or of two */
-	int64_t sent_to_out;	 /* arrivals in the data centre that was out */
-	int64_t unserved;	 /* parts of the mix of which nothing was complete */
-	int64_t overruns;	 /* arrivals above what an upstream bears */
+	int64_t doubled;	/* one ticket, more than one run */
+	int64_t false_not_run;	/* said not_run, but it ran */
+	int64_t false_complete; /* said complete, but it did not run */
+	int64_t wrong_answers;	/* tokens of another request, or of two */
+	int64_t sent_to_out;	/* arrivals in the data centre that was out */
+	int64_t unserved;	/* parts of the mix of which nothing was complete */
+	int64_t overruns;	/* arrivals above what an upstream bears */
 };
 
 static const char *text_of(const json_t *json, const char *key)
@@ -60,8 +60,8 @@
 static json_t *entry_json(const struct load_entry *e)
 {
 	return json_pack(
-		"{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:f, s:f, s:f, s:f, s:f, s:f}", "class",
-		e->class_name, "path", e->path, "sent", (json_int_t)e->sent, "complete",
+		"{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:f, s:f, s:f, s:f, s:f, s:f}",
+		"class", e->class_name, "path", e->path, "sent", (json_int_t)e->sent, "complete",
 		(json_int_t)e->outcomes[LOAD_COMPLETE], "not_run",
 		(json_int_t)e->outcomes[LOAD_NOT_RUN], "unknown",
 		(json_int_t)e->outcomes[LOAD_UNKNOWN], "unreachable",
@@ -111,7 +111,8 @@
 
 	json_array_foreach(json_object_get(json_object_get(state, "links"), "traffic"), i, link)
 	{
-		double bytes = (double)(number_of(link, "bytes_up") + number_of(link, "bytes_down"));
+		double bytes =
+			(double)(number_of(link, "bytes_up") + number_of(link, "bytes_down"));
 		int64_t price = number_of(link, "price_per_gb_cents");
 		char *name;
 		if (price == 0)
@@ -145,13 +146,12 @@
 		int64_t t_ms = number_of(entry, "t_ms");
 		gpointer key = GUINT_TO_POINTER(tag);
 		if (number_of(entry, "booking") > 0)
-			g_hash_table_insert(
-				ledger->bookings, key,
-				GINT_TO_POINTER(GPOINTER_TO_INT(g_hash_table_lookup(
-							ledger->bookings, key)) +
-						1));
-		g_hash_table_add(ledger->tags, g_strdup_printf("%s %08x",
-							       text_of(entry, "request"), tag));
+			g_hash_table_insert(ledger->bookings, key,
+					    GINT_TO_POINTER(GPOINTER_TO_INT(g_hash_table_lookup(
+								    ledger->bookings, key)) +
+							    1));
+		g_hash_table_add(ledger->tags,
+				 g_strdup_printf("%s %08x", text_of(entry, "request"), tag));
 		if (load->out_ms > 0 && t_ms > load->out_ms + LEAVE_MS &&
 		    (load->back_ms == 0 || t_ms < load->back_ms) &&
 		    strcmp(text_of(up, "data_centre"), load->options.out_dc) == 0)
@@ -195,8 +195,7 @@
 	read_log(load, state, log, &ledger, v);
 	for (guint i = 0; i < load->records->len; i++) {
 		const struct load_record *record = g_ptr_array_index(load->records, i);
-		gpointer runs =
-			g_hash_table_lookup(ledger.bookings, GUINT_TO_POINTER(record->tag));
+		gpointer runs = g_hash_table_lookup(ledger.bookings, GUINT_TO_POINTER(record->tag));
 		if (is_booking(record))
 			judge_booking(record, GPOINTER_TO_INT(runs), v);
 		else
@@ -222,8 +221,7 @@
 			 "false_not_run", (json_int_t)v->false_not_run, "false_complete",
 			 (json_int_t)v->false_complete, "wrong_answers",
 			 (json_int_t)v->wrong_answers, "sent_to_out", (json_int_t)v->sent_to_out,
-			 "unserved", (json_int_t)v->unserved, "overruns",
-			 (json_int_t)v->overruns);
+			 "unserved", (json_int_t)v->unserved, "overruns", (json_int_t)v->overruns);
 }
 
 static bool is_broken(const struct verdict *v)
@@ -239,8 +237,7 @@
 
 	printf("\n%-24s %12s %12s\n", title, key, "cents");
 	json_object_foreach((json_t *)sums, name, sum)
-		printf("%-24s %12.0f %12.4f\n", name,
-		       json_real_value(json_object_get(sum, key)),
+		printf("%-24s %12.0f %12.4f\n", name, json_real_value(json_object_get(sum, key)),
 		       json_real_value(json_object_get(sum, "cents")));
 }
 
--- a/packages/cli/load_run.c
+++ b/packages/cli/load_run.c
@@ -31,8 +31,8 @@
 	char *address;
 
 	pthread_mutex_lock(&load->lock);
-	address = g_strdup(g_ptr_array_index(load->addresses,
-					     rnd_below(&load->rnd, load->addresses->len)));
+	address = g_strdup(
+		g_ptr_array_index(load->addresses, rnd_below(&load->rnd, load->addresses->len)));
 	pthread_mutex_unlock(&load->lock);
 	return address;
 }
@@ -49,8 +49,8 @@
 	return g_string_free(body, FALSE);
 }
 
-static int try_once(struct load_job *job, const char *address, const char *ticket,
-		    const char *body, struct reader *reader, struct hcl_answer *answer)
+static int try_once(struct load_job *job, const char *address, const char *ticket, const char *body,
+		    struct reader *reader, struct hcl_answer *answer)
 {
 	char deadline[24];
 	const struct ask a = {
@@ -67,15 +67,15 @@
 	};
 	bool whole;
 
-	g_snprintf(deadline, sizeof(deadline), "%" G_GINT64_FORMAT,
-		   job->load->options.deadline_ms);
+	g_snprintf(deadline, sizeof(deadline), "%" G_GINT64_FORMAT, job->load->options.deadline_ms);
 	g_byte_array_set_size(reader->bytes, 0);
 	whole = ask(job->load->http, &a, answer);
 	return ask_exit_code(answer, whole);
 }
 
 /* Tries again where nothing ran, or where the ticket keeps a second run away. */
-static int send_request(struct load_job *job, const char *body, struct reader *reader, char *request)
+static int send_request(struct load_job *job, const char *body, struct reader *reader,
+			char *request)
 {
 	char *ticket = NULL;
 	int code = CLI_EXIT_UNREACHABLE;
--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -22,7 +22,7 @@
 	fputs("Usage: currantscale COMMAND [ARGUMENT...]\n\nCommands:\n", out);
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
 		fprintf(out, "  %-10s %s\n", commands[i].name, commands[i].doc);
-	fputs("\nEach command has --help. Exit codes stand in docs/OPERATORS.md.\n", out);
+	fputs("\nEach command has --help. Exit codes stand in docs/operators/commands.md.\n", out);
 }
 
 int main(int argc, char **argv)
