--- a/packages/cli/load_rpt.c
+++ b/packages/cli/load_rpt.c
@@ -255,7 +255,8 @@
 		printf("%-10s %-32s %6lld %8lld %7lld %7lld %10.2f%% %8.2f%% %8.1f %8.1f %8.1f\n",
 		       e->class_name, e->path, (long long)e->sent,
 		       (long long)e->outcomes[LOAD_COMPLETE], (long long)e->outcomes[LOAD_NOT_RUN],
-		       (long long)(e->outcomes[LOAD_UNKNOWN] + e->outcomes[LOAD_UNREACHABLE]),
+		       (long long)e->outcomes[LOAD_UNKNOWN] +
+			       (long long)e->outcomes[LOAD_UNREACHABLE],
 		       percent(e->in_deadline, e->sent), percent(e->in_deadline_away, e->sent_away),
 		       quantile_ms(e->whole_us, 0.5), quantile_ms(e->whole_us, 0.99),
 		       quantile_ms(e->first_us, 0.5));
