--- a/tests/proc_proxy.c
+++ b/tests/proc_proxy.c
@@ -10,6 +10,7 @@
 #define SOURCE "127.0.1.77"
 #define BLOCKED_MS 1000
 #define WAIT_MS 10000
+#define STREAMS 500
 #define LINK_MS 14 /* west to east in the example */
 
 static struct fleet *fleet;
@@ -54,7 +55,7 @@
 		.path = "/v1/run/run",
 		.body = "x",
 		.body_len = 1,
-		.timeout_ms = BLOCKED_MS,
+		.timeout_ms = strcmp(request, "many") == 0 ? WAIT_MS : BLOCKED_MS,
 		.headers = {{"Currantscale-Request", request}},
 		.n_headers = 1,
 	};
@@ -215,6 +216,30 @@
 }
 END_TEST
 
+static void *run_stream(void *whole)
+{
+	int64_t took_ms;
+
+	if (run("chat-1", "many", &took_ms))
+		g_atomic_int_inc((gint *)whole);
+	return NULL;
+}
+
+START_TEST(many_streams_pass)
+{
+	pthread_t threads[STREAMS];
+	gint whole = 0;
+
+	fleet_upstream(fleet, "chat-1",
+		       "{\"cold_limit\":1000,\"warm_limit\":1000,\"token_ms\":50}");
+	for (int i = 0; i < STREAMS; i++)
+		pthread_create(&threads[i], NULL, run_stream, &whole);
+	for (int i = 0; i < STREAMS; i++)
+		pthread_join(threads[i], NULL);
+	ck_assert_int_eq(whole, STREAMS);
+}
+END_TEST
+
 START_TEST(regions_have_their_latency)
 {
 	int64_t took_ms;
@@ -242,6 +267,7 @@
 	tcase_add_test(tcase, held_bytes_come_late);
 	tcase_add_test(tcase, rules_are_checked);
 	tcase_add_test(tcase, bytes_are_counted);
+	tcase_add_test(tcase, many_streams_pass);
 	tcase_add_test(tcase, peers_are_fronted);
 	tcase_add_test(latency, regions_have_their_latency);
 	srunner_run_all(runner, CK_NORMAL);
