--- a/packages/decide/cfr.c
+++ b/packages/decide/cfr.c
@@ -35,6 +35,16 @@
 	memset(section, 0, sizeof(*section));
 }
 
+/* Hands a section on; what stood in to is freed. */
+static void move_section(struct cfr_section *to, struct cfr_section *from)
+{
+	char *old = to->text;
+
+	*to = *from;
+	memset(from, 0, sizeof(*from));
+	g_free(old);
+}
+
 void cfr_free(struct cfr *c)
 {
 	for (int i = 0; i < CFG_SECTIONS; i++) {
@@ -152,17 +162,13 @@
 				clear_section(held);
 			continue;
 		}
-		clear_section(&offer->next[i]);
-		offer->next[i] = *held;
-		memset(held, 0, sizeof(*held));
+		move_section(&offer->next[i], held);
 	}
 }
 
 static void hold(struct cfr *c, struct offer *offer, int id)
 {
-	clear_section(&c->held[id]);
-	c->held[id] = offer->next[id];
-	memset(&offer->next[id], 0, sizeof(offer->next[id]));
+	move_section(&c->held[id], &offer->next[id]);
 }
 
 static const struct cfr_section *chosen(const struct cfr *c, const struct offer *offer, int id)
@@ -276,9 +282,7 @@
 	for (int i = 0; i < CFG_SECTIONS; i++) {
 		if (offer->next[i].revision == 0)
 			continue;
-		clear_section(&c->force[i]);
-		c->force[i] = offer->next[i];
-		memset(&offer->next[i], 0, sizeof(offer->next[i]));
+		move_section(&c->force[i], &offer->next[i]);
 		offer->result->accepted++;
 	}
 }
--- a/packages/node/mcf.c
+++ b/packages/node/mcf.c
@@ -13,7 +13,7 @@
 #define MCF_START_PEERS 3	/* heard before a start does without the wait */
 #define MCF_FANOUT 2		/* nodes that get each digest */
 #define MCF_NEWS_FANOUT 4	/* nodes that get a digest at once after a change */
-#define MCF_ASK_AGAIN_MS 1000
+#define MCF_ASK_AGAIN_MS 1000	/* for the same content */
 #define MCF_TTL_MS 5000
 
 /* A section in force, as the peer thread reads it. */
@@ -95,6 +95,12 @@
 	pthread_mutex_unlock(&n->config->send_lock);
 }
 
+static void fill_target(struct target *to, const struct bb_node *node)
+{
+	g_strlcpy(to->vm, node->vm, sizeof(to->vm));
+	g_strlcpy(to->address, node->peer_address, sizeof(to->address));
+}
+
 /* Listed nodes but this one, as an array of struct target. */
 static GArray *listed_nodes(struct nod *n)
 {
@@ -110,8 +116,7 @@
 
 		if (!node->in_list || strcmp(node->vm, n->set->vm) == 0)
 			continue;
-		g_strlcpy(to.vm, node->vm, sizeof(to.vm));
-		g_strlcpy(to.address, node->peer_address, sizeof(to.address));
+		fill_target(&to, node);
 		g_array_append_val(list, to);
 	}
 	pthread_mutex_unlock(&n->lock);
@@ -124,10 +129,8 @@
 
 	pthread_mutex_lock(&n->lock);
 	node = bb_node(&n->dec->bb, vm);
-	if (node) {
-		g_strlcpy(to->vm, node->vm, sizeof(to->vm));
-		g_strlcpy(to->address, node->peer_address, sizeof(to->address));
-	}
+	if (node)
+		fill_target(to, node);
 	pthread_mutex_unlock(&n->lock);
 	return node != NULL;
 }
@@ -221,44 +224,32 @@
 		nod_event(n, &ev);
 }
 
-/* With the lock held. */
-static bool settle(struct nod *n, struct cfr_result *result)
-{
-	bool news = result->accepted > 0;
-
-	count(result);
-	if (result->cfg)
-		put_in_force(n);
-	if (news)
-		refresh_views(n->config);
-	cfr_result_clear(result);
-	return news;
-}
-
 static void offer(struct nod *n, const struct cfg_text texts[CFG_SECTIONS], enum cfr_source source)
 {
 	struct cfr_result result;
-	bool news;
 
 	pthread_mutex_lock(&n->config->lock);
 	cfr_offer(n->config->cfr, texts, source, &result);
-	news = settle(n, &result);
+	if (result.cfg)
+		put_in_force(n);
+	if (result.accepted > 0)
+		refresh_views(n->config);
 	pthread_mutex_unlock(&n->config->lock);
-	if (news)
+	count(&result);
+	if (result.accepted > 0)
 		send_digests(n, MCF_NEWS_FANOUT);
+	cfr_result_clear(&result);
 }
 
 void mcf_offer_document(struct nod *n, const char *text, size_t len)
 {
-	struct cfr_result result;
-	bool news;
+	struct cfg_text texts[CFG_SECTIONS];
+	GPtrArray *faults = sch_faults_new();
 
-	pthread_mutex_lock(&n->config->lock);
-	cfr_offer_document(n->config->cfr, text, len, &result);
-	news = settle(n, &result);
-	pthread_mutex_unlock(&n->config->lock);
-	if (news)
-		send_digests(n, MCF_NEWS_FANOUT);
+	cfg_split(text, len, texts, faults);
+	log_faults(faults);
+	g_ptr_array_unref(faults);
+	offer(n, texts, CFR_SERVICE);
 }
 
 void mcf_offer_section(struct nod *n, enum cfg_section_id id, const struct cfg_text *text)
@@ -303,8 +294,8 @@
 
 	pthread_mutex_lock(&m->view_lock);
 	uint32_t heard = g_hash_table_size(m->heard);
-	may = m->service_answered && heard >= wanted && has_caught_up(m);
-	may = may || (waited && (m->service_answered || heard > 0));
+	may = (m->service_answered && heard >= wanted && has_caught_up(m)) ||
+	      (waited && (m->service_answered || heard > 0));
 	pthread_mutex_unlock(&m->view_lock);
 	return may;
 }
@@ -313,10 +304,10 @@
 {
 	struct mcf *m = n->config;
 	GArray *nodes = listed_nodes(n);
-	uint32_t n_listed = nodes->len;
+	bool may = may_open(m, nodes->len);
 
 	g_array_unref(nodes);
-	if (!may_open(m, n_listed))
+	if (!may)
 		return;
 	pthread_mutex_lock(&m->lock);
 	m->open = true;
@@ -464,14 +455,10 @@
 
 static void take_reply(struct nod *n, const Peer__Section *section)
 {
-	struct reply *reply;
-
 	if (!section || !note_section(n->config, section) || section->text.len == 0)
 		return;
-	reply = g_new0(struct reply, 1);
-	reply->node = n;
-	reply->id = section->id;
-	reply->text = g_bytes_new(section->text.data, section->text.len);
+	struct reply *reply = g_new0(struct reply, 1);
+	*reply = (struct reply){n, section->id, g_bytes_new(section->text.data, section->text.len)};
 	if (!wkp_submit(n->side, offer_reply, reply)) {
 		g_bytes_unref(reply->text);
 		g_free(reply);
