Check sections and references one after the other without a bitwise and

Cause: clang warns on it, so the fuzz build failed (tools/fuzz.sh). gcc does not. Change: two statements; both still add their faults.

--- a/packages/model/cfg.c
+++ b/packages/model/cfg.c
@@ -316,8 +316,10 @@
 	sch_doc_free(doc);
 	if (ok)
 		ok = check_layout(text, len, cfg, faults);
-	if (ok)
-		ok = check_locals(cfg, faults) & cfg_resolve(cfg, faults);
+	if (ok) {
+		ok = check_locals(cfg, faults);
+		ok = cfg_resolve(cfg, faults) && ok;
+	}
 	if (!ok) {
 		cfg_unref(cfg);
 		return NULL;
