--- a/packages/emul/emu_int.h
+++ b/packages/emul/emu_int.h
@@ -99,8 +99,9 @@
 	int64_t arrivals;
 	int64_t ran;
 	int64_t bookings;
-	int64_t overruns;     /* arrivals above what it bears */
-	int64_t most_running; /* the highest it saw, waiting ones included */
+	int64_t cold_overruns; /* of these, in a cold start */
+	int64_t overruns;      /* arrivals above what it bears */
+	int64_t most_running;  /* the highest it saw, waiting ones included */
 	int64_t ends[EMU_ENDS];
 };
 
--- a/packages/emul/emu_run.c
+++ b/packages/emul/emu_run.c
@@ -85,8 +85,11 @@
 	up->running++;
 	up->counts.arrivals++;
 	up->counts.most_running = MAX(up->counts.most_running, up->running);
-	if (up->running > limit_of(up))
+	if (up->running > limit_of(up)) {
 		up->counts.overruns++;
+		if (!emu_is_warm(up))
+			up->counts.cold_overruns++;
+	}
 	pthread_mutex_unlock(&up->lock);
 	return run;
 }
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -68,11 +68,11 @@
 static char *write_settings(struct fleet *f, const struct fleet_node *node)
 {
 	char *path = g_strdup_printf("%s/%s.yaml", f->dir, node->vm);
-	char *text =
-		g_strdup_printf("vm: %s\ndata_centre: %s\ncaller_address: 127.0.0.1:0\n"
-				"admin_address: 127.0.0.1:0\npeer_address: 127.0.0.1:0\n"
-				"platform_address: %s\nsource_address: %s\nadmin_key: %s\n",
-				node->vm, node->data_centre, f->platform, node->source, ADMIN_KEY);
+	char *text = g_strdup_printf("vm: %s\ndata_centre: %s\ncaller_address: %s\n"
+				     "admin_address: %s\npeer_address: %s\n"
+				     "platform_address: %s\nsource_address: %s\nadmin_key: %s\n",
+				     node->vm, node->data_centre, node->caller, node->admin,
+				     node->peer, f->platform, node->source, ADMIN_KEY);
 
 	ck_assert(g_file_set_contents(path, text, -1, NULL));
 	g_free(text);
@@ -202,6 +202,10 @@
 	g_snprintf(node->vm, sizeof(node->vm), "node-%u", i + 1);
 	g_strlcpy(node->data_centre, centres[i % G_N_ELEMENTS(centres)], sizeof(node->data_centre));
 	g_snprintf(node->source, sizeof(node->source), "127.0.1.%u", i + 1);
+	/* a restart keeps the ports that the kernel chose at the first start */
+	g_strlcpy(node->caller, "127.0.0.1:0", sizeof(node->caller));
+	g_strlcpy(node->admin, "127.0.0.1:0", sizeof(node->admin));
+	g_strlcpy(node->peer, "127.0.0.1:0", sizeof(node->peer));
 }
 
 struct fleet *fleet_new(const char *example, uint32_t n_nodes)
@@ -250,8 +254,8 @@
 	g_free(f);
 }
 
-void fleet_send(struct fleet *f, uint32_t node, const struct fleet_request *request,
-		struct fleet_answer *answer)
+void fleet_send_by(struct fleet *f, struct hcl *http, uint32_t node,
+		   const struct fleet_request *request, struct fleet_answer *answer)
 {
 	char *bearer = g_strdup_printf("Bearer %s", request->key ? request->key : "driver-key");
 	struct hcl_call call = {
@@ -262,7 +266,7 @@
 		.n_headers = 1,
 		.body = request->body ? request->body : "",
 		.body_len = request->body ? strlen(request->body) : 0,
-		.timeout_ms = CALL_MS,
+		.timeout_ms = request->timeout_ms ? request->timeout_ms : CALL_MS,
 		.want_headers = {"Currantscale-Outcome", "Currantscale-Ticket",
 				 "Currantscale-Request", "Retry-After"},
 	};
@@ -275,7 +279,7 @@
 		call.headers[call.n_headers++] =
 			(struct hcl_header){"Currantscale-Deadline-Ms", request->deadline_ms};
 	memset(answer, 0, sizeof(*answer));
-	answer->ok = hcl_do(f->http, &call, &got, NULL);
+	answer->ok = hcl_do(http, &call, &got, NULL);
 	answer->status = got.status;
 	g_strlcpy(answer->outcome, got.headers[0] ? got.headers[0] : "", sizeof(answer->outcome));
 	answer->body = g_strndup((const char *)got.body->data, got.body->len);
@@ -286,6 +290,12 @@
 	g_free(bearer);
 }
 
+void fleet_send(struct fleet *f, uint32_t node, const struct fleet_request *request,
+		struct fleet_answer *answer)
+{
+	fleet_send_by(f, f->http, node, request, answer);
+}
+
 void fleet_answer_clear(struct fleet_answer *answer)
 {
 	g_free(answer->body);
@@ -295,21 +305,28 @@
 	memset(answer, 0, sizeof(*answer));
 }
 
-char *fleet_ticket(struct fleet *f, uint32_t node)
+char *fleet_try_ticket(struct fleet *f, struct hcl *http, uint32_t node)
 {
 	const struct fleet_request request = {.path = "/v1/tickets"};
 	struct fleet_answer answer;
 	char *ticket;
 
-	fleet_send(f, node, &request, &answer);
+	fleet_send_by(f, http, node, &request, &answer);
 	json_t *json = json_loads(answer.body, 0, NULL);
 	ticket = g_strdup(json_string_value(json_object_get(json, "first")));
-	ck_assert_msg(ticket != NULL, "no ticket: %s", answer.body);
 	json_decref(json);
 	fleet_answer_clear(&answer);
 	return ticket;
 }
 
+char *fleet_ticket(struct fleet *f, uint32_t node)
+{
+	char *ticket = fleet_try_ticket(f, f->http, node);
+
+	ck_assert_msg(ticket != NULL, "no ticket");
+	return ticket;
+}
+
 json_t *fleet_get_json(struct fleet *f, const char *address, const char *path)
 {
 	struct hcl_answer answer;
@@ -371,18 +388,35 @@
 	return text;
 }
 
-void fleet_edit_config(struct fleet *f, const char *from, const char *to)
+/* The text with the first occurrence of from replaced; takes text. */
+static char *replace(char *text, const char *from, const char *to)
 {
-	char *text = fleet_config(f);
 	char *at = strstr(text, from);
-	struct hcl_answer answer;
 	char *edited;
 
 	ck_assert_msg(at != NULL, "no %s in the document", from);
 	edited = g_strdup_printf("%.*s%s%s", (int)(at - text), text, to, at + strlen(from));
-	call(f, "PUT", f->platform, "/control/config", edited, &answer);
+	g_free(text);
+	return edited;
+}
+
+static void publish(struct fleet *f, char *text)
+{
+	struct hcl_answer answer;
+
+	call(f, "PUT", f->platform, "/control/config", text, &answer);
 	ck_assert_int_eq(answer.status, 200);
 	hcl_answer_clear(&answer);
-	g_free(edited);
 	g_free(text);
 }
+
+void fleet_edit_config(struct fleet *f, const char *from, const char *to)
+{
+	publish(f, replace(fleet_config(f), from, to));
+}
+
+void fleet_edit_config2(struct fleet *f, const char *from, const char *to, const char *from2,
+			const char *to2)
+{
+	publish(f, replace(replace(fleet_config(f), from, to), from2, to2));
+}
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -56,6 +56,10 @@
 /* Publishes a document: the current one with the first occurrence of from replaced by to. */
 void fleet_edit_config(struct fleet *f, const char *from, const char *to);
 
+/* The same with two replacements in one publication. */
+void fleet_edit_config2(struct fleet *f, const char *from, const char *to, const char *from2,
+			const char *to2);
+
 /* Text of the document that is published; g_free() it. */
 char *fleet_config(struct fleet *f);
 
@@ -65,6 +69,7 @@
 	const char *key;	 /* NULL: driver-key */
 	const char *ticket;	 /* NULL: none */
 	const char *deadline_ms; /* NULL: none */
+	int64_t timeout_ms;	 /* of the call; 0: a long one */
 };
 
 struct fleet_answer {
@@ -79,11 +84,17 @@
 
 void fleet_send(struct fleet *f, uint32_t node, const struct fleet_request *request,
 		struct fleet_answer *answer);
+/* The same through a client of the caller's own, from any thread. */
+void fleet_send_by(struct fleet *f, struct hcl *http, uint32_t node,
+		   const struct fleet_request *request, struct fleet_answer *answer);
 void fleet_answer_clear(struct fleet_answer *answer);
 
 /* A fresh ticket of a node; g_free() it. */
 char *fleet_ticket(struct fleet *f, uint32_t node);
 
+/* The same from any thread; NULL when the node gives none. */
+char *fleet_try_ticket(struct fleet *f, struct hcl *http, uint32_t node);
+
 /* GET of any path; NULL when it fails; the caller drops the reference. */
 json_t *fleet_get_json(struct fleet *f, const char *address, const char *path);
 
