--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -11,6 +11,7 @@
 	{"drain", "begin a planned stop of a node", cli_drain},
 	{"dump", "print a node's whole state", cli_dump},
 	{"emulate", "run the platform and the upstreams of a document", cli_emulate},
+	{"load", "send a mixed load and judge what came of it", cli_load},
 	{"send", "send one request to a node", cli_send},
 	{"status", "show the fleet at a glance", cli_status},
 	{"ticket", "take a ticket for one non-idempotent request", cli_ticket},
@@ -21,7 +22,7 @@
 	fputs("Usage: currantscale COMMAND [ARGUMENT...]\n\nCommands:\n", out);
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
 		fprintf(out, "  %-10s %s\n", commands[i].name, commands[i].doc);
-	fputs("\nEach command has --help. Exit codes stand in docs/OPERATORS.md.\n", out);
+	fputs("\nEach command has --help. Exit codes stand in docs/operators/commands.md.\n", out);
 }
 
 int main(int argc, char **argv)
--- a/packages/emul/emu_ctl.c
+++ b/packages/emul/emu_ctl.c
@@ -132,11 +132,12 @@
 	json_t *json;
 
 	pthread_mutex_lock(&up->lock);
-	json = json_pack("{s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o}", "service",
-			 up->service, "data_centre", up->data_centre, "warm", emu_is_warm(up),
-			 "running", (json_int_t)up->running, "queued",
+	json = json_pack("{s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o}",
+			 "service", up->service, "data_centre", up->data_centre, "warm",
+			 emu_is_warm(up), "running", (json_int_t)up->running, "queued",
 			 (json_int_t)(up->running - up->active), "arrivals",
-			 (json_int_t)counts->arrivals, "ran", (json_int_t)counts->ran, "bookings",
+			 (json_int_t)counts->arrivals, "ran", (json_int_t)counts->ran,
+			 "cold_overruns", (json_int_t)counts->cold_overruns, "bookings",
 			 (json_int_t)counts->bookings, "overruns", (json_int_t)counts->overruns,
 			 "most_running", (json_int_t)counts->most_running, "cost_cents_per_k",
 			 (json_int_t)up->cost_cents_per_k, "bytes", traffic_json(up));
