--- a/packages/decide/bb.c
+++ b/packages/decide/bb.c
@@ -40,7 +40,17 @@
 	bb->incarnation = incarnation;
 	bb->started_ms = now_ms;
 	bb->cfg_confirmed_ms = BB_NEVER;
+	bb->cfg_peer_ms = BB_NEVER;
 	bb->list_at_ms = BB_NEVER;
+	bb->view_ms = BB_NEVER;
+	bb->peer_ms = BB_NEVER;
+	bb->near_ms = BB_NEVER;
+	bb->newer_since_ms = BB_NEVER;
+	bb->agreed_ms = BB_NEVER;
+	bb->recompute_at_ms = BB_NEVER;
+	bb->others = g_ptr_array_new();
+	bb->near = g_ptr_array_new();
+	bb->polled = g_ptr_array_new();
 	bb->last_tick_ms = now_ms;
 	bb->woken_ms = BB_NEVER;
 	bb->upstreams = g_ptr_array_new_with_free_func(free_upstream);
@@ -55,6 +65,9 @@
 	g_hash_table_destroy(bb->upstream_by_name);
 	g_hash_table_destroy(bb->service_by_name);
 	g_hash_table_destroy(bb->nodes);
+	g_ptr_array_unref(bb->others);
+	g_ptr_array_unref(bb->near);
+	g_ptr_array_unref(bb->polled);
 	g_ptr_array_unref(bb->upstreams);
 	g_ptr_array_unref(bb->services);
 	cfg_unref(bb->cfg);
@@ -136,6 +149,11 @@
 	up->report_at_ms = BB_NEVER;
 	up->ejected_until_ms = BB_NEVER;
 	up->window_at_ms = BB_NEVER;
+	up->idle_at_ms = BB_NEVER;
+	up->proof_ms = BB_NEVER;
+	up->doubt_until_ms = BB_NEVER;
+	for (int k = 0; k < BB_COLD_SLOTS_MAX; k++)
+		up->slot_since_ms[k] = BB_NEVER;
 	g_ptr_array_add(bb->upstreams, up);
 	g_hash_table_insert(bb->upstream_by_name, up->name, up);
 	return up;
@@ -152,7 +170,7 @@
 	up->dc = from->dc;
 	up->in_config = true;
 	if (up->window == 0)
-		up->window = up->service->cold_limit;
+		up->window = 1;
 	g_ptr_array_add(up->service->upstreams, up);
 }
 
@@ -213,23 +231,47 @@
 	copy_address(node->peer_address, vm->peer_address);
 	copy_address(node->caller_address, vm->caller_address);
 	node->in_list = true;
+	node->gone_ms = BB_NEVER;
 	node->leaving = vm->leaving;
 }
 
-void bb_set_list(struct bb *bb, struct vml *list, int64_t now_ms)
+static void mark_gone(struct bb *bb, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
 
+	g_hash_table_iter_init(&iter, bb->nodes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bb_node *node = value;
+
+		if (node->in_list)
+			node->gone_ms = now_ms;
+		node->in_list = false;
+	}
+}
+
+bool bb_set_list(struct bb *bb, struct vml *list, int64_t view_ms, int64_t now_ms)
+{
+	int64_t version = bb->list ? bb->list->version : INT64_MIN;
+
+	if (list->version >= version && view_ms > bb->view_ms)
+		bb->view_ms = view_ms;
+	if (list->version <= version) {
+		vml_free(list);
+		return false;
+	}
 	vml_free(bb->list);
 	bb->list = list;
 	bb->list_at_ms = now_ms;
-	g_hash_table_iter_init(&iter, bb->nodes);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct bb_node *)value)->in_list = false;
+	if (list->version >= bb->newest_version) {
+		bb->newest_version = list->version;
+		bb->newer_since_ms = BB_NEVER;
+	}
+	mark_gone(bb, now_ms);
 	for (uint32_t i = 0; i < list->n_vms; i++) {
 		if (list->vms[i].entry)
 			set_node(bb, &list->vms[i]);
 	}
 	apply_list(bb);
+	return true;
 }
--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -1,6 +1,8 @@
 #include "decide/dec.h"
 
 #include "dec_int.h"
+#include "decide/elg.h"
+#include "decide/rep.h"
 
 #include <string.h>
 
@@ -287,17 +289,67 @@
 static void handle_report(struct dec *d, int64_t now_ms, const struct dec_ev_report *ev)
 {
 	struct bb_upstream *up = bb_upstream(&d->bb, ev->upstream);
+	const struct rep_report report = {
+		.incarnation = ev->incarnation,
+		.warm = ev->warm,
+		.running = ev->running,
+		.queued = ev->queued,
+		.taken_ms = now_ms - ev->age_ms,
+	};
+
+	if (up)
+		rep_take(&d->bb, up, &report, now_ms);
+}
+
+/* Only what was asked after a pause of the process may be trusted. */
+static void notice_pause(struct dec *d, int64_t now_ms)
+{
+	if (now_ms - d->bb.last_tick_ms <= ELG_GAP_MS)
+		return;
+	d->bb.woken_ms = now_ms;
+	d->bb.last_tick_ms = now_ms;
+	d->bb.pauses++;
+}
 
-	if (!up)
+static void handle_list(struct dec *d, int64_t now_ms, const struct dec_event *ev)
+{
+	if (bb_set_list(&d->bb, ev->u.list, ev->at_ms ? ev->at_ms : now_ms, now_ms))
+		slt_recompute(&d->bb, now_ms);
+}
+
+static void push_to_node(struct dec_out *out, enum dec_cmd_type type, const struct bb_node *node)
+{
+	if (!node)
 		return;
-	if (up->incarnation != ev->incarnation)
-		up->window = up->service->cold_limit;
-	up->incarnation = ev->incarnation;
-	up->report_warm = ev->warm;
-	up->report_running = ev->running;
-	up->report_queued = ev->queued;
-	up->report_at_ms = now_ms;
-	up->sent_since_report = 0;
+	struct dec_cmd *cmd = dec_push(out, type, 0);
+	g_strlcpy(cmd->vm, node->vm, sizeof(cmd->vm));
+	g_strlcpy(cmd->address, node->peer_address, sizeof(cmd->address));
+}
+
+static void handle_digest(struct dec *d, int64_t now_ms, const struct mem_digest *digest,
+			  struct dec_out *out)
+{
+	struct bb_node *from = mem_take(&d->bb, digest, now_ms);
+
+	if (from && mem_wants_list(&d->bb, digest, now_ms))
+		push_to_node(out, DEC_CMD_ASK_LIST, from);
+}
+
+static void tick_membership(struct dec *d, int64_t now_ms, struct dec_out *out)
+{
+	struct bb_upstream *up;
+
+	if (d->bb.recompute_at_ms != BB_NEVER && now_ms >= d->bb.recompute_at_ms)
+		slt_recompute(&d->bb, now_ms);
+	push_to_node(out, DEC_CMD_PROBE, mem_probe(&d->bb, now_ms));
+	for (guint i = 0; i < d->bb.polled->len; i++) {
+		up = g_ptr_array_index(d->bb.polled, i);
+		if (!rep_is_due(&d->bb, up, now_ms))
+			continue;
+		struct dec_cmd *cmd = dec_push(out, DEC_CMD_POLL, 0);
+		cmd->upstream = up->id;
+		g_strlcpy(cmd->address, up->address, sizeof(cmd->address));
+	}
 }
 
 static void handle_caller_gone(struct dec *d, uint64_t id, struct dec_out *out)
@@ -316,6 +368,7 @@
 
 void dec_handle(struct dec *d, int64_t now_ms, const struct dec_event *ev, struct dec_out *out)
 {
+	notice_pause(d, now_ms);
 	switch (ev->type) {
 	case DEC_EV_REQUEST:
 		handle_request(d, now_ms, &ev->u.request, out);
@@ -335,12 +388,17 @@
 	case DEC_EV_CONFIG:
 		bb_set_config(&d->bb, ev->u.cfg, now_ms);
 		set_policy(d);
+		slt_recompute(&d->bb, now_ms);
 		break;
 	case DEC_EV_LIST:
-		bb_set_list(&d->bb, ev->u.list, now_ms);
+		handle_list(d, now_ms, ev);
+		break;
+	case DEC_EV_DIGEST:
+		handle_digest(d, now_ms, ev->u.digest, out);
 		break;
 	case DEC_EV_TICK:
 		d->bb.last_tick_ms = now_ms;
+		tick_membership(d, now_ms, out);
 		dec_tick_requests(d, now_ms, out);
 		break;
 	case DEC_EV_DRAIN:
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -192,7 +192,13 @@
 			int64_t now_ms)
 {
 	bool healthy = ev->code == ERR_NONE;
+	const struct slt_end end = {
+		.healthy = healthy,
+		.sent = ev->sent,
+		.latency_us = ev->latency_us,
+	};
 
+	d->policy.slots->ended(&d->bb, up, &end, now_ms);
 	up->in_flight--;
 	up->service->in_flight--;
 	if (healthy) {
@@ -204,7 +210,6 @@
 		up->ejected_until_ms = now_ms + d->bb.cfg->routing.eject_ms;
 		up->failures = 0;
 	}
-	d->policy.slots->ended(&d->bb, up, healthy, now_ms);
 }
 
 void dec_cancel_attempts(struct dec *d, struct req *req, struct dec_out *out)
@@ -279,7 +284,8 @@
 	    req->attempts[attempt].state != REQ_ATTEMPT_SENT || now_ms >= req->deadline_at_ms)
 		return false;
 	up = bb_upstream(&d->bb, req->attempts[attempt].upstream);
-	if (elg_check(&d->bb, up, now_ms) != ELG_OK)
+	if (elg_check(&d->bb, up, now_ms) != ELG_OK ||
+	    up->in_flight > d->policy.slots->limit(&d->bb, up, now_ms))
 		return false;
 	req->ran = true;
 	return true;
--- a/packages/decide/elg.c
+++ b/packages/decide/elg.c
@@ -16,6 +16,23 @@
 	return names[reason];
 }
 
+static bool is_after_pause(const struct bb *bb, int64_t ms)
+{
+	return bb->woken_ms == BB_NEVER || ms > bb->woken_ms;
+}
+
+bool elg_view_ok(const struct bb *bb, int64_t now_ms)
+{
+	int64_t confirmed_ms = MAX(bb->view_ms, bb->peer_ms);
+
+	if (!bb->cfg || !bb->list || now_ms - bb->last_tick_ms > ELG_GAP_MS)
+		return false;
+	if (!is_after_pause(bb, confirmed_ms) ||
+	    !is_after_pause(bb, MAX(bb->cfg_confirmed_ms, bb->cfg_peer_ms)))
+		return false;
+	return bb->others->len == 0 || now_ms - confirmed_ms <= bb->cfg->capacity.view_age_ms;
+}
+
 enum elg_reason elg_check(const struct bb *bb, const struct bb_upstream *up, int64_t now_ms)
 {
 	if (!bb->cfg || !up->in_config)
@@ -26,6 +43,8 @@
 		return ELG_LEAVING;
 	if (!bb->cfg->places.data_centres[up->dc].in_service)
 		return ELG_DATA_CENTRE_OUT;
+	if (!elg_view_ok(bb, now_ms))
+		return ELG_VIEW_STALE;
 	if (up->ejected_until_ms > now_ms)
 		return ELG_EJECTED;
 	return ELG_OK;
--- a/packages/decide/include/decide/bb.h
+++ b/packages/decide/include/decide/bb.h
@@ -21,6 +21,7 @@
 #define BB_ADDRESS_BYTES 64
 #define BB_NAME_BYTES 64
 #define BB_NEVER INT64_MIN
+#define BB_COLD_SLOTS_MAX 16 /* a larger cold limit counts as this */
 
 struct bb_service;
 
@@ -41,7 +42,8 @@
 	bool report_warm;
 	int32_t report_running;
 	int32_t report_queued;
-	int64_t report_at_ms; /* BB_NEVER: none */
+	int64_t report_at_ms; /* when it was taken; BB_NEVER: none */
+	int64_t idle_at_ms;   /* last report taken that showed nothing running; BB_NEVER: none */
 
 	/* what this node does with it */
 	int32_t in_flight;
@@ -52,6 +54,16 @@
 	int32_t failures;     /* in a row */
 	int64_t ejected_until_ms;
 	uint64_t completions;
+	int64_t proof_ms;	/* last healthy completion; BB_NEVER: none */
+	int32_t doubtful;	/* sent attempts without a whole answer, which may run on */
+	int64_t doubt_until_ms; /* when the last of them has ended for certain */
+
+	/* computed by slt_recompute() whenever list or configuration change */
+	int32_t n_slots;			  /* slots of a cold start */
+	int64_t slot_since_ms[BB_COLD_SLOTS_MAX]; /* held since; BB_NEVER: not held */
+	int32_t warm_share;			  /* of the warm limit, for this node */
+	bool polled;				  /* this node reads its load reports */
+	int64_t poll_at_ms;			  /* when to read the next one */
 };
 
 /* A service and the requests that wait for one of its upstreams. */
@@ -79,6 +91,8 @@
 	bool leaving;
 	uint64_t incarnation; /* 0: never heard */
 	int64_t heard_at_ms;  /* BB_NEVER: never */
+	int64_t list_version; /* of the VM list that it said to have applied; 0: never heard */
+	int64_t gone_ms;      /* when it went from the list; BB_NEVER: it is listed */
 };
 
 struct bb {
@@ -90,11 +104,28 @@
 	bool draining;
 
 	struct cfg *cfg;	  /* NULL until a configuration is in force */
-	int64_t cfg_confirmed_ms; /* when the service or a peer last confirmed it */
+	int64_t cfg_confirmed_ms; /* when the service last confirmed it */
+	int64_t cfg_peer_ms;	  /* when a peer last held the same places */
 	struct vml *list;	  /* NULL until read */
 	int64_t list_at_ms;	  /* when it was last read from the platform */
+	int64_t view_ms;	  /* the list was the platform's newest then */
+	int64_t peer_ms;	  /* a peer last held the same list */
+	int64_t near_ms;	  /* a peer that is nearest to this node did */
+	int64_t newest_version;	  /* highest list version heard of */
+	int64_t newer_since_ms;	  /* when one higher than the own was first heard of; BB_NEVER */
+	int64_t agreed_ms;	  /* since when all nodes have applied the own; BB_NEVER: not all */
 	int64_t last_tick_ms;	  /* to notice pauses of the process */
 	int64_t woken_ms;	  /* last pause noticed; BB_NEVER: none */
+	uint64_t pauses;	  /* noticed so far */
+
+	int64_t recompute_at_ms; /* when shares change without a new list; BB_NEVER: never */
+	int64_t probe_at_ms;	 /* when to send the next digest */
+	int64_t ask_list_at_ms;	 /* not before */
+	uint32_t probes;	 /* sent so far */
+	uint32_t next_news;	 /* place in polled from which the next digest tells */
+	GPtrArray *others;	 /* struct bb_node, borrowed: listed, but not this one; shuffled */
+	GPtrArray *near;	 /* those of them nearest to this node; shuffled */
+	GPtrArray *polled;	 /* struct bb_upstream, borrowed, whose reports this node reads */
 
 	GPtrArray *upstreams;	      /* struct bb_upstream by id, owned */
 	GHashTable *upstream_by_name; /* borrowed values */
@@ -110,8 +141,11 @@
 /* Takes a reference to cfg and puts it in force. */
 void bb_set_config(struct bb *bb, struct cfg *cfg, int64_t now_ms);
 
-/* Takes ownership of list. */
-void bb_set_list(struct bb *bb, struct vml *list, int64_t now_ms);
+/*
+ * Takes ownership of list, which was the platform's newest at view_ms. A list of a lower version
+ * than the one in force is dropped; false then, and for one already in force.
+ */
+bool bb_set_list(struct bb *bb, struct vml *list, int64_t view_ms, int64_t now_ms);
 
 /* NULL when there is none. */
 struct bb_upstream *bb_upstream(const struct bb *bb, uint32_t id);
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -7,6 +7,7 @@
 
 #include "decide/adm.h"
 #include "decide/bb.h"
+#include "decide/mem.h"
 #include "decide/req.h"
 #include "decide/rte.h"
 #include "decide/rty.h"
@@ -27,6 +28,7 @@
 	DEC_EV_LIST,	    /* a VM list read from the platform */
 	DEC_EV_TICK,	    /* time passed */
 	DEC_EV_DRAIN,	    /* planned stop begins */
+	DEC_EV_DIGEST,	    /* what another node said of itself and of what it saw */
 };
 
 struct dec_ev_request {
@@ -60,10 +62,12 @@
 	bool warm;
 	int32_t running;
 	int32_t queued;
+	int64_t age_ms; /* since it was taken */
 };
 
 struct dec_event {
 	enum dec_event_type type;
+	int64_t at_ms; /* LIST: it was the platform's newest then; 0: now */
 	union {
 		struct dec_ev_request request;
 		struct dec_ev_attempt attempt; /* FIRST_BYTE and RESULT */
@@ -71,20 +75,23 @@
 		struct dec_ev_report report;
 		struct cfg *cfg;  /* CONFIG; the event's reference stays the caller's */
 		struct vml *list; /* LIST; ownership passes */
+		const struct mem_digest *digest;
 	} u;
 };
 
 enum dec_cmd_type {
-	DEC_CMD_SEND,	 /* send an attempt of a stage */
-	DEC_CMD_CANCEL,	 /* tell an upstream to drop an attempt */
-	DEC_CMD_ACCEPT,	 /* the attempt's result is the stage's */
-	DEC_CMD_DROP,	 /* the attempt's result is late or second */
-	DEC_CMD_STREAM,	 /* pass this attempt's bytes to the caller from now on */
-	DEC_CMD_FINISH,	 /* the last accepted result is the answer */
-	DEC_CMD_REFUSE,	 /* answer with an error; final */
-	DEC_CMD_REPLAY,	 /* answer with a stored body */
-	DEC_CMD_FORWARD, /* hand the request to the node that issued its ticket */
-	DEC_CMD_POLL,	 /* read an upstream's load report */
+	DEC_CMD_SEND,	  /* send an attempt of a stage */
+	DEC_CMD_CANCEL,	  /* tell an upstream to drop an attempt */
+	DEC_CMD_ACCEPT,	  /* the attempt's result is the stage's */
+	DEC_CMD_DROP,	  /* the attempt's result is late or second */
+	DEC_CMD_STREAM,	  /* pass this attempt's bytes to the caller from now on */
+	DEC_CMD_FINISH,	  /* the last accepted result is the answer */
+	DEC_CMD_REFUSE,	  /* answer with an error; final */
+	DEC_CMD_REPLAY,	  /* answer with a stored body */
+	DEC_CMD_FORWARD,  /* hand the request to the node that issued its ticket */
+	DEC_CMD_POLL,	  /* read an upstream's load report */
+	DEC_CMD_PROBE,	  /* send a digest to the node vm at address */
+	DEC_CMD_ASK_LIST, /* ask the node vm at address for its VM list */
 };
 
 struct dec_cmd {
@@ -96,7 +103,7 @@
 	char address[BB_ADDRESS_BYTES];
 	char service[BB_NAME_BYTES];
 	char call[BB_NAME_BYTES];
-	char vm[BB_NAME_BYTES]; /* FORWARD */
+	char vm[BB_NAME_BYTES]; /* FORWARD, PROBE, ASK_LIST */
 	bool idempotent;
 	bool stream;
 	int64_t rank;
--- a/packages/decide/include/decide/elg.h
+++ b/packages/decide/include/decide/elg.h
@@ -8,6 +8,8 @@
 extern "C" {
 #endif
 
+#define ELG_GAP_MS 1500 /* without a tick: the process was paused */
+
 enum elg_reason {
 	ELG_OK,
 	ELG_NOT_IN_CONFIG,
@@ -19,6 +21,13 @@
 	ELG_FULL, /* its limit for this node is used up */
 };
 
+/*
+ * True while what this node holds may be acted on: it ticks, and since its last pause, and not
+ * longer than the view age ago, the platform or a peer confirmed the VM list. A node that is the
+ * only one listed has nobody to ask and goes on through an outage of the platform.
+ */
+bool elg_view_ok(const struct bb *bb, int64_t now_ms);
+
 const char *elg_reason_name(enum elg_reason reason);
 enum elg_reason elg_check(const struct bb *bb, const struct bb_upstream *up, int64_t now_ms);
 
--- a/packages/decide/include/decide/slt.h
+++ b/packages/decide/include/decide/slt.h
@@ -1,6 +1,8 @@
 /*
  * Slots: how many concurrent requests this node may have at an upstream, so that all nodes
- * together stay within what the upstream bears. Nothing is exchanged for it.
+ * together stay within what the upstream bears. No message is exchanged for it: slot k of a cold
+ * upstream belongs to the first node by rendezvous hash over the VM list, and a warm upstream's
+ * limit is divided among the listed nodes.
  */
 #ifndef DECIDE_SLT_H
 #define DECIDE_SLT_H
@@ -11,20 +13,51 @@
 extern "C" {
 #endif
 
+#define SLT_FRESH_MS 1000	  /* a warm report, or a completion since, counts for so long */
+#define SLT_SETTLE_MS 100	  /* bytes on their way when a node loses a slot have arrived */
+#define SLT_HOLD_OFF_EXTRA_MS 500 /* above list lag, view age and longest request */
+
+/* How an attempt ended. */
+struct slt_end {
+	bool healthy;
+	bool sent; /* false: nothing ran */
+	int64_t latency_us;
+};
+
 struct slt_ops {
 	const char *name;
 	/* Concurrent requests allowed to this node now; 0 when it holds no slot. */
 	int32_t (*limit)(const struct bb *bb, const struct bb_upstream *up, int64_t now_ms);
-	/* A request ended; healthy is false for errors and jumps in latency. */
-	void (*ended)(struct bb *bb, struct bb_upstream *up, bool healthy, int64_t now_ms);
+	/* A request ended; called before the means of the upstream take it up. */
+	void (*ended)(struct bb *bb, struct bb_upstream *up, const struct slt_end *end,
+		      int64_t now_ms);
 };
 
 extern const struct slt_ops slt_rendezvous; /* slots by rendezvous hash, window by slow start */
+extern const struct slt_ops slt_shares;	    /* an equal share of the cold limit, at least one */
 extern const struct slt_ops slt_unlimited;  /* baseline: the warm limit for every node */
 
 /* VM id of the holder of slot k among the listed nodes; NULL when none is listed. */
 const char *slt_holder(const struct bb *bb, const struct bb_upstream *up, uint32_t k);
 
+/*
+ * Works out which slots, shares and load reports fall to this node. To be called after each
+ * change of list or configuration, and at bb.recompute_at_ms. A slot lost is lost at once.
+ */
+void slt_recompute(struct bb *bb, int64_t now_ms);
+
+/* Time after which nobody can work on a slot that it held under an older list. */
+int64_t slt_hold_off_ms(const struct bb *bb);
+
+/* True when the upstream said so lately and nothing since speaks against it. */
+bool slt_is_warm(const struct bb_upstream *up, int64_t now_ms);
+
+/* True while this node's view of the fleet allows it to use the slots that it holds. */
+bool slt_view_ok(const struct bb *bb, int64_t now_ms);
+
+/* Ends hold-offs early when the upstream showed nothing running after all nodes knew the list. */
+void slt_release_idle(struct bb *bb, struct bb_upstream *up);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/packages/decide/rep.c
@@ -0,0 +1,41 @@
+#include "decide/rep.h"
+
+#include "decide/slt.h"
+
+void rep_take(struct bb *bb, struct bb_upstream *up, const struct rep_report *report,
+	      int64_t now_ms)
+{
+	if (up->report_at_ms != BB_NEVER && report->taken_ms <= up->report_at_ms)
+		return;
+	if (up->incarnation != report->incarnation) {
+		up->window = 1;
+		up->window_at_ms = now_ms;
+		up->proof_ms = BB_NEVER;
+	}
+	up->incarnation = report->incarnation;
+	up->report_warm = report->warm;
+	up->report_running = report->running;
+	up->report_queued = report->queued;
+	up->report_at_ms = report->taken_ms;
+	up->sent_since_report = 0;
+	if (report->running == 0 && report->queued == 0) {
+		up->idle_at_ms = report->taken_ms;
+		slt_release_idle(bb, up);
+	}
+}
+
+static int64_t period_ms(const struct bb *bb)
+{
+	int64_t per_s = bb->polled->len <= REP_FEW ? REP_FEW : REP_POLLS_PER_S;
+	int64_t spread_ms = (int64_t)bb->polled->len * 1000 / per_s;
+
+	return spread_ms > REP_PERIOD_MS ? spread_ms : REP_PERIOD_MS;
+}
+
+bool rep_is_due(const struct bb *bb, struct bb_upstream *up, int64_t now_ms)
+{
+	if (now_ms < up->poll_at_ms)
+		return false;
+	up->poll_at_ms = now_ms + period_ms(bb);
+	return true;
+}
--- a/packages/decide/slt.c
+++ b/packages/decide/slt.c
@@ -1,82 +1,128 @@
+/* How many requests this node may have at an upstream; slt_map.c works out what it holds. */
 #include "decide/slt.h"
 
+#include "decide/elg.h"
+
 #include <string.h>
-#include <xxhash.h>
 
-/* How near a node is to an upstream: the nearest rank that has any node holds its slots. */
-enum nearness { NEAR_DATA_CENTRE, NEAR_REGION, NEAR_ANY };
+#define OPEN_MS (BB_NEVER + 1) /* in slot_since_ms: held, and its hold-off has ended */
+#define BURST_FAILURES 2       /* in a row: no longer taken for warm */
+#define JUMP_FACTOR 4	       /* of the mean latency */
+#define JUMP_MIN_US 50000      /* above the mean latency */
 
-static enum nearness nearness(const struct bb *bb, const struct bb_upstream *up,
-			      const struct bb_node *node)
+int64_t slt_hold_off_ms(const struct bb *bb)
 {
-	const char *dc = bb->cfg->places.data_centres[up->dc].name;
+	const struct cfg_capacity *capacity = &bb->cfg->capacity;
+
+	return capacity->list_lag_ms + capacity->view_age_ms + capacity->longest_ms +
+	       SLT_HOLD_OFF_EXTRA_MS;
+}
 
-	if (strcmp(node->data_centre, dc) == 0)
-		return NEAR_DATA_CENTRE;
-	if (strcmp(bb_region(bb, node->data_centre), bb_upstream_region(bb, up)) == 0)
-		return NEAR_REGION;
-	return NEAR_ANY;
+bool slt_is_warm(const struct bb_upstream *up, int64_t now_ms)
+{
+	return up->report_warm && up->report_at_ms != BB_NEVER &&
+	       now_ms - MAX(up->report_at_ms, up->proof_ms) <= SLT_FRESH_MS;
 }
 
-/* Rendezvous hashing (Thaler, Ravishankar, 1998): the highest score of (upstream, slot, node). */
-static uint64_t score(const struct bb_upstream *up, uint32_t k, const char *vm)
+bool slt_view_ok(const struct bb *bb, int64_t now_ms)
 {
-	uint64_t seed = XXH64(up->name, strlen(up->name), k);
+	int64_t confirmed_ms = MAX(bb->view_ms, bb->near_ms);
 
-	return XXH64(vm, strlen(vm), seed);
+	if (!elg_view_ok(bb, now_ms) || bb->newest_version > bb->list->version)
+		return false;
+	if (bb->woken_ms != BB_NEVER && confirmed_ms <= bb->woken_ms)
+		return false;
+	return bb->others->len == 0 || now_ms - confirmed_ms <= bb->cfg->capacity.view_age_ms;
 }
 
-const char *slt_holder(const struct bb *bb, const struct bb_upstream *up, uint32_t k)
+static bool is_open(const struct bb *bb, int64_t since_ms, int64_t now_ms)
 {
-	const char *best = NULL;
-	enum nearness best_near = NEAR_ANY;
-	uint64_t best_score = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, bb->nodes);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct bb_node *node = value;
-		if (!node->in_list || node->leaving)
-			continue;
-		enum nearness near = nearness(bb, up, node);
-		uint64_t s = score(up, k, node->vm);
-		if (!best || near < best_near || (near == best_near && s > best_score)) {
-			best = node->vm;
-			best_near = near;
-			best_score = s;
-		}
-	}
-	return best;
+	if (since_ms == BB_NEVER)
+		return false;
+	return since_ms == OPEN_MS || now_ms - since_ms >= slt_hold_off_ms(bb);
+}
+
+/* Slots of a cold start that may be used now. */
+static int32_t open_slots(const struct bb *bb, const struct bb_upstream *up, int64_t now_ms)
+{
+	int32_t open = 0;
+
+	if (!slt_view_ok(bb, now_ms))
+		return 0;
+	for (int32_t k = 0; k < up->n_slots; k++)
+		open += is_open(bb, up->slot_since_ms[k], now_ms);
+	if (now_ms < up->doubt_until_ms)
+		open -= up->doubtful;
+	return MAX(open, 0);
 }
 
 static int32_t rendezvous_limit(const struct bb *bb, const struct bb_upstream *up, int64_t now_ms)
 {
-	int32_t held = 0;
+	int32_t open = open_slots(bb, up, now_ms);
+
+	if (!slt_is_warm(up, now_ms))
+		return open;
+	return MAX(open, MIN(up->window, up->warm_share));
+}
+
+void slt_release_idle(struct bb *bb, struct bb_upstream *up)
+{
+	for (int32_t k = 0; k < up->n_slots; k++) {
+		int64_t since_ms = up->slot_since_ms[k];
 
-	for (int32_t k = 0; k < up->window; k++) {
-		const char *holder = slt_holder(bb, up, (uint32_t)k);
-		if (holder && strcmp(holder, bb->self_vm) == 0)
-			held++;
+		if (since_ms == BB_NEVER || since_ms == OPEN_MS || bb->agreed_ms == BB_NEVER)
+			continue;
+		if (up->idle_at_ms >= MAX(since_ms, bb->agreed_ms) + SLT_SETTLE_MS)
+			up->slot_since_ms[k] = OPEN_MS;
 	}
-	return held;
 }
 
-static void rendezvous_ended(struct bb *bb, struct bb_upstream *up, bool healthy, int64_t now_ms)
+/* The upstream may still run what was sent and not answered: it keeps its slot. */
+static void doubt(struct bb *bb, struct bb_upstream *up, int64_t now_ms)
+{
+	if (now_ms >= up->doubt_until_ms)
+		up->doubtful = 0;
+	up->doubtful++;
+	up->doubt_until_ms = now_ms + bb->cfg->capacity.longest_ms;
+}
+
+static bool is_jump(const struct bb_upstream *up, int64_t latency_us)
+{
+	return up->latency_us > 0 && latency_us > up->latency_us * JUMP_FACTOR &&
+	       latency_us > up->latency_us + JUMP_MIN_US;
+}
+
+static void rendezvous_ended(struct bb *bb, struct bb_upstream *up, const struct slt_end *end,
+			     int64_t now_ms)
 {
-	if (!healthy)
-		up->window = up->service->cold_limit;
-	else if (up->window < up->service->warm_limit)
-		up->window++;
+	if (end->healthy && !is_jump(up, end->latency_us)) {
+		up->window = MIN(up->window + 1, up->service->warm_limit);
+		up->proof_ms = now_ms;
+	} else {
+		up->window = 1;
+		if (end->healthy || up->failures + 1 >= BURST_FAILURES)
+			up->report_warm = false;
+	}
+	if (!end->healthy && end->sent)
+		doubt(bb, up, now_ms);
 	up->window_at_ms = now_ms;
 }
 
+static int32_t shares_limit(const struct bb *bb, const struct bb_upstream *up, int64_t now_ms)
+{
+	int32_t nodes = (int32_t)bb->others->len + 1;
+	int32_t whole = slt_is_warm(up, now_ms) ? up->service->warm_limit : up->service->cold_limit;
+
+	return MAX(whole / nodes, 1);
+}
+
 static int32_t unlimited_limit(const struct bb *bb, const struct bb_upstream *up, int64_t now_ms)
 {
 	return up->service->warm_limit;
 }
 
-static void unlimited_ended(struct bb *bb, struct bb_upstream *up, bool healthy, int64_t now_ms)
+static void ignore_end(struct bb *bb, struct bb_upstream *up, const struct slt_end *end,
+		       int64_t now_ms)
 {
 }
 
@@ -86,8 +132,14 @@
 	.ended = rendezvous_ended,
 };
 
+const struct slt_ops slt_shares = {
+	.name = "shares",
+	.limit = shares_limit,
+	.ended = ignore_end,
+};
+
 const struct slt_ops slt_unlimited = {
 	.name = "unlimited",
 	.limit = unlimited_limit,
-	.ended = unlimited_ended,
+	.ended = ignore_end,
 };
--- /dev/null
+++ b/packages/node/dig.c
@@ -0,0 +1,117 @@
+#include "node/dig.h"
+
+#include <string.h>
+
+static void news_to_message(const struct mem_news *from, Peer__Upstream *to)
+{
+	peer__upstream__init(to);
+	to->name = (char *)from->name;
+	to->incarnation = from->incarnation;
+	to->warm = from->warm;
+	to->running = from->running;
+	to->queued = from->queued;
+	to->age_ms = from->age_ms;
+}
+
+void dig_to_message(const struct mem_digest *from, struct dig_message *to)
+{
+	peer__digest__init(&to->digest);
+	to->digest.list_version = from->list_version;
+	to->digest.list_age_ms = from->list_age_ms;
+	to->digest.draining = from->draining;
+	to->digest.places_revision = from->places_revision;
+	for (uint32_t i = 0; i < from->n_news; i++) {
+		news_to_message(&from->news[i], &to->upstreams[i]);
+		to->upstream_at[i] = &to->upstreams[i];
+	}
+	to->digest.upstreams = to->upstream_at;
+	to->digest.n_upstreams = from->n_news;
+	for (uint32_t i = 0; i < from->n_departed; i++)
+		to->departed_at[i] = (char *)from->departed[i];
+	to->digest.departed = to->departed_at;
+	to->digest.n_departed = from->n_departed;
+}
+
+static void news_from_message(const Peer__Upstream *from, struct mem_news *to)
+{
+	g_strlcpy(to->name, from->name, sizeof(to->name));
+	to->incarnation = from->incarnation;
+	to->warm = from->warm;
+	to->running = from->running;
+	to->queued = from->queued;
+	to->age_ms = MAX(from->age_ms, 0);
+}
+
+void dig_from_message(const Peer__Digest *from, const char *vm, uint64_t incarnation,
+		      struct mem_digest *to)
+{
+	memset(to, 0, sizeof(*to));
+	g_strlcpy(to->vm, vm, sizeof(to->vm));
+	to->incarnation = incarnation;
+	to->list_version = from->list_version;
+	to->list_age_ms = from->list_age_ms;
+	to->draining = from->draining;
+	to->places_revision = from->places_revision;
+	for (size_t i = 0; i < from->n_upstreams && to->n_news < MEM_NEWS_MAX; i++)
+		news_from_message(from->upstreams[i], &to->news[to->n_news++]);
+	for (size_t i = 0; i < from->n_departed && to->n_departed < MEM_DEPARTED_MAX; i++)
+		g_strlcpy(to->departed[to->n_departed++], from->departed[i], BB_NAME_BYTES);
+}
+
+static Peer__ListVm *vm_to_message(const struct vml_vm *from)
+{
+	Peer__ListVm *to = g_new0(Peer__ListVm, 1);
+
+	peer__list_vm__init(to);
+	to->id = from->id;
+	to->data_centre = from->data_centre;
+	to->entry = from->entry;
+	to->leaving = from->leaving;
+	to->caller_address = from->caller_address;
+	to->peer_address = from->peer_address;
+	return to;
+}
+
+Peer__ListReply *dig_list_to_message(const struct vml *list, int64_t age_ms)
+{
+	Peer__ListReply *reply = g_new0(Peer__ListReply, 1);
+
+	peer__list_reply__init(reply);
+	reply->version = list->version;
+	reply->age_ms = age_ms;
+	reply->n_vms = list->n_vms;
+	reply->vms = g_new0(Peer__ListVm *, list->n_vms + 1);
+	for (uint32_t i = 0; i < list->n_vms; i++)
+		reply->vms[i] = vm_to_message(&list->vms[i]);
+	return reply;
+}
+
+void dig_free_list(Peer__ListReply *reply)
+{
+	for (size_t i = 0; i < reply->n_vms; i++)
+		g_free(reply->vms[i]);
+	g_free(reply->vms);
+	g_free(reply);
+}
+
+struct vml *dig_list_from_message(const Peer__ListReply *reply)
+{
+	struct vml *list = g_new0(struct vml, 1);
+
+	list->version = reply->version;
+	list->n_vms = (uint32_t)reply->n_vms;
+	list->vms = g_new0(struct vml_vm, reply->n_vms + 1);
+	for (size_t i = 0; i < reply->n_vms; i++) {
+		const Peer__ListVm *from = reply->vms[i];
+
+		list->vms[i] = (struct vml_vm){
+			.id = g_strdup(from->id),
+			.data_centre = g_strdup(from->data_centre),
+			.entry = from->entry,
+			.leaving = from->leaving,
+			.caller_address = g_strdup(from->caller_address),
+			.peer_address = g_strdup(from->peer_address),
+		};
+	}
+	return list;
+}
--- a/packages/node/include/node/nod.h
+++ b/packages/node/include/node/nod.h
@@ -74,6 +74,13 @@
 /* Messages with other nodes. msg.c */
 bool msg_start(struct nod *n, GError **error);
 
+/* Sends a digest, or the request for a VM list, to the node that the command names. msg.c */
+void msg_send_digest(struct nod *n, const struct dec_cmd *cmd);
+void msg_ask_list(struct nod *n, const struct dec_cmd *cmd);
+
+/* Reads the load report of the upstream that the command names. rpt.c */
+void rpt_poll(struct nod *n, const struct dec_cmd *cmd);
+
 /* Listener for operators. adn.c */
 bool adn_start(struct nod *n, GError **error);
 
--- a/packages/node/plt.c
+++ b/packages/node/plt.c
@@ -73,12 +73,15 @@
 	struct nod *n = arg;
 	struct hcl_answer answer;
 	GError *error = NULL;
+	/* the answer may lie in the socket through a pause: it is as old as the question */
+	int64_t asked_ms = clk_now_ms();
 
 	if (read_path(n, "/v1/vms", NULL, &answer) && answer.status == 200) {
 		struct vml *list =
 			vml_parse((const char *)answer.body->data, answer.body->len, &error);
 		if (list) {
-			const struct dec_event ev = {.type = DEC_EV_LIST, .u.list = list};
+			const struct dec_event ev = {
+				.type = DEC_EV_LIST, .at_ms = asked_ms, .u.list = list};
 			nod_event(n, &ev);
 		} else {
 			log_error("list_refused", "{s:s}", "reason", error->message);
--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -216,14 +216,36 @@
 		run_forward(n, hrq, cmd);
 		break;
 	case DEC_CMD_POLL:
+	case DEC_CMD_PROBE:
+	case DEC_CMD_ASK_LIST:
 		break;
 	}
 }
 
+/* Commands that belong to no request; false when it is none of them. */
+static bool run_node_cmd(struct nod *n, const struct dec_cmd *cmd)
+{
+	switch (cmd->type) {
+	case DEC_CMD_POLL:
+		rpt_poll(n, cmd);
+		return true;
+	case DEC_CMD_PROBE:
+		msg_send_digest(n, cmd);
+		return true;
+	case DEC_CMD_ASK_LIST:
+		msg_ask_list(n, cmd);
+		return true;
+	default:
+		return false;
+	}
+}
+
 void run_cmds(struct nod *n, struct dec_out *out)
 {
 	for (guint i = 0; i < out->cmds->len; i++) {
 		const struct dec_cmd *cmd = &g_array_index(out->cmds, struct dec_cmd, i);
+		if (run_node_cmd(n, cmd))
+			continue;
 		struct hrq *hrq = nod_find_req(n, cmd->req);
 
 		if (!hrq)
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -19,6 +19,9 @@
 typedef struct Peer__Digest Peer__Digest;
 typedef struct Peer__Upstream Peer__Upstream;
 typedef struct Peer__Node Peer__Node;
+typedef struct Peer__ListAsk Peer__ListAsk;
+typedef struct Peer__ListVm Peer__ListVm;
+typedef struct Peer__ListReply Peer__ListReply;
 typedef struct Peer__SectionAsk Peer__SectionAsk;
 typedef struct Peer__SectionReply Peer__SectionReply;
 typedef struct Peer__Forward Peer__Forward;
@@ -80,10 +83,19 @@
   Peer__Node **nodes;
   protobuf_c_boolean draining;
   protobuf_c_boolean reply_wanted;
+  /*
+   * of the configuration in force; -1: none
+   */
+  int64_t places_revision;
+  /*
+   * nodes that went from the list and may not know it yet
+   */
+  size_t n_departed;
+  char **departed;
 };
 #define PEER__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__digest__descriptor) \
-    , 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -122,6 +134,53 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * Asks a node for the VM list that it holds.
+ */
+struct  Peer__ListAsk
+{
+  ProtobufCMessage base;
+  /*
+   * of the list that the asker holds
+   */
+  int64_t version;
+};
+#define PEER__LIST_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__list_ask__descriptor) \
+    , 0 }
+
+
+struct  Peer__ListVm
+{
+  ProtobufCMessage base;
+  char *id;
+  char *data_centre;
+  protobuf_c_boolean entry;
+  protobuf_c_boolean leaving;
+  char *caller_address;
+  char *peer_address;
+};
+#define PEER__LIST_VM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__list_vm__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Peer__ListReply
+{
+  ProtobufCMessage base;
+  int64_t version;
+  /*
+   * since it was known to be the platform's newest; -1: never
+   */
+  int64_t age_ms;
+  size_t n_vms;
+  Peer__ListVm **vms;
+};
+#define PEER__LIST_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__list_reply__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 struct  Peer__SectionAsk
 {
   ProtobufCMessage base;
@@ -269,7 +328,9 @@
   PEER__MESSAGE__KIND_FORWARD_REPLY = 14,
   PEER__MESSAGE__KIND_RELEASE = 15,
   PEER__MESSAGE__KIND_RELEASE_ACK = 16,
-  PEER__MESSAGE__KIND_DEMAND = 17
+  PEER__MESSAGE__KIND_DEMAND = 17,
+  PEER__MESSAGE__KIND_LIST_ASK = 30,
+  PEER__MESSAGE__KIND_LIST_REPLY = 31
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -298,6 +359,8 @@
     Peer__Release *release;
     Peer__ReleaseAck *release_ack;
     Peer__Demand *demand;
+    Peer__ListAsk *list_ask;
+    Peer__ListReply *list_reply;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -381,6 +444,63 @@
 void   peer__node__free_unpacked
                      (Peer__Node *message,
                       ProtobufCAllocator *allocator);
+/* Peer__ListAsk methods */
+void   peer__list_ask__init
+                     (Peer__ListAsk         *message);
+size_t peer__list_ask__get_packed_size
+                     (const Peer__ListAsk   *message);
+size_t peer__list_ask__pack
+                     (const Peer__ListAsk   *message,
+                      uint8_t             *out);
+size_t peer__list_ask__pack_to_buffer
+                     (const Peer__ListAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ListAsk *
+       peer__list_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__list_ask__free_unpacked
+                     (Peer__ListAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ListVm methods */
+void   peer__list_vm__init
+                     (Peer__ListVm         *message);
+size_t peer__list_vm__get_packed_size
+                     (const Peer__ListVm   *message);
+size_t peer__list_vm__pack
+                     (const Peer__ListVm   *message,
+                      uint8_t             *out);
+size_t peer__list_vm__pack_to_buffer
+                     (const Peer__ListVm   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ListVm *
+       peer__list_vm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__list_vm__free_unpacked
+                     (Peer__ListVm *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ListReply methods */
+void   peer__list_reply__init
+                     (Peer__ListReply         *message);
+size_t peer__list_reply__get_packed_size
+                     (const Peer__ListReply   *message);
+size_t peer__list_reply__pack
+                     (const Peer__ListReply   *message,
+                      uint8_t             *out);
+size_t peer__list_reply__pack_to_buffer
+                     (const Peer__ListReply   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ListReply *
+       peer__list_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__list_reply__free_unpacked
+                     (Peer__ListReply *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__SectionAsk methods */
 void   peer__section_ask__init
                      (Peer__SectionAsk         *message);
@@ -585,6 +705,15 @@
 typedef void (*Peer__Node_Closure)
                  (const Peer__Node *message,
                   void *closure_data);
+typedef void (*Peer__ListAsk_Closure)
+                 (const Peer__ListAsk *message,
+                  void *closure_data);
+typedef void (*Peer__ListVm_Closure)
+                 (const Peer__ListVm *message,
+                  void *closure_data);
+typedef void (*Peer__ListReply_Closure)
+                 (const Peer__ListReply *message,
+                  void *closure_data);
 typedef void (*Peer__SectionAsk_Closure)
                  (const Peer__SectionAsk *message,
                   void *closure_data);
@@ -625,6 +754,9 @@
 extern const ProtobufCMessageDescriptor peer__digest__descriptor;
 extern const ProtobufCMessageDescriptor peer__upstream__descriptor;
 extern const ProtobufCMessageDescriptor peer__node__descriptor;
+extern const ProtobufCMessageDescriptor peer__list_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__list_vm__descriptor;
+extern const ProtobufCMessageDescriptor peer__list_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__section_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__section_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__forward__descriptor;
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -187,6 +187,141 @@
   assert(message->base.descriptor == &peer__node__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__list_ask__init
+                     (Peer__ListAsk         *message)
+{
+  static const Peer__ListAsk init_value = PEER__LIST_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__list_ask__get_packed_size
+                     (const Peer__ListAsk *message)
+{
+  assert(message->base.descriptor == &peer__list_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__list_ask__pack
+                     (const Peer__ListAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__list_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__list_ask__pack_to_buffer
+                     (const Peer__ListAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__list_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ListAsk *
+       peer__list_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ListAsk *)
+     protobuf_c_message_unpack (&peer__list_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__list_ask__free_unpacked
+                     (Peer__ListAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__list_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__list_vm__init
+                     (Peer__ListVm         *message)
+{
+  static const Peer__ListVm init_value = PEER__LIST_VM__INIT;
+  *message = init_value;
+}
+size_t peer__list_vm__get_packed_size
+                     (const Peer__ListVm *message)
+{
+  assert(message->base.descriptor == &peer__list_vm__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__list_vm__pack
+                     (const Peer__ListVm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__list_vm__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__list_vm__pack_to_buffer
+                     (const Peer__ListVm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__list_vm__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ListVm *
+       peer__list_vm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ListVm *)
+     protobuf_c_message_unpack (&peer__list_vm__descriptor,
+                                allocator, len, data);
+}
+void   peer__list_vm__free_unpacked
+                     (Peer__ListVm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__list_vm__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__list_reply__init
+                     (Peer__ListReply         *message)
+{
+  static const Peer__ListReply init_value = PEER__LIST_REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__list_reply__get_packed_size
+                     (const Peer__ListReply *message)
+{
+  assert(message->base.descriptor == &peer__list_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__list_reply__pack
+                     (const Peer__ListReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__list_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__list_reply__pack_to_buffer
+                     (const Peer__ListReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__list_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ListReply *
+       peer__list_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ListReply *)
+     protobuf_c_message_unpack (&peer__list_reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__list_reply__free_unpacked
+                     (Peer__ListReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__list_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__section_ask__init
                      (Peer__SectionAsk         *message)
 {
@@ -714,7 +849,7 @@
   (ProtobufCMessageInit) peer__section__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__digest__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer__digest__field_descriptors[9] =
 {
   {
     "sections",
@@ -800,12 +935,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "departed",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__Digest, n_departed),
+    offsetof(Peer__Digest, departed),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "places_revision",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Digest, places_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__digest__field_indices_by_name[] = {
+  7,   /* field[7] = departed */
   5,   /* field[5] = draining */
   2,   /* field[2] = list_age_ms */
   1,   /* field[1] = list_version */
   4,   /* field[4] = nodes */
+  8,   /* field[8] = places_revision */
   6,   /* field[6] = reply_wanted */
   0,   /* field[0] = sections */
   3,   /* field[3] = upstreams */
@@ -813,7 +974,7 @@
 static const ProtobufCIntRange peer__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor peer__digest__descriptor =
 {
@@ -823,7 +984,7 @@
   "Peer__Digest",
   "peer",
   sizeof(Peer__Digest),
-  7,
+  9,
   peer__digest__field_descriptors,
   peer__digest__field_indices_by_name,
   1,  peer__digest__number_ranges,
@@ -1036,6 +1197,211 @@
   (ProtobufCMessageInit) peer__node__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__list_ask__field_descriptors[1] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListAsk, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__list_ask__field_indices_by_name[] = {
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange peer__list_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__list_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ListAsk",
+  "ListAsk",
+  "Peer__ListAsk",
+  "peer",
+  sizeof(Peer__ListAsk),
+  1,
+  peer__list_ask__field_descriptors,
+  peer__list_ask__field_indices_by_name,
+  1,  peer__list_ask__number_ranges,
+  (ProtobufCMessageInit) peer__list_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__list_vm__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, entry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, caller_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__list_vm__field_indices_by_name[] = {
+  4,   /* field[4] = caller_address */
+  1,   /* field[1] = data_centre */
+  2,   /* field[2] = entry */
+  0,   /* field[0] = id */
+  3,   /* field[3] = leaving */
+  5,   /* field[5] = peer_address */
+};
+static const ProtobufCIntRange peer__list_vm__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer__list_vm__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ListVm",
+  "ListVm",
+  "Peer__ListVm",
+  "peer",
+  sizeof(Peer__ListVm),
+  6,
+  peer__list_vm__field_descriptors,
+  peer__list_vm__field_indices_by_name,
+  1,  peer__list_vm__number_ranges,
+  (ProtobufCMessageInit) peer__list_vm__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__list_reply__field_descriptors[3] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListReply, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListReply, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vms",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__ListReply, n_vms),
+    offsetof(Peer__ListReply, vms),
+    &peer__list_vm__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__list_reply__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = version */
+  2,   /* field[2] = vms */
+};
+static const ProtobufCIntRange peer__list_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__list_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ListReply",
+  "ListReply",
+  "Peer__ListReply",
+  "peer",
+  sizeof(Peer__ListReply),
+  3,
+  peer__list_reply__field_descriptors,
+  peer__list_reply__field_indices_by_name,
+  1,  peer__list_reply__number_ranges,
+  (ProtobufCMessageInit) peer__list_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__section_ask__field_descriptors[1] =
 {
   {
@@ -1586,7 +1952,7 @@
   (ProtobufCMessageInit) peer__account_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[14] =
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[16] =
 {
   {
     "from_vm",
@@ -1756,6 +2122,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_ask",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, list_ask),
+    &peer__list_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_reply",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, list_reply),
+    &peer__list_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
   13,   /* field[13] = demand */
@@ -1764,6 +2154,8 @@
   10,   /* field[10] = forward_reply */
   1,   /* field[1] = from_incarnation */
   0,   /* field[0] = from_vm */
+  14,   /* field[14] = list_ask */
+  15,   /* field[15] = list_reply */
   11,   /* field[11] = release */
   12,   /* field[12] = release_ack */
   7,   /* field[7] = section_ask */
@@ -1773,11 +2165,12 @@
   2,   /* field[2] = to_vm */
   5,   /* field[5] = ttl_ms */
 };
-static const ProtobufCIntRange peer__message__number_ranges[2 + 1] =
+static const ProtobufCIntRange peer__message__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 10, 6 },
-  { 0, 14 }
+  { 30, 14 },
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -1787,10 +2180,10 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  14,
+  16,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
-  2,  peer__message__number_ranges,
+  3,  peer__message__number_ranges,
   (ProtobufCMessageInit) peer__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/tests/unit_send.c
+++ b/tests/unit_send.c
@@ -47,10 +47,8 @@
 	bool sent;
 	int arrivals;
 } cases[] = {
-	{yes, "x", true, false, true, true, 1},
-	{yes, "", true, false, true, true, 1},
-	{no, "x", true, false, false, false, 0},
-	{no, "", true, false, false, false, 0},
+	{yes, "x", true, false, true, true, 1},	 {yes, "", true, false, true, true, 1},
+	{no, "x", true, false, false, false, 0}, {no, "", true, false, false, false, 0},
 	{yes, "x", false, true, false, true, 1}, /* read and closed: not sent again */
 };
 
@@ -63,9 +61,9 @@
 	struct hcl_answer answer;
 
 	hsv_bound_address(fd, address);
-	struct MHD_Daemon *daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL,
-						     handle, &drop, MHD_OPTION_LISTEN_SOCKET, fd,
-						     MHD_OPTION_END);
+	struct MHD_Daemon *daemon =
+		MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL, handle, &drop,
+				 MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_END);
 	struct hcl_call call = {
 		.method = "POST",
 		.address = address,
