--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -386,10 +386,13 @@
 		handle_report(d, now_ms, &ev->u.report);
 		break;
 	case DEC_EV_CONFIG:
-		bb_set_config(&d->bb, ev->u.cfg, now_ms);
+		bb_set_config(&d->bb, ev->u.cfg, ev->at_ms ? ev->at_ms : now_ms);
 		set_policy(d);
 		slt_recompute(&d->bb, now_ms);
 		break;
+	case DEC_EV_CONFIG_SAME:
+		d->bb.cfg_confirmed_ms = MAX(d->bb.cfg_confirmed_ms, ev->at_ms);
+		break;
 	case DEC_EV_LIST:
 		handle_list(d, now_ms, ev);
 		break;
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -188,13 +188,19 @@
 	return attempt;
 }
 
+/* True for a failure that leaves the upstream at work, as far as this node can know. */
+static bool may_run_on(int code)
+{
+	return code == ERR_UPSTREAM_TIMEOUT || code == ERR_STREAM_CUT || code == ERR_IO;
+}
+
 static void book_result(struct dec *d, struct bb_upstream *up, const struct dec_ev_attempt *ev,
 			int64_t now_ms)
 {
 	bool healthy = ev->code == ERR_NONE;
 	const struct slt_end end = {
 		.healthy = healthy,
-		.sent = ev->sent,
+		.may_run_on = ev->sent && may_run_on(ev->code),
 		.latency_us = ev->latency_us,
 	};
 
--- a/packages/decide/include/decide/bb.h
+++ b/packages/decide/include/decide/bb.h
@@ -56,6 +56,7 @@
 	uint64_t completions;
 	int64_t proof_ms;	/* last healthy completion; BB_NEVER: none */
 	int32_t doubtful;	/* sent attempts without a whole answer, which may run on */
+	int64_t doubt_at_ms;	/* since when the last of them is */
 	int64_t doubt_until_ms; /* when the last of them has ended for certain */
 
 	/* computed by slt_recompute() whenever list or configuration change */
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -25,6 +25,7 @@
 	DEC_EV_CALLER_GONE, /* nobody waits for the answer any more */
 	DEC_EV_REPORT,	    /* an upstream's load report */
 	DEC_EV_CONFIG,	    /* a configuration to put in force */
+	DEC_EV_CONFIG_SAME, /* the configuration service holds nothing newer */
 	DEC_EV_LIST,	    /* a VM list read from the platform */
 	DEC_EV_TICK,	    /* time passed */
 	DEC_EV_DRAIN,	    /* planned stop begins */
@@ -67,7 +68,7 @@
 
 struct dec_event {
 	enum dec_event_type type;
-	int64_t at_ms; /* LIST: it was the platform's newest then; 0: now */
+	int64_t at_ms; /* CONFIG, CONFIG_SAME, LIST: it was the newest then; 0: now */
 	union {
 		struct dec_ev_request request;
 		struct dec_ev_attempt attempt; /* FIRST_BYTE and RESULT */
--- a/packages/decide/include/decide/mem.h
+++ b/packages/decide/include/decide/mem.h
@@ -12,10 +12,10 @@
 #endif
 
 #define MEM_PROBES_PER_S 12
-#define MEM_NEWS_MAX 12	    /* reports in a digest */
-#define MEM_DEPARTED_MAX 16 /* nodes in a digest */
-#define MEM_TTL_MS 1000	    /* a digest older than this is dropped */
-#define MEM_ASK_LIST_MS 500 /* between two requests for a list */
+#define MEM_NEWS_MAX 12	      /* reports in a digest */
+#define MEM_DEPARTED_MAX 16   /* nodes in a digest */
+#define MEM_TTL_MS 1000	      /* a digest older than this is dropped */
+#define MEM_ASK_LIST_MS 500   /* between two requests for a list */
 #define MEM_NEWER_WAIT_MS 300 /* given to the own watch before a peer is asked */
 
 /* An upstream's load report, relayed. */
--- a/packages/decide/include/decide/rep.h
+++ b/packages/decide/include/decide/rep.h
@@ -9,9 +9,9 @@
 #endif
 
 #define REP_PERIOD_MS 500
-#define REP_POLLERS 2	     /* nodes that read an upstream's reports */
-#define REP_POLLS_PER_S 12   /* of a node that reads more than REP_FEW upstreams */
-#define REP_FEW 24	     /* upstreams that a node reads at up to REP_FEW a second */
+#define REP_POLLERS 2	   /* nodes that read an upstream's reports */
+#define REP_POLLS_PER_S 12 /* of a node that reads more than REP_FEW upstreams */
+#define REP_FEW 24	   /* upstreams that a node reads at up to REP_FEW a second */
 
 struct rep_report {
 	uint64_t incarnation;
--- a/packages/decide/include/decide/slt.h
+++ b/packages/decide/include/decide/slt.h
@@ -20,7 +20,7 @@
 /* How an attempt ended. */
 struct slt_end {
 	bool healthy;
-	bool sent; /* false: nothing ran */
+	bool may_run_on; /* sent, and no whole answer came */
 	int64_t latency_us;
 };
 
--- a/packages/decide/mem.c
+++ b/packages/decide/mem.c
@@ -6,7 +6,8 @@
 #include <string.h>
 
 #define MS_PER_S 1000
-#define NEAR_EVERY 3 /* each third digest goes to a nearest node, the others walk the whole fleet */
+#define NEAR_EVERY 3 /* each third digest goes to a nearest node, the others walk the whole fleet  \
+		      */
 #define NEWS_AGE_MAX_MS 2000 /* older reports are not relayed */
 
 static bool knows_list(const struct bb *bb, const struct bb_node *node, int64_t now_ms)
@@ -150,8 +151,7 @@
 		return NULL;
 	from->heard_at_ms = now_ms;
 	/* what a past incarnation knew, the present one may not know */
-	if (from->incarnation != digest->incarnation ||
-	    digest->list_version > from->list_version)
+	if (from->incarnation != digest->incarnation || digest->list_version > from->list_version)
 		from->list_version = digest->list_version;
 	from->incarnation = digest->incarnation;
 	if (bb->cfg && digest->places_revision == cfg_revision(bb->cfg, CFG_PLACES))
--- a/packages/decide/rep.c
+++ b/packages/decide/rep.c
@@ -18,6 +18,9 @@
 	up->report_queued = report->queued;
 	up->report_at_ms = report->taken_ms;
 	up->sent_since_report = 0;
+	/* what runs on without an answer is among what runs */
+	if (report->taken_ms > up->doubt_at_ms)
+		up->doubtful = MIN(up->doubtful, report->running + report->queued);
 	if (report->running == 0 && report->queued == 0) {
 		up->idle_at_ms = report->taken_ms;
 		slt_release_idle(bb, up);
--- a/packages/decide/slt.c
+++ b/packages/decide/slt.c
@@ -51,18 +51,18 @@
 		return 0;
 	for (int32_t k = 0; k < up->n_slots; k++)
 		open += is_open(bb, up->slot_since_ms[k], now_ms);
-	if (now_ms < up->doubt_until_ms)
-		open -= up->doubtful;
-	return MAX(open, 0);
+	return open;
 }
 
 static int32_t rendezvous_limit(const struct bb *bb, const struct bb_upstream *up, int64_t now_ms)
 {
-	int32_t open = open_slots(bb, up, now_ms);
+	int32_t limit = open_slots(bb, up, now_ms);
 
-	if (!slt_is_warm(up, now_ms))
-		return open;
-	return MAX(open, MIN(up->window, up->warm_share));
+	if (slt_is_warm(up, now_ms))
+		limit = MAX(limit, MIN(up->window, up->warm_share));
+	if (now_ms < up->doubt_until_ms)
+		limit -= up->doubtful;
+	return MAX(limit, 0);
 }
 
 void slt_release_idle(struct bb *bb, struct bb_upstream *up)
@@ -83,6 +83,7 @@
 	if (now_ms >= up->doubt_until_ms)
 		up->doubtful = 0;
 	up->doubtful++;
+	up->doubt_at_ms = now_ms;
 	up->doubt_until_ms = now_ms + bb->cfg->capacity.longest_ms;
 }
 
@@ -103,7 +104,7 @@
 		if (end->healthy || up->failures + 1 >= BURST_FAILURES)
 			up->report_warm = false;
 	}
-	if (!end->healthy && end->sent)
+	if (end->may_run_on)
 		doubt(bb, up, now_ms);
 	up->window_at_ms = now_ms;
 }
--- a/packages/decide/slt_map.c
+++ b/packages/decide/slt_map.c
@@ -20,8 +20,8 @@
 struct map {
 	const struct bb *bb;
 	int64_t share_until_ms; /* when the first node's share ends; BB_NEVER: never */
-	GArray *all;	/* struct member of listed nodes that are not leaving */
-	GArray **by_dc; /* the same, by the data centre whose upstreams they are nearest to */
+	GArray *all;		/* struct member of listed nodes that are not leaving */
+	GArray **by_dc;	 /* the same, by the data centre whose upstreams they are nearest to */
 	GArray *sharing; /* hashes of all nodes that may still use a share */
 	uint64_t self;
 };
@@ -212,8 +212,8 @@
 	uint32_t before = 0;
 
 	for (guint i = 0; i < members->len; i++)
-		before += score(hash, DRAW_POLL, 0,
-				g_array_index(members, struct member, i).hash) > own;
+		before += score(hash, DRAW_POLL, 0, g_array_index(members, struct member, i).hash) >
+			  own;
 	return before < REP_POLLERS;
 }
 
--- a/packages/node/plt.c
+++ b/packages/node/plt.c
@@ -33,7 +33,7 @@
 	return false;
 }
 
-static void apply_config(struct nod *n, const struct hcl_answer *answer)
+static void apply_config(struct nod *n, const struct hcl_answer *answer, int64_t asked_ms)
 {
 	GPtrArray *faults = sch_faults_new();
 	struct cfg *cfg = cfg_parse((const char *)answer->body->data, answer->body->len, faults);
@@ -44,7 +44,8 @@
 			  "line", fault->line, "key", fault->key, "reason", fault->reason);
 	}
 	if (cfg) {
-		const struct dec_event ev = {.type = DEC_EV_CONFIG, .u.cfg = cfg};
+		const struct dec_event ev = {
+			.type = DEC_EV_CONFIG, .at_ms = asked_ms, .u.cfg = cfg};
 		nod_event(n, &ev);
 		ctr_add(CTR_CONFIG_APPLIED, 1);
 		cfg_unref(cfg);
@@ -54,13 +55,24 @@
 	g_ptr_array_unref(faults);
 }
 
+static void confirm_config(struct nod *n, int64_t asked_ms)
+{
+	const struct dec_event ev = {.type = DEC_EV_CONFIG_SAME, .at_ms = asked_ms};
+
+	nod_event(n, &ev);
+}
+
 static void read_config(void *arg)
 {
 	struct nod *n = arg;
 	struct hcl_answer answer;
+	int64_t asked_ms = clk_now_ms();
+	bool ok = read_path(n, "/v1/config", n->config_etag, &answer);
 
-	if (read_path(n, "/v1/config", n->config_etag, &answer) && answer.status == 200) {
-		apply_config(n, &answer);
+	if (ok && answer.status == 304)
+		confirm_config(n, asked_ms);
+	if (ok && answer.status == 200) {
+		apply_config(n, &answer, asked_ms);
 		g_free(n->config_etag);
 		n->config_etag = g_strdup(answer.headers[0]);
 	}
--- a/packages/node/rpt.c
+++ b/packages/node/rpt.c
@@ -26,8 +26,7 @@
 	if (ok) {
 		report->incarnation = g_ascii_strtoull(incarnation, NULL, RPT_HEX);
 		report->warm = json_is_true(json_object_get(json, "warm"));
-		report->running =
-			(int32_t)json_integer_value(json_object_get(json, "running"));
+		report->running = (int32_t)json_integer_value(json_object_get(json, "running"));
 		report->queued = (int32_t)json_integer_value(json_object_get(json, "queued"));
 	}
 	json_decref(json);
