--- a/packages/decide/include/decide/slt.h
+++ b/packages/decide/include/decide/slt.h
@@ -20,7 +20,6 @@
 /* How an attempt ended. */
 struct slt_end {
 	bool healthy;
-	bool may_run_on; /* sent, and no whole answer came */
 	int64_t latency_us;
 };
 
@@ -49,6 +48,12 @@
 /* Time after which nobody can work on a slot that it held under an older list. */
 int64_t slt_hold_off_ms(const struct bb *bb);
 
+/*
+ * An attempt was sent and ended without a whole answer: the upstream may run on, so its slot
+ * stays taken until a later report speaks against it or the longest request has passed.
+ */
+void slt_doubt(struct bb *bb, struct bb_upstream *up, int64_t now_ms);
+
 /* True when the upstream said so lately and nothing since speaks against it. */
 bool slt_is_warm(const struct bb_upstream *up, int64_t now_ms);
 
--- a/packages/decide/slt.c
+++ b/packages/decide/slt.c
@@ -77,8 +77,7 @@
 	}
 }
 
-/* The upstream may still run what was sent and not answered: it keeps its slot. */
-static void doubt(struct bb *bb, struct bb_upstream *up, int64_t now_ms)
+void slt_doubt(struct bb *bb, struct bb_upstream *up, int64_t now_ms)
 {
 	if (now_ms >= up->doubt_until_ms)
 		up->doubtful = 0;
@@ -104,8 +103,6 @@
 		if (end->healthy || up->failures + 1 >= BURST_FAILURES)
 			up->report_warm = false;
 	}
-	if (end->may_run_on)
-		doubt(bb, up, now_ms);
 	up->window_at_ms = now_ms;
 }
 
--- a/tests/small_fleet.h
+++ b/tests/small_fleet.h
@@ -367,8 +367,10 @@
 				continue;
 			}
 			struct bb_upstream *up = bb_upstream(&node.core->bb, attempt.upstream);
-			struct slt_end end = {attempt.healthy, !attempt.healthy, 1000};
+			struct slt_end end = {attempt.healthy, 1000};
 			up->in_flight--;
+			if (!attempt.healthy)
+				slt_doubt(&node.core->bb, up, now_ms);
 			slots->ended(&node.core->bb, up, &end, now_ms);
 			node.attempts.erase(node.attempts.begin() + i);
 		}
--- a/tests/unit_slots.c
+++ b/tests/unit_slots.c
@@ -181,10 +181,8 @@
 		for (int i = 0; i < 31; i++)
 			small_tick(d, now_ms += 100);
 	}
-	if (lose == LOSE_CUT) {
-		const struct slt_end end = {.may_run_on = true};
-		slt_rendezvous.ended(&d->bb, bb_upstream(&d->bb, 0), &end, now_ms);
-	}
+	if (lose == LOSE_CUT)
+		slt_doubt(&d->bb, bb_upstream(&d->bb, 0), now_ms);
 	if (lose == LOSE_NEWER)
 		say_digest(d, now_ms, "node-1", 2, 0);
 	if (lose == LOSE_PAUSE_CONFIRMED) {
