Vary the load in the property of slots

Cause: with work always waiting no report ever showed an idle upstream, so the early end of a hold-off was never taken and its absence of checks not seen. Change: load between 3 and 100 per cent, nodes that are cut off alone together with their watch.

--- a/packages/decide/mem.c
+++ b/packages/decide/mem.c
@@ -6,8 +6,9 @@
 #include <string.h>
 
 #define MS_PER_S 1000
-#define NEAR_EVERY 3 /* each third digest goes to a nearest node, the others walk the whole fleet  \
-		      */
+#define NEAR_EVERY                                                                                 \
+	3 /* each third digest goes to a nearest node, the others walk the whole fleet             \
+	   */
 #define NEWS_AGE_MAX_MS 2000 /* older reports are not relayed */
 
 static bool knows_list(const struct bb *bb, const struct bb_node *node, int64_t now_ms)
--- a/packages/emul/emu_ctl.c
+++ b/packages/emul/emu_ctl.c
@@ -25,15 +25,15 @@
 
 #define KEY(field)                                                                                 \
 	{                                                                                          \
-		#field, offsetof(struct emu_set, field)                                            \
+#field, offsetof(struct emu_set, field)                                            \
 	}
 
 static const struct key keys[] = {
-	KEY(service_ms),      KEY(service_ms_p99),  KEY(tokens),	KEY(token_ms),
-	KEY(fail_pct),	      KEY(refuse),	    KEY(down),		KEY(straggle_pct),
-	KEY(straggle_ms),     KEY(lie_warm),	    KEY(report_lag_ms), KEY(drop_after_read),
-	KEY(cut_after_bytes), KEY(odd_chunks),	    KEY(wrong_request), KEY(warm_after),
-	KEY(warm_after_ms),   KEY(cold_limit),	    KEY(warm_limit),
+	KEY(service_ms),      KEY(service_ms_p99), KEY(tokens),	       KEY(token_ms),
+	KEY(fail_pct),	      KEY(refuse),	   KEY(down),	       KEY(straggle_pct),
+	KEY(straggle_ms),     KEY(lie_warm),	   KEY(report_lag_ms), KEY(drop_after_read),
+	KEY(cut_after_bytes), KEY(odd_chunks),	   KEY(wrong_request), KEY(warm_after),
+	KEY(warm_after_ms),   KEY(cold_limit),	   KEY(warm_limit),
 };
 
 static int64_t *value_at(struct emu_set *set, const struct key *key)
@@ -143,7 +143,8 @@
 	for (int end = EMU_END_COMPLETE; end < EMU_ENDS; end++)
 		json_object_set_new(json, emu_end_name(end), json_integer(counts->ends[end]));
 	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
-		json_object_set_new(json, keys[i].name, json_integer(*value_at(&up->set, &keys[i])));
+		json_object_set_new(json, keys[i].name,
+				    json_integer(*value_at(&up->set, &keys[i])));
 	pthread_mutex_unlock(&up->lock);
 	return json;
 }
--- a/tests/prop_slots.cc
+++ b/tests/prop_slots.cc
@@ -7,7 +7,20 @@
 namespace
 {
 
-enum Fault { KILL, START, REPLACE_KILLED, REPLACE_RUNNING, FREEZE, THAW, CUT, HEAL, WATCH, FAULTS };
+enum Fault {
+	KILL,
+	START,
+	REPLACE_KILLED,
+	REPLACE_RUNNING,
+	FREEZE,
+	THAW,
+	CUT,
+	HEAL,
+	WATCH,
+	ISOLATE,
+	LOAD,
+	FAULTS
+};
 
 struct Step {
 	int fault;
@@ -17,12 +30,14 @@
 
 rc::Gen<Step> gen_step()
 {
-	return rc::gen::build<Step>(rc::gen::set(&Step::fault, rc::gen::inRange(0, (int)FAULTS)),
-				    rc::gen::set(&Step::node, rc::gen::inRange<size_t>(0, 10)),
-				    rc::gen::set(&Step::wait_ms, rc::gen::inRange<int64_t>(0, 6000)));
+	return rc::gen::build<Step>(
+		rc::gen::set(&Step::fault, rc::gen::inRange(0, (int)FAULTS)),
+		rc::gen::set(&Step::node, rc::gen::inRange<size_t>(0, 10)),
+		rc::gen::set(&Step::wait_ms, rc::gen::inRange<int64_t>(0, 6000)));
 }
 
-// A partition and a dead watch never come together: see "limits" in docs/design/slots.md.
+// Groups of nodes are not cut off together with a dead watch, single ones are: see "limits" in
+// docs/design/slots.md.
 void apply(small::Fleet &fleet, const Step &step, bool partitions)
 {
 	size_t i = step.node % fleet.nodes.size();
@@ -48,13 +63,22 @@
 		node.frozen = false;
 		break;
 	case CUT:
-		if (partitions)
-			node.part = 1 + (int)(step.wait_ms % 2);
+		if (!partitions)
+			break;
+		node.part = 1 + (int)(step.wait_ms % 2);
+		node.watch_dead = false;
 		break;
 	case HEAL:
 		node.part = 0;
 		node.watch_dead = false;
 		break;
+	case ISOLATE:
+		node.part = 100 + (int)i;
+		node.watch_dead = true;
+		break;
+	case LOAD:
+		fleet.load_pct = step.wait_ms % 3 == 0 ? 100 : step.wait_ms % 3 == 1 ? 20 : 3;
+		break;
 	case WATCH:
 		node.watch_dead = !partitions;
 		break;
@@ -63,6 +87,7 @@
 
 void heal(small::Fleet &fleet)
 {
+	fleet.load_pct = 100;
 	for (size_t i = 0; i < fleet.nodes.size(); i++) {
 		fleet.nodes[i].part = 0;
 		fleet.nodes[i].watch_dead = false;
@@ -82,6 +107,7 @@
 		const struct small_sizes sizes = {3, 3, cold, 16};
 		small::Fleet fleet(sizes, 7, seed);
 
+		fleet.load_pct = 10;
 		fleet.run(1000);
 		for (const auto &step : steps) {
 			apply(fleet, step, partitions);
--- a/tests/small_fleet.h
+++ b/tests/small_fleet.h
@@ -104,6 +104,7 @@
 	int64_t starts = 0;
 	int64_t above = 0; // arrivals above an upstream's limit
 	const struct slt_ops *slots = &slt_rendezvous;
+	uint64_t load_pct = 100; // chance that a node has work for an upstream in a step
 
 	void kill_node(size_t i)
 	{
@@ -399,6 +400,8 @@
 		for (uint32_t i = 0; i < bb->upstreams->len; i++) {
 			struct bb_upstream *up = bb_upstream(bb, i);
 
+			if (rnd_below(&rnd_, 100) >= load_pct)
+				continue;
 			for (int n = 0; n < per_node; n++) {
 				if (elg_check(bb, up, now_ms) == ELG_OK &&
 				    up->in_flight < slots->limit(bb, up, now_ms))
