--- a/packages/decide/include/decide/elg.h
+++ b/packages/decide/include/decide/elg.h
@@ -21,6 +21,9 @@
 	ELG_FULL, /* its limit for this node is used up */
 };
 
+/* True unless the process was paused and nobody confirmed since what it holds. */
+bool elg_is_sure(const struct bb *bb, int64_t now_ms);
+
 /*
  * True while what this node holds may be acted on: it ticks, and since its last pause, and not
  * longer than the view age ago, the platform or a peer confirmed the VM list. A node that is the
--- a/packages/decide/include/decide/mem.h
+++ b/packages/decide/include/decide/mem.h
@@ -34,6 +34,7 @@
 	int64_t list_version; /* 0: none */
 	int64_t list_age_ms;  /* since its list was known to be the platform's newest; -1: never */
 	bool draining;
+	bool sure;		 /* the sender trusts what it holds */
 	int64_t places_revision; /* of the configuration in force; -1: none */
 	struct mem_news news[MEM_NEWS_MAX];
 	uint32_t n_news;
--- a/packages/decide/mem.c
+++ b/packages/decide/mem.c
@@ -1,5 +1,6 @@
 #include "decide/mem.h"
 
+#include "decide/elg.h"
 #include "decide/rep.h"
 #include "decide/slt.h"
 
@@ -79,6 +80,8 @@
 	digest->incarnation = bb->incarnation;
 	digest->draining = bb->draining;
 	digest->list_age_ms = -1;
+	/* nodes that were paused together must not confirm each other */
+	digest->sure = elg_is_sure(bb, now_ms);
 	digest->places_revision = bb->cfg ? cfg_revision(bb->cfg, CFG_PLACES) : -1;
 	if (!bb->list)
 		return;
@@ -120,7 +123,7 @@
 		bb->newest_version = digest->list_version;
 	if (digest->list_version > bb->list->version && bb->newer_since_ms == BB_NEVER)
 		bb->newer_since_ms = now_ms;
-	if (digest->list_version != bb->list->version)
+	if (digest->list_version != bb->list->version || !digest->sure)
 		return;
 	bb->peer_ms = now_ms;
 	if (is_near(bb, from))
@@ -155,7 +158,7 @@
 	if (from->incarnation != digest->incarnation || digest->list_version > from->list_version)
 		from->list_version = digest->list_version;
 	from->incarnation = digest->incarnation;
-	if (bb->cfg && digest->places_revision == cfg_revision(bb->cfg, CFG_PLACES))
+	if (bb->cfg && digest->sure && digest->places_revision == cfg_revision(bb->cfg, CFG_PLACES))
 		bb->cfg_peer_ms = now_ms;
 	for (uint32_t i = 0; i < digest->n_departed; i++)
 		take_departed(bb, digest->departed[i], now_ms);
--- a/packages/node/dig.c
+++ b/packages/node/dig.c
@@ -19,6 +19,7 @@
 	to->view.list_version = from->list_version;
 	to->view.list_age_ms = from->list_age_ms;
 	to->view.draining = from->draining;
+	to->view.sure = from->sure;
 	to->view.places_revision = from->places_revision;
 	for (uint32_t i = 0; i < from->n_news; i++) {
 		news_to_message(&from->news[i], &to->upstreams[i]);
@@ -51,6 +52,7 @@
 	to->list_version = from->list_version;
 	to->list_age_ms = from->list_age_ms;
 	to->draining = from->draining;
+	to->sure = from->sure;
 	to->places_revision = from->places_revision;
 	for (size_t i = 0; i < from->n_upstreams && to->n_news < MEM_NEWS_MAX; i++)
 		news_from_message(from->upstreams[i], &to->news[to->n_news++]);
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -85,6 +85,9 @@
   Peer__Upstream **upstreams;
   size_t n_nodes;
   Peer__Node **nodes;
+  /*
+   * takes no new callers: stopping, or not ready yet
+   */
   protobuf_c_boolean draining;
   protobuf_c_boolean reply_wanted;
 };
@@ -147,6 +150,10 @@
   protobuf_c_boolean draining;
   size_t n_upstreams;
   Peer__Upstream **upstreams;
+  /*
+   * the sender trusts what it holds
+   */
+  protobuf_c_boolean sure;
   /*
    * nodes that went from the list and may not know it yet
    */
@@ -155,7 +162,7 @@
 };
 #define PEER__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__view__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -1351,7 +1351,7 @@
   (ProtobufCMessageInit) peer__node__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__view__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__view__field_descriptors[7] =
 {
   {
     "list_version",
@@ -1425,6 +1425,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sure",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__View, sure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__view__field_indices_by_name[] = {
   5,   /* field[5] = departed */
@@ -1432,12 +1444,13 @@
   1,   /* field[1] = list_age_ms */
   0,   /* field[0] = list_version */
   2,   /* field[2] = places_revision */
+  6,   /* field[6] = sure */
   4,   /* field[4] = upstreams */
 };
 static const ProtobufCIntRange peer__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__view__descriptor =
 {
@@ -1447,7 +1460,7 @@
   "Peer__View",
   "peer",
   sizeof(Peer__View),
-  6,
+  7,
   peer__view__field_descriptors,
   peer__view__field_indices_by_name,
   1,  peer__view__number_ranges,
--- /dev/null
+++ b/tests/proc_leaving.c
@@ -0,0 +1,179 @@
+/* Upstreams that leave and data centres taken out: the upstreams' log of arrivals is the judge. */
+#include "fleet.h"
+
+#include "base/clk.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TEST_TIMEOUT_S 180
+#define NODES 7
+#define CALLERS 14
+#define BOUND_MS 3000 /* "a few seconds" */
+#define READY_MS 20000
+
+static struct fleet *fleet;
+
+static struct load {
+	gint stop;
+	gint complete;
+	GThread *threads[CALLERS];
+} load;
+
+static gpointer call_node(gpointer arg)
+{
+	static const struct fleet_request request = {.path = "/v1/services/weighbridge/lookup",
+						     .body = "x"};
+
+	while (!g_atomic_int_get(&load.stop)) {
+		struct fleet_answer answer;
+
+		fleet_send(fleet, GPOINTER_TO_UINT(arg), &request, &answer);
+		if (answer.ok && answer.status == 200)
+			g_atomic_int_inc(&load.complete);
+		else
+			clk_sleep_ms(50);
+		fleet_answer_clear(&answer);
+	}
+	return NULL;
+}
+
+static void start_load(void)
+{
+	memset(&load, 0, sizeof(load));
+	for (uint32_t i = 0; i < CALLERS; i++)
+		load.threads[i] = g_thread_new("caller", call_node, GUINT_TO_POINTER(i % NODES));
+}
+
+static void stop_load(void)
+{
+	g_atomic_int_set(&load.stop, 1);
+	for (uint32_t i = 0; i < CALLERS; i++)
+		g_thread_join(load.threads[i]);
+}
+
+static int arrivals(void)
+{
+	json_t *log = fleet_log(fleet);
+	int count = fleet_count(log, "weighbridge-3", "lookup", NULL);
+
+	json_decref(log);
+	return count;
+}
+
+static bool gets_more(struct fleet *f, void *arg)
+{
+	return arrivals() > *(const int *)arg;
+}
+
+static void wait_for_arrivals(int more)
+{
+	int before = arrivals() + more;
+
+	fleet_wait(fleet, gets_more, &before, READY_MS, "work for weighbridge-3");
+}
+
+static void set_up(void)
+{
+	fleet = fleet_new_proxied("association.yaml", NODES, false);
+}
+
+static void tear_down(void)
+{
+	fleet_free(fleet);
+}
+
+/* What is out of order while weighbridge-3 goes. */
+enum fault { FAULT_NONE, FAULT_WATCHES_DEAD, FAULT_FROZEN, FAULT_CUT_OFF };
+
+enum order { ORDER_VM_LEAVING, ORDER_DATA_CENTRE_OUT };
+
+static const struct {
+	const char *name;
+	enum fault fault;
+	enum order order;
+} cases[] = {
+	{"leaving", FAULT_NONE, ORDER_VM_LEAVING},
+	{"leaving, three watches dead", FAULT_WATCHES_DEAD, ORDER_VM_LEAVING},
+	{"leaving, three nodes frozen meanwhile", FAULT_FROZEN, ORDER_VM_LEAVING},
+	{"leaving, a node without platform and peers", FAULT_CUT_OFF, ORDER_VM_LEAVING},
+	{"out", FAULT_NONE, ORDER_DATA_CENTRE_OUT},
+	{"out, three watches dead", FAULT_WATCHES_DEAD, ORDER_DATA_CENTRE_OUT},
+	{"out, three nodes frozen meanwhile", FAULT_FROZEN, ORDER_DATA_CENTRE_OUT},
+	{"out, a node without platform and peers", FAULT_CUT_OFF, ORDER_DATA_CENTRE_OUT},
+};
+
+static void begin_fault(enum fault fault)
+{
+	static const char black_hole[] = "{\"black_hole\":true}";
+
+	for (uint32_t i = 0; i < 3; i++) {
+		if (fault == FAULT_WATCHES_DEAD)
+			fleet_link(fleet, fleet->nodes[i].vm, "platform", black_hole);
+		if (fault == FAULT_FROZEN)
+			fleet_signal_node(fleet, i, SIGSTOP);
+	}
+	if (fault != FAULT_CUT_OFF)
+		return;
+	fleet_link(fleet, "node-1", "platform", black_hole);
+	for (uint32_t i = 1; i < NODES; i++) {
+		char *to = g_strdup_printf("peer:%s", fleet->nodes[i].vm);
+		fleet_link(fleet, "node-1", to, black_hole);
+		fleet_link(fleet, fleet->nodes[i].vm, "peer:node-1", black_hole);
+		g_free(to);
+	}
+}
+
+static void give_order(enum order order)
+{
+	if (order == ORDER_VM_LEAVING) {
+		fleet_list_vm(fleet, "u-e1", "kosice", "leaving");
+		return;
+	}
+	fleet_edit_config(fleet, "places:\n  revision: 1", "places:\n  revision: 2");
+	fleet_edit_config(fleet, "{name: kosice, region: east, in_service: true}",
+			  "{name: kosice, region: east, in_service: false}");
+}
+
+START_TEST(no_new_work)
+{
+	int before;
+
+	start_load();
+	wait_for_arrivals(50);
+	begin_fault(cases[_i].fault);
+	give_order(cases[_i].order);
+	clk_sleep_ms(BOUND_MS);
+	before = arrivals();
+	if (cases[_i].fault == FAULT_FROZEN) {
+		for (uint32_t i = 0; i < 3; i++)
+			fleet_signal_node(fleet, i, SIGCONT);
+	}
+	int complete = g_atomic_int_get(&load.complete);
+	clk_sleep_ms(2000);
+	ck_assert_msg(arrivals() == before, "%s: %d arrivals after the bound", cases[_i].name,
+		      arrivals() - before);
+	ck_assert_msg(g_atomic_int_get(&load.complete) > complete, "%s: nothing is served",
+		      cases[_i].name);
+	stop_load();
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("leaving");
+	TCase *tcase = tcase_create("leaving");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_loop_test(tcase, no_new_work, 0, G_N_ELEMENTS(cases));
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/tests/unit_slots.c
+++ b/tests/unit_slots.c
@@ -56,13 +56,14 @@
 	small_event(d, now_ms, &ev);
 }
 
-static void say_digest(struct dec *d, int64_t now_ms, const char *vm, int version, int64_t age_ms)
+static void say_digest(struct dec *d, int64_t now_ms, const char *vm, int version, bool sure)
 {
 	struct mem_digest digest = {
 		.incarnation = 9,
 		.list_version = version,
-		.list_age_ms = age_ms,
+		.list_age_ms = -1,
 		.places_revision = 1,
+		.sure = sure,
 	};
 	const struct dec_event ev = {.type = DEC_EV_DIGEST, .u.digest = &digest};
 
@@ -138,9 +139,9 @@
 	int64_t at_ms = START_MS + openings[_i].after_ms;
 
 	if (told == TOLD_AGREED || told == TOLD_AGREED_IDLE)
-		say_digest(d, START_MS + 10, "node-1", 1, 0);
+		say_digest(d, START_MS + 10, "node-1", 1, true);
 	if (told == TOLD_NEWER)
-		say_digest(d, START_MS + 10, "node-1", 2, 0);
+		say_digest(d, START_MS + 10, "node-1", 2, true);
 	if (told == TOLD_IDLE || told == TOLD_AGREED_IDLE || told == TOLD_BUSY)
 		say_report(d, START_MS + 200, false, told == TOLD_BUSY);
 	for (int64_t ms = START_MS; ms <= at_ms; ms += 100) {
@@ -154,14 +155,22 @@
 END_TEST
 
 /* A node that holds an open slot, and what takes it away. */
-enum lose { LOSE_NOTHING, LOSE_PAUSE, LOSE_VIEW, LOSE_CUT, LOSE_NEWER, LOSE_PAUSE_CONFIRMED };
+enum lose {
+	LOSE_NOTHING,
+	LOSE_PAUSE,
+	LOSE_VIEW,
+	LOSE_CUT,
+	LOSE_NEWER,
+	LOSE_PAUSE_CONFIRMED,
+	LOSE_PAUSE_UNSURE
+};
 
 static const struct {
 	enum lose lose;
 	int32_t limit;
 } losses[] = {
-	{LOSE_NOTHING, 1}, {LOSE_PAUSE, 0}, {LOSE_VIEW, 0},
-	{LOSE_CUT, 0},	   {LOSE_NEWER, 0}, {LOSE_PAUSE_CONFIRMED, 1},
+	{LOSE_NOTHING, 1}, {LOSE_PAUSE, 0},	      {LOSE_VIEW, 0},	      {LOSE_CUT, 0},
+	{LOSE_NEWER, 0},   {LOSE_PAUSE_CONFIRMED, 1}, {LOSE_PAUSE_UNSURE, 0},
 };
 
 START_TEST(loses_a_slot)
@@ -171,12 +180,12 @@
 	enum lose lose = losses[_i].lose;
 	int64_t now_ms = START_MS;
 
-	say_digest(d, now_ms, "node-1", 1, 0);
+	say_digest(d, now_ms, "node-1", 1, true);
 	say_report(d, now_ms + 200, false, 0);
 	now_ms += 300;
 	small_tick(d, now_ms);
 	ck_assert_int_eq(limit(d, now_ms), 1);
-	if (lose == LOSE_PAUSE || lose == LOSE_PAUSE_CONFIRMED)
+	if (lose == LOSE_PAUSE || lose == LOSE_PAUSE_CONFIRMED || lose == LOSE_PAUSE_UNSURE)
 		now_ms += ELG_GAP_MS + 1;
 	if (lose == LOSE_VIEW) {
 		for (int i = 0; i < 31; i++)
@@ -185,10 +194,10 @@
 	if (lose == LOSE_CUT)
 		slt_doubt(&d->bb, bb_upstream(&d->bb, 0), now_ms);
 	if (lose == LOSE_NEWER)
-		say_digest(d, now_ms, "node-1", 2, 0);
-	if (lose == LOSE_PAUSE_CONFIRMED) {
+		say_digest(d, now_ms, "node-1", 2, true);
+	if (lose == LOSE_PAUSE_CONFIRMED || lose == LOSE_PAUSE_UNSURE) {
 		small_tick(d, now_ms);
-		say_digest(d, now_ms + 1, "node-1", 1, 0);
+		say_digest(d, now_ms + 1, "node-1", 1, lose == LOSE_PAUSE_CONFIRMED);
 		small_tick(d, now_ms + 1);
 		now_ms++;
 	}
