--- a/packages/decide/dec_send.c
+++ b/packages/decide/dec_send.c
@@ -133,13 +133,17 @@
 {
 	struct req *req = g_hash_table_lookup(d->reqs, &id);
 	struct dec_flight *flight = dec_find_flight(d, id, stage, attempt);
+	const struct bb_upstream *up;
 
 	if (flight)
 		flight->withheld = true;
 	if (!flight || !req || req->stage != stage || attempt >= req->n_attempts ||
 	    req->attempts[attempt].state != REQ_ATTEMPT_SENT || now_ms >= req->deadline_at_ms)
 		return false;
-	if (elg_check(&d->bb, bb_upstream(&d->bb, flight->upstream), now_ms) != ELG_OK)
+	/* a slot may have been lost since the decision */
+	up = bb_upstream(&d->bb, flight->upstream);
+	if (elg_check(&d->bb, up, now_ms) != ELG_OK ||
+	    up->in_flight > d->policy.slots->limit(&d->bb, up, now_ms))
 		return false;
 	flight->withheld = false;
 	req->attempts[attempt].may_have_run = true;
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -20,19 +20,28 @@
 	qnt_add(&service->latencies, latency_us);
 }
 
+/* True for a failure that leaves the upstream at work, as far as this node can know. */
+static bool may_run_on(int code)
+{
+	return code == ERR_UPSTREAM_TIMEOUT || code == ERR_STREAM_CUT || code == ERR_IO;
+}
+
 /* What an end says of the upstream: nothing when this node or its caller gave the attempt up. */
 static void book_result(struct dec *d, const struct dec_flight *flight,
 			const struct dec_ev_attempt *ev, int64_t now_ms)
 {
 	struct bb_upstream *up = bb_upstream(&d->bb, flight->upstream);
 	bool healthy = ev->code == ERR_NONE;
+	const struct slt_end end = {.healthy = healthy, .latency_us = ev->latency_us};
 
 	bb_count(up, flight->service, flight->rank, -1);
-	if (healthy)
-		book_latency(up, flight->service, ev->latency_us, now_ms);
+	if (ev->sent && may_run_on(ev->code))
+		slt_doubt(&d->bb, up, now_ms);
 	if (!healthy && (flight->cancelled || flight->withheld || ev->code == ERR_OVERLOADED))
 		return;
-	d->policy.slots->ended(&d->bb, up, healthy, now_ms);
+	d->policy.slots->ended(&d->bb, up, &end, now_ms);
+	if (healthy)
+		book_latency(up, flight->service, ev->latency_us, now_ms);
 	/* a refusal tells of load, and an ejection would only move that to the others */
 	if (ev->code != ERR_UPSTREAM_REFUSED)
 		ejc_note(&d->bb, up, healthy, now_ms);
--- a/packages/node/plt.c
+++ b/packages/node/plt.c
@@ -170,8 +170,16 @@
 	return step;
 }
 
+static void confirm_config(struct nod *n, int64_t asked_ms)
+{
+	const struct dec_event ev = {.type = DEC_EV_CONFIG_SAME, .at_ms = asked_ms};
+
+	nod_event(n, &ev);
+}
+
 static enum step step_config(struct watch *w)
 {
+	int64_t asked_ms = clk_now_ms();
 	const char *path = w->no_index ? "/v1/config" : "/v1/config/index";
 	struct hcl_answer answer;
 	enum step step = STEP_FAILED;
@@ -190,6 +198,8 @@
 		w->no_index = false;
 	else if (w->tag)
 		mcf_service_answered(w->node);
+	if (step == STEP_SAME && w->tag)
+		confirm_config(w->node, asked_ms);
 	return step;
 }
 
@@ -211,7 +221,7 @@
 		g_error_free(error);
 		return STEP_FAILED;
 	}
-	const struct dec_event ev = {.type = DEC_EV_LIST, .u.list = list};
+	const struct dec_event ev = {.type = DEC_EV_LIST, .at_ms = asked_ms, .u.list = list};
 	nod_event(w->node, &ev);
 	set_text(&w->tag, answer->headers[0]);
 	return STEP_CHANGED;
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -19,6 +19,10 @@
 typedef struct Peer__Digest Peer__Digest;
 typedef struct Peer__Upstream Peer__Upstream;
 typedef struct Peer__Node Peer__Node;
+typedef struct Peer__View Peer__View;
+typedef struct Peer__ListAsk Peer__ListAsk;
+typedef struct Peer__ListVm Peer__ListVm;
+typedef struct Peer__ListReply Peer__ListReply;
 typedef struct Peer__SectionAsk Peer__SectionAsk;
 typedef struct Peer__SectionReply Peer__SectionReply;
 typedef struct Peer__Forward Peer__Forward;
@@ -81,6 +85,9 @@
   Peer__Upstream **upstreams;
   size_t n_nodes;
   Peer__Node **nodes;
+  /*
+   * takes no new callers: stopping, or not ready yet
+   */
   protobuf_c_boolean draining;
   protobuf_c_boolean reply_wanted;
 };
@@ -125,6 +132,86 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * How current the sender's view is, and news of upstreams.
+ */
+struct  Peer__View
+{
+  ProtobufCMessage base;
+  int64_t list_version;
+  /*
+   * since the list was known to be the platform's newest; -1: never
+   */
+  int64_t list_age_ms;
+  /*
+   * of the configuration in force; -1: none
+   */
+  int64_t places_revision;
+  protobuf_c_boolean draining;
+  size_t n_upstreams;
+  Peer__Upstream **upstreams;
+  /*
+   * the sender trusts what it holds
+   */
+  protobuf_c_boolean sure;
+  /*
+   * nodes that went from the list and may not know it yet
+   */
+  size_t n_departed;
+  char **departed;
+};
+#define PEER__VIEW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__view__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL }
+
+
+/*
+ * Asks a node for the VM list that it holds.
+ */
+struct  Peer__ListAsk
+{
+  ProtobufCMessage base;
+  /*
+   * of the list that the asker holds
+   */
+  int64_t version;
+};
+#define PEER__LIST_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__list_ask__descriptor) \
+    , 0 }
+
+
+struct  Peer__ListVm
+{
+  ProtobufCMessage base;
+  char *id;
+  char *data_centre;
+  protobuf_c_boolean entry;
+  protobuf_c_boolean leaving;
+  char *caller_address;
+  char *peer_address;
+};
+#define PEER__LIST_VM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__list_vm__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Peer__ListReply
+{
+  ProtobufCMessage base;
+  int64_t version;
+  /*
+   * as in View
+   */
+  int64_t age_ms;
+  size_t n_vms;
+  Peer__ListVm **vms;
+};
+#define PEER__LIST_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__list_reply__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 struct  Peer__SectionAsk
 {
   ProtobufCMessage base;
@@ -323,7 +410,10 @@
   PEER__MESSAGE__KIND_DEMAND = 17,
   PEER__MESSAGE__KIND_OFFER = 30,
   PEER__MESSAGE__KIND_OFFER_ACK = 31,
-  PEER__MESSAGE__KIND_OWNER = 32
+  PEER__MESSAGE__KIND_OWNER = 32,
+  PEER__MESSAGE__KIND_VIEW = 40,
+  PEER__MESSAGE__KIND_LIST_ASK = 41,
+  PEER__MESSAGE__KIND_LIST_REPLY = 42
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -355,6 +445,9 @@
     Peer__Offer *offer;
     Peer__OfferAck *offer_ack;
     Peer__Owner *owner;
+    Peer__View *view;
+    Peer__ListAsk *list_ask;
+    Peer__ListReply *list_reply;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -438,6 +531,82 @@
 void   peer__node__free_unpacked
                      (Peer__Node *message,
                       ProtobufCAllocator *allocator);
+/* Peer__View methods */
+void   peer__view__init
+                     (Peer__View         *message);
+size_t peer__view__get_packed_size
+                     (const Peer__View   *message);
+size_t peer__view__pack
+                     (const Peer__View   *message,
+                      uint8_t             *out);
+size_t peer__view__pack_to_buffer
+                     (const Peer__View   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__View *
+       peer__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__view__free_unpacked
+                     (Peer__View *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ListAsk methods */
+void   peer__list_ask__init
+                     (Peer__ListAsk         *message);
+size_t peer__list_ask__get_packed_size
+                     (const Peer__ListAsk   *message);
+size_t peer__list_ask__pack
+                     (const Peer__ListAsk   *message,
+                      uint8_t             *out);
+size_t peer__list_ask__pack_to_buffer
+                     (const Peer__ListAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ListAsk *
+       peer__list_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__list_ask__free_unpacked
+                     (Peer__ListAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ListVm methods */
+void   peer__list_vm__init
+                     (Peer__ListVm         *message);
+size_t peer__list_vm__get_packed_size
+                     (const Peer__ListVm   *message);
+size_t peer__list_vm__pack
+                     (const Peer__ListVm   *message,
+                      uint8_t             *out);
+size_t peer__list_vm__pack_to_buffer
+                     (const Peer__ListVm   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ListVm *
+       peer__list_vm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__list_vm__free_unpacked
+                     (Peer__ListVm *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ListReply methods */
+void   peer__list_reply__init
+                     (Peer__ListReply         *message);
+size_t peer__list_reply__get_packed_size
+                     (const Peer__ListReply   *message);
+size_t peer__list_reply__pack
+                     (const Peer__ListReply   *message,
+                      uint8_t             *out);
+size_t peer__list_reply__pack_to_buffer
+                     (const Peer__ListReply   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ListReply *
+       peer__list_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__list_reply__free_unpacked
+                     (Peer__ListReply *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__SectionAsk methods */
 void   peer__section_ask__init
                      (Peer__SectionAsk         *message);
@@ -699,6 +868,18 @@
 typedef void (*Peer__Node_Closure)
                  (const Peer__Node *message,
                   void *closure_data);
+typedef void (*Peer__View_Closure)
+                 (const Peer__View *message,
+                  void *closure_data);
+typedef void (*Peer__ListAsk_Closure)
+                 (const Peer__ListAsk *message,
+                  void *closure_data);
+typedef void (*Peer__ListVm_Closure)
+                 (const Peer__ListVm *message,
+                  void *closure_data);
+typedef void (*Peer__ListReply_Closure)
+                 (const Peer__ListReply *message,
+                  void *closure_data);
 typedef void (*Peer__SectionAsk_Closure)
                  (const Peer__SectionAsk *message,
                   void *closure_data);
@@ -748,6 +929,10 @@
 extern const ProtobufCMessageDescriptor peer__digest__descriptor;
 extern const ProtobufCMessageDescriptor peer__upstream__descriptor;
 extern const ProtobufCMessageDescriptor peer__node__descriptor;
+extern const ProtobufCMessageDescriptor peer__view__descriptor;
+extern const ProtobufCMessageDescriptor peer__list_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__list_vm__descriptor;
+extern const ProtobufCMessageDescriptor peer__list_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__section_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__section_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__forward__descriptor;
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -187,6 +187,186 @@
   assert(message->base.descriptor == &peer__node__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__view__init
+                     (Peer__View         *message)
+{
+  static const Peer__View init_value = PEER__VIEW__INIT;
+  *message = init_value;
+}
+size_t peer__view__get_packed_size
+                     (const Peer__View *message)
+{
+  assert(message->base.descriptor == &peer__view__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__view__pack
+                     (const Peer__View *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__view__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__view__pack_to_buffer
+                     (const Peer__View *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__view__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__View *
+       peer__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__View *)
+     protobuf_c_message_unpack (&peer__view__descriptor,
+                                allocator, len, data);
+}
+void   peer__view__free_unpacked
+                     (Peer__View *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__view__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__list_ask__init
+                     (Peer__ListAsk         *message)
+{
+  static const Peer__ListAsk init_value = PEER__LIST_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__list_ask__get_packed_size
+                     (const Peer__ListAsk *message)
+{
+  assert(message->base.descriptor == &peer__list_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__list_ask__pack
+                     (const Peer__ListAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__list_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__list_ask__pack_to_buffer
+                     (const Peer__ListAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__list_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ListAsk *
+       peer__list_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ListAsk *)
+     protobuf_c_message_unpack (&peer__list_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__list_ask__free_unpacked
+                     (Peer__ListAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__list_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__list_vm__init
+                     (Peer__ListVm         *message)
+{
+  static const Peer__ListVm init_value = PEER__LIST_VM__INIT;
+  *message = init_value;
+}
+size_t peer__list_vm__get_packed_size
+                     (const Peer__ListVm *message)
+{
+  assert(message->base.descriptor == &peer__list_vm__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__list_vm__pack
+                     (const Peer__ListVm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__list_vm__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__list_vm__pack_to_buffer
+                     (const Peer__ListVm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__list_vm__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ListVm *
+       peer__list_vm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ListVm *)
+     protobuf_c_message_unpack (&peer__list_vm__descriptor,
+                                allocator, len, data);
+}
+void   peer__list_vm__free_unpacked
+                     (Peer__ListVm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__list_vm__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__list_reply__init
+                     (Peer__ListReply         *message)
+{
+  static const Peer__ListReply init_value = PEER__LIST_REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__list_reply__get_packed_size
+                     (const Peer__ListReply *message)
+{
+  assert(message->base.descriptor == &peer__list_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__list_reply__pack
+                     (const Peer__ListReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__list_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__list_reply__pack_to_buffer
+                     (const Peer__ListReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__list_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ListReply *
+       peer__list_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ListReply *)
+     protobuf_c_message_unpack (&peer__list_reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__list_reply__free_unpacked
+                     (Peer__ListReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__list_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__section_ask__init
                      (Peer__SectionAsk         *message)
 {
@@ -1171,6 +1351,327 @@
   (ProtobufCMessageInit) peer__node__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__view__field_descriptors[7] =
+{
+  {
+    "list_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__View, list_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__View, list_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "places_revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__View, places_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__View, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__View, n_upstreams),
+    offsetof(Peer__View, upstreams),
+    &peer__upstream__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "departed",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__View, n_departed),
+    offsetof(Peer__View, departed),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sure",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__View, sure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__view__field_indices_by_name[] = {
+  5,   /* field[5] = departed */
+  3,   /* field[3] = draining */
+  1,   /* field[1] = list_age_ms */
+  0,   /* field[0] = list_version */
+  2,   /* field[2] = places_revision */
+  6,   /* field[6] = sure */
+  4,   /* field[4] = upstreams */
+};
+static const ProtobufCIntRange peer__view__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor peer__view__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.View",
+  "View",
+  "Peer__View",
+  "peer",
+  sizeof(Peer__View),
+  7,
+  peer__view__field_descriptors,
+  peer__view__field_indices_by_name,
+  1,  peer__view__number_ranges,
+  (ProtobufCMessageInit) peer__view__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__list_ask__field_descriptors[1] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListAsk, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__list_ask__field_indices_by_name[] = {
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange peer__list_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__list_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ListAsk",
+  "ListAsk",
+  "Peer__ListAsk",
+  "peer",
+  sizeof(Peer__ListAsk),
+  1,
+  peer__list_ask__field_descriptors,
+  peer__list_ask__field_indices_by_name,
+  1,  peer__list_ask__number_ranges,
+  (ProtobufCMessageInit) peer__list_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__list_vm__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, entry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, caller_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListVm, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__list_vm__field_indices_by_name[] = {
+  4,   /* field[4] = caller_address */
+  1,   /* field[1] = data_centre */
+  2,   /* field[2] = entry */
+  0,   /* field[0] = id */
+  3,   /* field[3] = leaving */
+  5,   /* field[5] = peer_address */
+};
+static const ProtobufCIntRange peer__list_vm__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer__list_vm__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ListVm",
+  "ListVm",
+  "Peer__ListVm",
+  "peer",
+  sizeof(Peer__ListVm),
+  6,
+  peer__list_vm__field_descriptors,
+  peer__list_vm__field_indices_by_name,
+  1,  peer__list_vm__number_ranges,
+  (ProtobufCMessageInit) peer__list_vm__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__list_reply__field_descriptors[3] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListReply, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ListReply, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vms",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__ListReply, n_vms),
+    offsetof(Peer__ListReply, vms),
+    &peer__list_vm__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__list_reply__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = version */
+  2,   /* field[2] = vms */
+};
+static const ProtobufCIntRange peer__list_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__list_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ListReply",
+  "ListReply",
+  "Peer__ListReply",
+  "peer",
+  sizeof(Peer__ListReply),
+  3,
+  peer__list_reply__field_descriptors,
+  peer__list_reply__field_indices_by_name,
+  1,  peer__list_reply__number_ranges,
+  (ProtobufCMessageInit) peer__list_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__section_ask__field_descriptors[1] =
 {
   {
@@ -1900,7 +2401,7 @@
   (ProtobufCMessageInit) peer__account_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[17] =
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[20] =
 {
   {
     "from_vm",
@@ -2106,6 +2607,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "view",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, view),
+    &peer__view__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_ask",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, list_ask),
+    &peer__list_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_reply",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, list_reply),
+    &peer__list_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
   13,   /* field[13] = demand */
@@ -2114,6 +2651,8 @@
   10,   /* field[10] = forward_reply */
   1,   /* field[1] = from_incarnation */
   0,   /* field[0] = from_vm */
+  18,   /* field[18] = list_ask */
+  19,   /* field[19] = list_reply */
   14,   /* field[14] = offer */
   15,   /* field[15] = offer_ack */
   16,   /* field[16] = owner */
@@ -2125,13 +2664,15 @@
   3,   /* field[3] = to_incarnation */
   2,   /* field[2] = to_vm */
   5,   /* field[5] = ttl_ms */
+  17,   /* field[17] = view */
 };
-static const ProtobufCIntRange peer__message__number_ranges[3 + 1] =
+static const ProtobufCIntRange peer__message__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 10, 6 },
   { 30, 14 },
-  { 0, 17 }
+  { 40, 17 },
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -2141,10 +2682,10 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  17,
+  20,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
-  3,  peer__message__number_ranges,
+  4,  peer__message__number_ranges,
   (ProtobufCMessageInit) peer__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/tests/unit_orders.c
+++ b/tests/unit_orders.c
@@ -14,7 +14,7 @@
 static struct bb bbs[NODES];
 
 /* A list of the nodes of a bit mask, spread over the data centres. */
-static struct vml *make_list(unsigned mask)
+static struct vml *make_list(int64_t version, unsigned mask)
 {
 	static const char *const centres[] = {"bratislava", "zilina", "kosice"};
 	GString *vms = g_string_new(NULL);
@@ -27,7 +27,7 @@
 				"\"data_centre\":\"%s\"}",
 				vms->len ? "," : "", i, centres[i % 3]);
 	}
-	char *text = g_strdup_printf(list_format, 1, vms->str);
+	char *text = g_strdup_printf(list_format, (int)version, vms->str);
 	struct vml *list = vml_parse(text, strlen(text), NULL);
 	g_free(text);
 	g_string_free(vms, TRUE);
@@ -49,7 +49,7 @@
 		g_snprintf(vm, sizeof(vm), "n%d", i);
 		bb_init(&bbs[i], vm, "zilina", 1, 1, START_MS);
 		bb_set_config(&bbs[i], cfg, START_MS);
-		bb_set_list(&bbs[i], make_list((1u << NODES) - 1), START_MS);
+		bb_set_list(&bbs[i], make_list(1, (1u << NODES) - 1), START_MS, START_MS);
 	}
 	g_ptr_array_unref(faults);
 	g_free(text);
@@ -66,7 +66,7 @@
 START_TEST(one_is_first)
 {
 	for (int i = 0; i < NODES; i++)
-		bb_set_list(&bbs[i], make_list((unsigned)_i), START_MS);
+		bb_set_list(&bbs[i], make_list(2, (unsigned)_i), START_MS, START_MS);
 	for (uint32_t dc = 0; dc < cfg->places.n_data_centres; dc++) {
 		int first = 0;
 
