--- a/tests/proc_cli.c
+++ b/tests/proc_cli.c
@@ -102,6 +102,37 @@
 }
 END_TEST
 
+/* The judge must be able to find against the system: one booking is made behind its back. */
+START_TEST(judge_sees_a_double)
+{
+	char *document = fleet_config(fleet);
+	const char *entry = strstr(document, "{name: weighbridge-1,");
+	const char *from = strstr(entry, "address: \"") + strlen("address: \"");
+	char *address = g_strndup(from, strcspn(from, "\""));
+	const struct hcl_call call = {
+		.method = "POST",
+		.address = address,
+		.path = "/v1/run/book",
+		.body = "7-0-xxxxxxxxxxxxxxxx",
+		.body_len = 20,
+		.timeout_ms = 10000,
+	};
+	struct hcl_answer answer;
+	char *out = NULL;
+
+	ck_assert(hcl_do(fleet->http, &call, &answer, NULL));
+	hcl_answer_clear(&answer);
+	ck_assert_int_eq(run("load -j -p PLATFORM -s 7 -r 5 -t 1 "
+			     "-e 1,drivers,driver-key,/v1/services/weighbridge/book,20 CALLER",
+			     &out),
+			 1);
+	ck_assert_msg(strstr(out, "\"doubled\": 1") != NULL, "%s", out);
+	g_free(out);
+	g_free(address);
+	g_free(document);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cli");
@@ -113,6 +144,7 @@
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_checked_fixture(tcase, set_up, tear_down);
 	tcase_add_test(tcase, commands);
+	tcase_add_test(tcase, judge_sees_a_double);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
