Storm: cut, slow and deaf nodes, and a platform that is down or stale

Cause: the storm held only faults of nodes and upstreams. Ruled out: judging news published while the platform is down (nobody can know it). Change: the fleet runs behind the proxy with latencies; five faults of links and platform; a pair of a platform fault and unpublished news is drawn again; codes of answers that were not complete are counted.

--- a/tests/proc_storm.c
+++ b/tests/proc_storm.c
@@ -23,6 +23,7 @@
 #define TRIES_MAX 4
 #define TEST_TIMEOUT_S 4000
 #define SETTLE_MS 6000
+#define WARM_UP_MS 5000
 #define CALL_MS 5000 /* a caller waits a little longer than the deadline */
 #define HOLD_LEAST_MS 1500
 #define HOLD_SPREAD_MS 2500
@@ -153,11 +154,71 @@
 	set_in_service(s, i, true);
 }
 
+static void set_platform(struct storm *s, const char *json)
+{
+	fleet_control(s->fleet, "/control/platform", json_loads(json, 0, NULL));
+}
+
+static uint32_t platform_targets(const struct storm *s)
+{
+	return 1;
+}
+
+static void platform_down(struct storm *s, uint32_t i)
+{
+	set_platform(s, "{\"down\":true}");
+}
+
+static void platform_stale(struct storm *s, uint32_t i)
+{
+	set_platform(s, "{\"stale\":true}");
+}
+
+static void platform_up(struct storm *s, uint32_t i)
+{
+	set_platform(s, "{}");
+}
+
+/* Cuts what a node sends to all others and what they send to it. */
+static void set_links(struct storm *s, uint32_t i, const char *to, const char *json)
+{
+	char *peer = g_strdup_printf("peer:%s", s->fleet->nodes[i].vm);
+
+	fleet_link(s->fleet, s->fleet->nodes[i].source, to, json);
+	fleet_link(s->fleet, "*", peer, json);
+	g_free(peer);
+}
+
+static void cut_node(struct storm *s, uint32_t i)
+{
+	set_links(s, i, "*", "{\"black_hole\":true}");
+}
+
+static void slow_node(struct storm *s, uint32_t i)
+{
+	set_links(s, i, "*", "{\"delay_ms\":200,\"jitter_ms\":200}");
+}
+
+static void one_way_node(struct storm *s, uint32_t i)
+{
+	fleet_link(s->fleet, s->fleet->nodes[i].source, "*", "{\"one_way\":true}");
+}
+
+static void join_node(struct storm *s, uint32_t i)
+{
+	set_links(s, i, "*", "{}");
+}
+
 static const struct fault faults[] = {
 	{"kill a node", node_targets, kill_node, start_node, NULL, NULL},
 	{"freeze a node", node_targets, freeze_node, wake_node, NULL, NULL},
 	{"a VM leaves", upstream_targets, leave_vm, return_vm, NULL, NULL},
 	{"a data centre goes out", data_centre_targets, take_out, bring_back, NULL, NULL},
+	{"the platform is down", platform_targets, platform_down, platform_up, NULL, NULL},
+	{"the platform is stale", platform_targets, platform_stale, platform_up, NULL, NULL},
+	{"a node is cut off", node_targets, cut_node, join_node, NULL, NULL},
+	{"a node's links are slow", node_targets, slow_node, join_node, NULL, NULL},
+	{"a node hears nothing", node_targets, one_way_node, join_node, NULL, NULL},
 	{"an upstream restarts", upstream_targets, NULL, NULL, "{\"restart\":true}", "{}"},
 	{"an upstream is down", upstream_targets, NULL, NULL, "{\"down\":true}",
 	 "{\"down\":false}"},
@@ -184,14 +245,31 @@
 			       on ? fault->json_on : fault->json_off);
 }
 
+static bool is_platform(const struct fault *fault)
+{
+	return fault->targets == platform_targets;
+}
+
+static bool is_news(const struct fault *fault)
+{
+	return fault->start == leave_vm || fault->start == take_out;
+}
+
 /* Two faults that overlap, each started and ended at random times. */
 static void strike(struct storm *s, struct rnd *rnd)
 {
 	const struct fault *a = &faults[rnd_below(rnd, G_N_ELEMENTS(faults))];
 	const struct fault *b = &faults[rnd_below(rnd, G_N_ELEMENTS(faults))];
-	uint32_t target_a = (uint32_t)rnd_below(rnd, a->targets(s));
-	uint32_t target_b = (uint32_t)rnd_below(rnd, b->targets(s));
-
+	uint32_t target_a;
+	uint32_t target_b;
+
+	/* what the platform does not say nobody can know: such a pair proves nothing */
+	while (is_platform(a) && (is_platform(b) || is_news(b)))
+		b = &faults[rnd_below(rnd, G_N_ELEMENTS(faults))];
+	while (is_platform(b) && (is_platform(a) || is_news(a)))
+		a = &faults[rnd_below(rnd, G_N_ELEMENTS(faults))];
+	target_a = (uint32_t)rnd_below(rnd, a->targets(s));
+	target_b = (uint32_t)rnd_below(rnd, b->targets(s));
 	/* two faults of nodes go to different ones, else one would undo the other */
 	if (a->targets == b->targets && target_a == target_b)
 		target_b = (target_b + 1) % b->targets(s);
@@ -210,8 +288,10 @@
 	struct fleet_answer answer;
 	char *ticket = fleet_try_ticket(s->fleet, http, (uint32_t)rnd_below(rnd, NODES));
 
-	if (!ticket)
+	if (!ticket) {
+		g_strlcpy(entry->code, "no ticket", sizeof(entry->code));
 		return;
+	}
 	/* a caller without an answer asks again, elsewhere, with the same ticket */
 	for (int i = 0; i < TRIES_MAX && !entry->complete && !entry->refused; i++) {
 		const struct fleet_request request = {.path = "/v1/services/weighbridge/book",
@@ -291,11 +371,12 @@
 	struct rnd rnd = {.state = s->seed};
 	struct caller callers[CALLERS];
 
-	s->until_ms = clk_now_ms() + seconds * CLK_MS_PER_S;
+	s->until_ms = clk_now_ms() + seconds * CLK_MS_PER_S + WARM_UP_MS;
 	for (uint32_t i = 0; i < CALLERS; i++) {
 		callers[i] = (struct caller){.storm = s, .index = i};
 		pthread_create(&callers[i].thread, NULL, call, &callers[i]);
 	}
+	clk_sleep_ms(WARM_UP_MS);
 	while (clk_now_ms() < s->until_ms)
 		strike(s, &rnd);
 	clk_sleep_ms(SETTLE_MS);
@@ -312,7 +393,7 @@
 	int64_t seconds = env_number("STORM_SECONDS", DEFAULT_SECONDS);
 
 	printf("storm seed %d, %d s\n", (int)s.seed, (int)seconds);
-	s.fleet = fleet_new("association.yaml", NODES);
+	s.fleet = fleet_new_proxied("association.yaml", NODES, true);
 	s.cfg = parse_config(s.fleet);
 	s.places_revision = cfg_revision(s.cfg, CFG_PLACES);
 	s.windows = g_array_new(FALSE, FALSE, sizeof(struct storm_window));
--- a/tests/storm.c
+++ b/tests/storm.c
@@ -46,12 +46,27 @@
 	return entry;
 }
 
+static void note_code(struct storm_entry *entry, const struct fleet_answer *answer)
+{
+	json_t *json = json_loads(answer->body, 0, NULL);
+	json_t *error = json_object_get(json, "error");
+	const char *code = json_string_value(json_object_get(error, "code"));
+
+	if (!code)
+		code = answer->status ? "cut" : "none";
+	g_strlcpy(entry->code, code, sizeof(entry->code));
+	json_decref(json);
+}
+
 void storm_note(struct storm_entry *entry, const struct fleet_answer *answer)
 {
 	if (answer->ok && strcmp(answer->outcome, "complete") == 0) {
 		entry->complete = true;
 		entry->answer = g_strdup(answer->body);
-	} else if (answer->ok && strcmp(answer->outcome, "not_run") == 0) {
+		return;
+	}
+	note_code(entry, answer);
+	if (answer->ok && strcmp(answer->outcome, "not_run") == 0) {
 		entry->refused = true;
 		entry->refused_request = g_strdup(answer->request);
 		entry->refused_code = g_strdup(answer->body);
@@ -234,6 +249,28 @@
 	}
 }
 
+static void print_codes(const struct storm_book *book)
+{
+	GHashTable *codes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GHashTableIter iter;
+	gpointer code;
+	gpointer n;
+
+	for (guint i = 0; i < book->entries->len; i++) {
+		const struct storm_entry *entry = g_ptr_array_index(book->entries, i);
+
+		if (entry->complete)
+			continue;
+		n = g_hash_table_lookup(codes, entry->code);
+		g_hash_table_insert(codes, g_strdup(entry->code),
+				    GINT_TO_POINTER(GPOINTER_TO_INT(n) + 1));
+	}
+	g_hash_table_iter_init(&iter, codes);
+	while (g_hash_table_iter_next(&iter, &code, &n))
+		printf("storm %s: %d\n", (char *)code, GPOINTER_TO_INT(n));
+	g_hash_table_destroy(codes);
+}
+
 static void print_counts(const struct verdict *verdict)
 {
 	static const char *const kinds[STORM_KINDS] = {"pipeline", "lookup", "booking"};
@@ -252,5 +289,6 @@
 	judge_windows(&verdict, log, windows, cfg);
 	judge_cold(&verdict, state);
 	print_counts(&verdict);
+	print_codes(book);
 	return verdict.broken;
 }
--- a/tests/storm.h
+++ b/tests/storm.h
@@ -21,6 +21,7 @@
 	char *answer;	       /* the whole one, or NULL */
 	char *refused_request; /* id of the request that was answered not_run, or NULL */
 	char *refused_code;
+	char code[32]; /* of the last answer that was not complete; "none" when none came */
 };
 
 struct storm_book {
