--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # A front for CMake. `make demo` and `make check` install what they lack and do everything.
-.PHONY: all deps build demo check format lint proto clean
+.PHONY: all deps build demo check format lint proto clean storm
 
 SEED ?= 1
 
@@ -30,3 +30,8 @@
 
 clean:
 	rm -rf build build-*
+
+# Random faults, two at a time: make storm SEED=n MINUTES=m
+MINUTES ?= 1
+storm: build
+	@STORM_SEED=$(SEED) STORM_SECONDS=$$(( $(MINUTES) * 60 )) build/tests/proc_storm
