Run test programs some at a time in make check

Cause: the fleets run one after another took most of six minutes. Change: units and properties all together, three fleets at a time; output is collected and reported in order.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -26,26 +26,37 @@
 	fi
 }
 
-# Counts a test program: the checks of `check`, else the program as one.
-run_test() {
-	local name=$1 out="$BUILD/$1.out" rc checks bad known
-	"$BUILD/tests/$name" >"$out" 2>&1
-	rc=$?
+# Runs test programs, some at a time; output and exit code of each go to files.
+run_tests() { # AT_A_TIME NAME...
+	local at_a_time=$1
+	shift
+	printf '%s\n' "$@" | xargs -P "$at_a_time" -I{} sh -c \
+		'"$BUILD/tests/{}" >"$BUILD/{}.out" 2>&1; echo $? >"$BUILD/{}.rc"'
+}
+
+# How many failures of a program stand in KNOWN-RED.txt; prints them.
+count_known() { # NAME
+	local name=$1 test n known=0
+	while IFS='|' read -r test _; do
+		test=$(echo "$test" | xargs)
+		[ "${test%%/*}" = "$name" ] || continue
+		n=$(grep -E ':[FE]:' "$BUILD/$name.out" | grep -c ":${test#*/}:")
+		[ "$n" = 0 ] && continue
+		echo "KNOWN RED $test" >&2
+		known=$((known + n))
+	done < <(grep -v '^#' KNOWN-RED.txt)
+	echo "$known"
+}
+
+# Counts the checks of a program that has run; one that counts none itself is one check.
+count_test() { # NAME
+	local name=$1 out="$BUILD/$1.out" checks bad known=0
 	checks=$(sed -n 's/.*Checks: \([0-9]*\),.*/\1/p' "$out" | awk '{n += $1} END {print n + 0}')
 	bad=$(grep -cE ':[FE]:' "$out")
 	[ "$checks" = 0 ] && checks=1
-	[ "$rc" != 0 ] && [ "$bad" = 0 ] && bad=1
-	known=0
+	[ "$(cat "$BUILD/$name.rc")" != 0 ] && [ "$bad" = 0 ] && bad=1
 	if [ "$bad" != 0 ]; then
-		while IFS='|' read -r test _; do
-			test=$(echo "$test" | xargs)
-			[ -n "$test" ] || continue
-			n=$(grep -E ':[FE]:' "$out" | grep -c ":${test#*/}:")
-			if [ "${test%%/*}" = "$name" ] && [ "$n" != 0 ]; then
-				echo "KNOWN RED $test"
-				known=$((known + n))
-			fi
-		done < <(grep -v '^#' KNOWN-RED.txt)
+		known=$(count_known "$name")
 		cat "$out"
 	fi
 	echo "$name: $((checks - bad)) passed, $((bad - known)) failed, $known known red"
@@ -60,9 +71,16 @@
 	case $example in *node*) continue ;; esac
 	step "$example" "$BUILD/currantscale" check "$example"
 done
-for source in tests/unit_*.c tests/prop_*.cc tests/proc_*.c; do
-	name=$(basename "$source")
-	run_test "${name%.*}"
+names() { basename -a "$@" | sed 's/\.[^.]*$//'; }
+quick=$(names tests/unit_*.c tests/prop_*.cc)
+fleets=$(names tests/proc_*.c)
+# shellcheck disable=SC2086
+run_tests "$(nproc)" $quick
+# fleets are many processes each: few at a time, so that their bounds in seconds mean something
+# shellcheck disable=SC2086
+run_tests 3 $fleets
+for name in $quick $fleets; do
+	count_test "$name"
 done
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
