--- /dev/null
+++ b/tests/bench_capacity.c
@@ -0,0 +1,354 @@
+/*
+ * Slopes for docs/CAPACITY.md. Not a part of the check. Nothing here is random but the jitter of
+ * the machine, so there is no seed but the decisions' own, which is printed.
+ * Usage: bench_capacity [decisions|peers|polls|nodes]
+ */
+#include "base/clk.h"
+#include "capacity.h"
+#include "decide/cfr.h"
+#include "decide/dec.h"
+#include "node/dig.h"
+
+#include <gsl/gsl_fit.h>
+#include <gsl/gsl_sort.h>
+#include <malloc.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define ROUNDS 5
+#define TICKS 2000
+#define TICK_MS 10
+#define SEED 20261203
+#define START_MS 100000
+
+static double clock_us(clockid_t clock)
+{
+	struct timespec at;
+
+	clock_gettime(clock, &at);
+	return (double)at.tv_sec * 1e6 + (double)at.tv_nsec / 1e3;
+}
+
+double cap_process_us(void)
+{
+	return clock_us(CLOCK_PROCESS_CPUTIME_ID);
+}
+
+double cap_thread_us(void)
+{
+	return clock_us(CLOCK_THREAD_CPUTIME_ID);
+}
+
+double cap_heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return (double)(info.uordblks + info.hblkhd);
+}
+
+void cap_add(struct cap_series *s, double x, double y)
+{
+	s->x[s->n] = x;
+	s->y[s->n++] = y;
+}
+
+static void print_points(const char *key, const double *v, size_t n)
+{
+	printf("\"%s\":[", key);
+	for (size_t i = 0; i < n; i++)
+		printf("%s%.6g", i ? "," : "", v[i]);
+	printf("],");
+}
+
+void cap_print(const struct cap_series *s, double at)
+{
+	double base;
+	double slope;
+	double cov00;
+	double cov01;
+	double cov11;
+	double sum;
+
+	gsl_fit_linear(s->x, 1, s->y, 1, s->n, &base, &slope, &cov00, &cov01, &cov11, &sum);
+	printf("{\"what\":\"%s\",\"unit\":\"%s\",\"against\":\"%s\",", s->what, s->unit,
+	       s->against);
+	print_points("x", s->x, s->n);
+	print_points("y", s->y, s->n);
+	printf("\"base\":%.4g,\"slope\":%.4g,\"slope_err\":%.2g,\"at\":%.6g,\"value\":%.4g}\n",
+	       base, slope, sqrt(cov11), at, base + slope * at);
+	fflush(stdout);
+}
+
+static double median(double *v, size_t n)
+{
+	gsl_sort(v, 1, n);
+	return v[n / 2];
+}
+
+/* What a node holds of configuration and list, as its threads share it. */
+struct held {
+	struct cfr *cfr;
+	struct dec *dec;
+	double parse_us;
+	double apply_us;
+	double cfr_bytes; /* texts and parsed document */
+	double bb_bytes;
+};
+
+static void event(struct dec *d, int64_t now_ms, const struct dec_event *ev)
+{
+	struct dec_out out;
+
+	dec_out_init(&out);
+	dec_handle(d, now_ms, ev, &out);
+	dec_out_free(&out);
+}
+
+static void offer(struct held *h, const GString *text)
+{
+	struct cfr_result result;
+	double began = cap_thread_us();
+
+	cfr_offer_document(h->cfr, text->str, text->len, &result);
+	h->parse_us = cap_thread_us() - began;
+	if (!result.cfg) {
+		fprintf(stderr, "the document was refused\n");
+		exit(EXIT_FAILURE);
+	}
+	const struct dec_event ev = {.type = DEC_EV_CONFIG, .u.cfg = result.cfg};
+	began = cap_thread_us();
+	event(h->dec, START_MS, &ev);
+	h->apply_us = cap_thread_us() - began;
+	cfr_result_clear(&result);
+}
+
+static void give_list(struct held *h, const struct sizes *s, int64_t version)
+{
+	GString *text = sizes_list(s, version);
+	const struct dec_event ev = {.type = DEC_EV_LIST,
+				     .at_ms = START_MS,
+				     .u.list = vml_parse(text->str, text->len, NULL)};
+
+	event(h->dec, START_MS, &ev);
+	g_string_free(text, TRUE);
+}
+
+static void hold(struct held *h, const struct sizes *s)
+{
+	GString *text = sizes_document(s, 1);
+	double before = cap_heap_bytes();
+
+	memset(h, 0, sizeof(*h));
+	h->cfr = cfr_new();
+	h->dec = dec_new("node-0", "dc-0", 1, SEED, START_MS);
+	offer(h, text);
+	give_list(h, s, 1);
+	h->cfr_bytes = cap_heap_bytes() - before;
+	/* the parsed document is shared; what goes with the decisions is their own */
+	before = cap_heap_bytes();
+	cfr_free(h->cfr);
+	double after = cap_heap_bytes();
+	h->bb_bytes = h->cfr_bytes - (before - after);
+	h->cfr = cfr_new();
+	offer(h, text);
+	g_string_free(text, TRUE);
+}
+
+static void release(struct held *h)
+{
+	dec_free(h->dec);
+	cfr_free(h->cfr);
+}
+
+/* A first read of the whole document, then a change of its smallest section. */
+static void measure_size(const struct sizes *s, double x, struct cap_series *first,
+			 struct cap_series *change, struct cap_series *apply,
+			 struct cap_series *memory, struct cap_series *size)
+{
+	double first_us[ROUNDS];
+	double change_us[ROUNDS];
+	double apply_us[ROUNDS];
+	struct held h;
+
+	for (int i = 0; i < ROUNDS; i++) {
+		GString *text = sizes_document(s, 2);
+
+		hold(&h, s);
+		first_us[i] = h.parse_us;
+		offer(&h, text);
+		change_us[i] = h.parse_us;
+		apply_us[i] = h.apply_us;
+		if (i == 0) {
+			cap_add(memory, x, h.cfr_bytes);
+			cap_add(size, x, (double)text->len);
+		}
+		g_string_free(text, TRUE);
+		release(&h);
+	}
+	cap_add(first, x, median(first_us, ROUNDS));
+	cap_add(change, x, median(change_us, ROUNDS));
+	cap_add(apply, x, median(apply_us, ROUNDS));
+}
+
+static void measure_document(const char *against, size_t offset, const uint32_t *counts, size_t n)
+{
+	struct cap_series first = {"config_first_parse", "us", against};
+	struct cap_series change = {"config_small_change_parse", "us", against};
+	struct cap_series apply = {"config_apply", "us", against};
+	struct cap_series memory = {"config_blackboard_list_heap", "B", against};
+	struct cap_series size = {"document", "B", against};
+	struct sizes s = sizes_target;
+
+	for (size_t i = 0; i < n; i++) {
+		memcpy((char *)&s + offset, &counts[i], sizeof(counts[i]));
+		measure_size(&s, counts[i], &first, &change, &apply, &memory, &size);
+	}
+	cap_print(&first, counts[n - 1]);
+	cap_print(&change, counts[n - 1]);
+	cap_print(&apply, counts[n - 1]);
+	cap_print(&memory, counts[n - 1]);
+	cap_print(&size, counts[n - 1]);
+}
+
+static double parse_list(const struct sizes *s, double *bytes, double *text_bytes)
+{
+	GString *text = sizes_list(s, 1);
+	double before = cap_heap_bytes();
+	double began = cap_thread_us();
+	struct vml *list = vml_parse(text->str, text->len, NULL);
+	double took = cap_thread_us() - began;
+
+	*bytes = cap_heap_bytes() - before;
+	*text_bytes = (double)text->len;
+	vml_free(list);
+	g_string_free(text, TRUE);
+	return took;
+}
+
+static void measure_list(void)
+{
+	static const uint32_t nodes[] = {41, 137, 410};
+	struct cap_series time = {"list_parse", "us", "VMs"};
+	struct cap_series heap = {"list_heap", "B", "VMs"};
+	struct cap_series size = {"list_text", "B", "VMs"};
+	struct cap_series apply = {"list_apply", "us", "VMs"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++) {
+		struct sizes s = sizes_target;
+		double took[ROUNDS];
+		double bytes = 0;
+		double text_bytes = 0;
+		struct held h;
+
+		s.nodes = nodes[i];
+		s.upstreams = nodes[i] * sizes_target.upstreams / sizes_target.nodes;
+		double vms = s.nodes + s.upstreams;
+		for (int k = 0; k < ROUNDS; k++)
+			took[k] = parse_list(&s, &bytes, &text_bytes);
+		cap_add(&time, vms, median(took, ROUNDS));
+		cap_add(&heap, vms, bytes);
+		cap_add(&size, vms, text_bytes);
+		hold(&h, &s);
+		for (int k = 0; k < ROUNDS; k++) {
+			double began = cap_thread_us();
+			give_list(&h, &s, k + 2);
+			took[k] = cap_thread_us() - began;
+		}
+		cap_add(&apply, vms, median(took, ROUNDS) - time.y[i]);
+		release(&h);
+	}
+	double at = sizes_target.nodes + sizes_target.upstreams;
+	cap_print(&time, at);
+	cap_print(&heap, at);
+	cap_print(&size, at);
+	cap_print(&apply, at);
+}
+
+static void measure_ticks(void)
+{
+	static const uint32_t counts[] = {610, 2000, 6100};
+	struct cap_series ticks = {"idle_tick", "us", "upstreams"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+		const struct dec_event tick = {.type = DEC_EV_TICK};
+		struct sizes s = sizes_target;
+		struct held h;
+
+		s.upstreams = counts[i];
+		hold(&h, &s);
+		double began = cap_thread_us();
+		for (int k = 1; k <= TICKS; k++)
+			event(h.dec, START_MS + k * TICK_MS, &tick);
+		cap_add(&ticks, counts[i], (cap_thread_us() - began) / TICKS);
+		release(&h);
+	}
+	cap_print(&ticks, sizes_target.upstreams);
+}
+
+static void measure_digest(void)
+{
+	static const uint32_t counts[] = {0, 4, 8, 12};
+	struct cap_series bytes = {"view_message", "B", "reports"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+		struct mem_digest digest = {.list_version = 100000,
+					    .list_age_ms = 500,
+					    .sure = true,
+					    .places_revision = 4300};
+		Peer__Message message = PEER__MESSAGE__INIT;
+		struct dig_message out;
+
+		for (uint32_t k = 0; k < counts[i]; k++) {
+			digest.news[k] = (struct mem_news){.name = "up-6000",
+							   .incarnation = UINT64_MAX,
+							   .warm = true,
+							   .running = 3,
+							   .age_ms = 500};
+		}
+		digest.n_news = counts[i];
+		dig_to_message(&digest, &out);
+		message.from_vm = message.to_vm = (char *)"node-400";
+		message.from_incarnation = UINT64_MAX;
+		message.sent_wall_ms = clk_wall_ms();
+		message.ttl_ms = MEM_TTL_MS;
+		message.kind_case = PEER__MESSAGE__KIND_VIEW;
+		message.view = &out.view;
+		cap_add(&bytes, counts[i], (double)peer__message__get_packed_size(&message));
+	}
+	cap_print(&bytes, MEM_NEWS_MAX);
+}
+
+static void measure_decisions(void)
+{
+	static const uint32_t upstreams[] = {610, 2000, 6100};
+	static const uint32_t accounts[] = {270, 900, 2700};
+	static const uint32_t nodes[] = {41, 137, 410};
+
+	measure_document("upstreams", offsetof(struct sizes, upstreams), upstreams, 3);
+	measure_document("accounts", offsetof(struct sizes, accounts), accounts, 3);
+	measure_document("nodes", offsetof(struct sizes, nodes), nodes, 3);
+	measure_list();
+	measure_ticks();
+	measure_digest();
+}
+
+int main(int argc, char **argv)
+{
+	static const struct {
+		const char *name;
+		void (*run)(void);
+	} parts[] = {{"decisions", measure_decisions},
+		     {"peers", cap_peers},
+		     {"polls", cap_polls},
+		     {"nodes", cap_nodes}};
+
+	printf("{\"seed\":%d}\n", SEED);
+	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+		if (argc < 2 || strcmp(argv[1], parts[i].name) == 0)
+			parts[i].run();
+	}
+	return 0;
+}
