Work out orders once for a configuration, and turns once for a list

Cause: every 500 ms a node worked out the wanted placement anew, the turn for each engine over all nodes, and for each order the whole placement again to see whether it was still wanted: quadratic in the engines, under the decision lock.

Ruled out: leaving out the last question before the bytes leave; it stays and reads the turn from the list in force then.

Change: pairs of model and engine are kept with a reference to the configuration they come from; claims are of a model in a data centre, as the turn is; the turn is worked out when the list changes; an order is written and the lock taken only when it is this node's turn.

--- a/packages/decide/include/decide/plc.h
+++ b/packages/decide/include/decide/plc.h
@@ -25,17 +25,35 @@
 	int64_t fence;
 	bool checks_fencing;
 	uint32_t dc;
-	int64_t made_ms; /* when the engine was asked what it holds */
+	int64_t made_ms;       /* when the engine was asked what it holds */
+	const struct cfg *cfg; /* that asks for it; whoever keeps the order keeps a reference */
 };
 
-/* How long this node has had its part in an order, without a break. */
+/* An engine and what it is to hold; both borrowed from the configuration. */
+struct plc_pair {
+	const struct cfg_model *model;
+	const struct cfg_upstream *up;
+};
+
+/*
+ * How long this node has had its part in the orders of a model in a data centre, without a break.
+ */
 struct plc_claim {
 	int64_t fence;
-	int64_t wanted_ms; /* since when the order is wanted */
-	int64_t first_ms;  /* since when this node is first in turn; BB_NEVER: it is not */
-	int64_t seen_ms;   /* last plc_update() */
+	int64_t wanted_ms;    /* since when the order is wanted */
+	int64_t first_ms;     /* since when this node is first in turn; BB_NEVER: it is not */
+	int64_t seen_ms;      /* last plc_update() */
+	int turn;	      /* as plc_turn() gave it for list_version; -1: none */
+	int64_t list_version; /* 0: turn is to be worked out; set so when the configuration changes
+			       */
 };
 
+/* GArray of struct plc_pair, one for each engine that a model names; the caller unrefs. */
+GArray *plc_pairs(const struct cfg *cfg);
+
+/* Writes the order of a pair of the same configuration. */
+void plc_fill(const struct cfg *cfg, const struct plc_pair *pair, struct plc_order *order);
+
 /* GArray of struct plc_order, one for each engine that a model names; the caller unrefs. */
 GArray *plc_wanted(const struct cfg *cfg);
 
@@ -49,6 +67,11 @@
 void plc_update(const struct bb *bb, const struct plc_order *order, struct plc_claim *claim,
 		int64_t now_ms);
 
+/*
+ * False when plc_may_give() would refuse by the claim alone, as it does for all but a few orders.
+ */
+bool plc_is_due(const struct plc_claim *claim, bool checks_fencing, int64_t now_ms);
+
 /*
  * May the order be given now? Asked again right before its bytes leave. An engine that checks
  * fencing numbers is told by the first in turn, and by the next ones when that one is silent; one
--- a/packages/decide/plc.c
+++ b/packages/decide/plc.c
@@ -5,9 +5,11 @@
 
 #define PLC_GAP_MS 2000 /* between updates, after which a claim starts anew */
 
-static void fill_order(const struct cfg *cfg, const struct cfg_model *model,
-		       const struct cfg_upstream *up, struct plc_order *order)
+void plc_fill(const struct cfg *cfg, const struct plc_pair *pair, struct plc_order *order)
 {
+	const struct cfg_model *model = pair->model;
+	const struct cfg_upstream *up = pair->up;
+
 	memset(order, 0, sizeof(*order));
 	g_strlcpy(order->engine, up->name, sizeof(order->engine));
 	g_strlcpy(order->address, up->address, sizeof(order->address));
@@ -17,11 +19,12 @@
 	order->fence = cfg->models.revision;
 	order->checks_fencing = cfg->services.items[up->svc].checks_fencing;
 	order->dc = up->dc;
+	order->cfg = cfg;
 }
 
-GArray *plc_wanted(const struct cfg *cfg)
+GArray *plc_pairs(const struct cfg *cfg)
 {
-	GArray *orders = g_array_new(FALSE, FALSE, sizeof(struct plc_order));
+	GArray *pairs = g_array_new(FALSE, FALSE, sizeof(struct plc_pair));
 	GHashTable *ups = g_hash_table_new(g_str_hash, g_str_equal);
 
 	for (uint32_t i = 0; i < cfg->upstreams.n_items; i++)
@@ -30,14 +33,26 @@
 		const struct cfg_model *model = &cfg->models.items[i];
 
 		for (uint32_t k = 0; k < model->n_upstreams; k++) {
-			struct plc_order order;
+			const struct plc_pair pair = {
+				model, g_hash_table_lookup(ups, model->upstreams[k])};
 
-			fill_order(cfg, model, g_hash_table_lookup(ups, model->upstreams[k]),
-				   &order);
-			g_array_append_val(orders, order);
+			g_array_append_val(pairs, pair);
 		}
 	}
 	g_hash_table_destroy(ups);
+	return pairs;
+}
+
+GArray *plc_wanted(const struct cfg *cfg)
+{
+	GArray *orders = g_array_new(FALSE, FALSE, sizeof(struct plc_order));
+	GArray *pairs = plc_pairs(cfg);
+
+	g_array_set_size(orders, pairs->len);
+	for (guint i = 0; i < pairs->len; i++)
+		plc_fill(cfg, &g_array_index(pairs, struct plc_pair, i),
+			 &g_array_index(orders, struct plc_order, i));
+	g_array_unref(pairs);
 	return orders;
 }
 
@@ -51,9 +66,9 @@
 	return node->in_list && !node->leaving;
 }
 
-static uint64_t score(const struct bb_node *node, const char *model, uint32_t dc)
+static uint64_t score(const struct bb_node *node, uint64_t seed)
 {
-	return XXH64(node->vm, strlen(node->vm), XXH64(model, strlen(model), dc));
+	return XXH64(node->vm, strlen(node->vm), seed);
 }
 
 int plc_turn(const struct bb *bb, const char *model, uint32_t dc)
@@ -62,19 +77,24 @@
 	int before_there = 0;
 	int before_any = 0;
 	int n_there = 0;
+	uint64_t seed = XXH64(model, strlen(model), dc);
+	uint64_t own;
 	GHashTableIter iter;
 	gpointer value;
 
 	if (!self || !may_order(self))
 		return -1;
+	own = score(self, seed);
 	g_hash_table_iter_init(&iter, bb->nodes);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct bb_node *node = value;
-		bool there = is_there(bb, node, dc);
-		bool before = score(node, model, dc) > score(self, model, dc);
+		bool there;
+		bool before;
 
 		if (!may_order(node))
 			continue;
+		there = is_there(bb, node, dc);
+		before = score(node, seed) > own;
 		n_there += there;
 		before_there += there && before;
 		before_any += before;
@@ -92,9 +112,13 @@
 void plc_update(const struct bb *bb, const struct plc_order *order, struct plc_claim *claim,
 		int64_t now_ms)
 {
-	bool first = is_list_fresh(bb, now_ms) && plc_turn(bb, order->model, order->dc) == 0;
+	bool first;
 	bool gap = now_ms - claim->seen_ms > PLC_GAP_MS;
 
+	if (!bb->list || claim->list_version != bb->list->version)
+		claim->turn = plc_turn(bb, order->model, order->dc);
+	claim->list_version = bb->list ? bb->list->version : 0;
+	first = is_list_fresh(bb, now_ms) && claim->turn == 0;
 	if (claim->fence != order->fence)
 		claim->wanted_ms = now_ms;
 	if (!first || gap)
@@ -105,22 +129,32 @@
 	claim->seen_ms = now_ms;
 }
 
+static bool is_same(const struct plc_order *a, const struct plc_order *b)
+{
+	return strcmp(a->address, b->address) == 0 && strcmp(a->model, b->model) == 0 &&
+	       strcmp(a->version, b->version) == 0 && strcmp(a->role, b->role) == 0 &&
+	       a->fence == b->fence;
+}
+
 /* Is the order what the configuration in force asks for? */
 static bool is_wanted(const struct cfg *cfg, const struct plc_order *order)
 {
-	GArray *wanted = plc_wanted(cfg);
+	GArray *pairs;
 	bool found = false;
 
-	for (guint i = 0; i < wanted->len && !found; i++) {
-		const struct plc_order *w = &g_array_index(wanted, struct plc_order, i);
+	if (order->cfg == cfg)
+		return true;
+	pairs = plc_pairs(cfg);
+	for (guint i = 0; i < pairs->len && !found; i++) {
+		const struct plc_pair *pair = &g_array_index(pairs, struct plc_pair, i);
+		struct plc_order wanted;
 
-		found = strcmp(w->engine, order->engine) == 0 &&
-			strcmp(w->address, order->address) == 0 &&
-			strcmp(w->model, order->model) == 0 &&
-			strcmp(w->version, order->version) == 0 &&
-			strcmp(w->role, order->role) == 0 && w->fence == order->fence;
+		if (strcmp(pair->up->name, order->engine) != 0)
+			continue;
+		plc_fill(cfg, pair, &wanted);
+		found = is_same(&wanted, order);
 	}
-	g_array_unref(wanted);
+	g_array_unref(pairs);
 	return found;
 }
 
@@ -130,6 +164,13 @@
 	return bb->cfg->capacity.list_lag_ms + bb->cfg->capacity.view_age_ms + PLC_ORDER_AGE_MS;
 }
 
+bool plc_is_due(const struct plc_claim *claim, bool checks_fencing, int64_t now_ms)
+{
+	if (!checks_fencing)
+		return claim->first_ms != BB_NEVER;
+	return claim->turn >= 0 && now_ms - claim->wanted_ms >= claim->turn * (int64_t)PLC_TURN_MS;
+}
+
 bool plc_may_give(const struct bb *bb, const struct plc_order *order, const struct plc_claim *claim,
 		  int64_t now_ms)
 {
@@ -138,6 +179,7 @@
 	if (!bb->cfg || now_ms - order->made_ms > PLC_ORDER_AGE_MS ||
 	    claim->fence != order->fence || !is_wanted(bb->cfg, order))
 		return false;
+	/* not the claim's: the list may have changed since */
 	turn = plc_turn(bb, order->model, order->dc);
 	if (order->checks_fencing)
 		return turn >= 0 && now_ms - claim->wanted_ms >= turn * (int64_t)PLC_TURN_MS;
--- a/packages/node/ord.c
+++ b/packages/node/ord.c
@@ -14,14 +14,32 @@
 
 /* What this node knows of an engine's orders. */
 struct state {
-	struct plc_claim claim;
 	int64_t held_fence; /* fencing number under which it was seen to hold what is wanted */
 	int64_t held_ms;    /* when that was seen */
 	bool loading;
 };
 
+/* A model in a data centre: one node in turn gives the orders of all its engines. */
+struct duty {
+	struct plc_claim claim;
+	struct plc_pair pair; /* any of its engines */
+	uint64_t round;	      /* of struct ord, when it was last wanted */
+};
+
+/* An engine of the configuration in hand. */
+struct work {
+	struct plc_pair pair;
+	struct state *state;
+	struct duty *duty;
+};
+
+/* All but busy is touched by one pass at a time. */
 struct ord {
-	GHashTable *states; /* engine -> struct state; touched by one pass at a time */
+	GHashTable *states; /* engine -> struct state */
+	GHashTable *duties; /* "data centre/model" -> struct duty */
+	struct cfg *cfg;    /* that the works are made of; a reference */
+	GArray *works;	    /* struct work */
+	uint64_t round;	    /* configurations seen */
 	gint busy;	    /* atomic: a pass runs */
 };
 
@@ -45,7 +63,6 @@
 
 	if (!state) {
 		state = g_new0(struct state, 1);
-		state->claim.first_ms = BB_NEVER;
 		g_hash_table_insert(o->states, g_strdup(engine), state);
 	}
 	return state;
@@ -126,79 +143,150 @@
 	json_decref(json);
 }
 
-static bool is_settled(const struct state *state, const struct plc_order *order, int64_t now_ms)
+static bool is_settled(const struct work *work, int64_t fence, int64_t now_ms)
 {
-	if (state->held_fence != order->fence || state->loading)
+	const struct state *state = work->state;
+
+	if (state->held_fence != fence || state->loading)
 		return false;
 	/* only the first in turn goes on looking */
-	return state->claim.first_ms == BB_NEVER || now_ms - state->held_ms < ORD_CHECK_MS;
+	return work->duty->claim.first_ms == BB_NEVER || now_ms - state->held_ms < ORD_CHECK_MS;
 }
 
-static uint32_t count_loads(struct ord *o, const GArray *orders, const struct plc_order *order)
+static uint32_t count_loads(const struct ord *o, const struct duty *duty)
 {
 	uint32_t loads = 0;
 
-	for (guint i = 0; i < orders->len; i++) {
-		const struct plc_order *other = &g_array_index(orders, struct plc_order, i);
+	for (guint i = 0; i < o->works->len; i++) {
+		const struct work *work = &g_array_index(o->works, struct work, i);
 
-		if (other->dc == order->dc && strcmp(other->model, order->model) == 0)
-			loads += state_of(o, other->engine)->loading;
+		loads += work->duty == duty && work->state->loading;
 	}
 	return loads;
 }
 
-static void work_on(struct nod *n, const GArray *orders, struct plc_order *order)
+static void work_on(struct nod *n, struct work *work)
 {
-	struct state *state = state_of(n->orders, order->engine);
-	struct giving giving = {n, order, &state->claim};
+	const struct cfg *cfg = n->orders->cfg;
+	struct state *state = work->state;
+	struct plc_claim *claim = &work->duty->claim;
+	bool checks_fencing = cfg->services.items[work->pair.up->svc].checks_fencing;
+	int64_t now_ms = clk_now_ms();
 	struct holding holding = {0};
+	struct plc_order order;
 
-	order->made_ms = clk_now_ms();
-	if (is_settled(state, order, order->made_ms) || !may_give(&giving))
+	if (is_settled(work, claim->fence, now_ms) || !plc_is_due(claim, checks_fencing, now_ms))
 		return;
-	if (!read_back(n, order, &holding))
+	plc_fill(cfg, &work->pair, &order);
+	order.made_ms = now_ms;
+	struct giving giving = {n, &order, claim};
+	if (!may_give(&giving) || !read_back(n, &order, &holding))
 		return;
 	state->loading = holding.loading;
 	if (holding.same) {
-		state->held_fence = order->fence;
+		state->held_fence = order.fence;
 		state->held_ms = clk_now_ms();
 		return;
 	}
 	/* a higher number than ours: what is in force here is old */
-	if (holding.fence > order->fence || holding.loading ||
-	    count_loads(n->orders, orders, order) >= PLC_LOADS_MAX)
+	if (holding.fence > order.fence || holding.loading ||
+	    count_loads(n->orders, work->duty) >= PLC_LOADS_MAX)
 		return;
 	give(&giving);
-	if (read_back(n, order, &holding))
+	if (read_back(n, &order, &holding))
 		state->loading = holding.loading;
 }
 
-static GArray *wanted_orders(struct nod *n)
+static struct duty *duty_of(struct ord *o, const struct plc_pair *pair)
 {
-	GArray *orders = NULL;
+	const char *dc = o->cfg->places.data_centres[pair->up->dc].name;
+	char *key = g_strdup_printf("%s/%s", dc, pair->model->name);
+	struct duty *duty = g_hash_table_lookup(o->duties, key);
+
+	if (!duty) {
+		duty = g_new0(struct duty, 1);
+		duty->claim.first_ms = BB_NEVER;
+		g_hash_table_insert(o->duties, g_strdup(key), duty);
+	}
+	g_free(key);
+	duty->pair = *pair;
+	duty->claim.list_version = 0;
+	duty->round = o->round;
+	return duty;
+}
 
-	pthread_mutex_lock(&n->lock);
-	if (n->dec->bb.cfg && n->dec->bb.list)
-		orders = plc_wanted(n->dec->bb.cfg);
-	for (guint i = 0; orders && i < orders->len; i++) {
-		const struct plc_order *order = &g_array_index(orders, struct plc_order, i);
+static gboolean is_dropped(gpointer key, gpointer value, gpointer arg)
+{
+	const struct duty *duty = value;
+	const struct ord *o = arg;
+
+	return duty->round != o->round;
+}
+
+/* Takes the reference to cfg. */
+static void take_cfg(struct ord *o, struct cfg *cfg)
+{
+	GArray *pairs = plc_pairs(cfg);
 
-		plc_update(&n->dec->bb, order, &state_of(n->orders, order->engine)->claim,
-			   clk_now_ms());
+	cfg_unref(o->cfg);
+	o->cfg = cfg;
+	o->round++;
+	g_array_set_size(o->works, 0);
+	for (guint i = 0; i < pairs->len; i++) {
+		const struct plc_pair *pair = &g_array_index(pairs, struct plc_pair, i);
+		const struct work work = {*pair, state_of(o, pair->up->name), duty_of(o, pair)};
+
+		g_array_append_val(o->works, work);
+	}
+	g_hash_table_foreach_remove(o->duties, is_dropped, o);
+	g_array_unref(pairs);
+}
+
+static void update_duties(struct nod *n)
+{
+	const struct bb *bb = &n->dec->bb;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, n->orders->duties);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct duty *duty = value;
+		struct plc_order order;
+
+		plc_fill(n->orders->cfg, &duty->pair, &order);
+		plc_update(bb, &order, &duty->claim, clk_now_ms());
 	}
+}
+
+/* False while there is nothing to order by. */
+static bool refresh(struct nod *n)
+{
+	struct ord *o = n->orders;
+	struct cfg *cfg = nod_cfg(n);
+	bool same;
+
+	if (!cfg)
+		return false;
+	if (cfg != o->cfg)
+		take_cfg(o, cfg);
+	else
+		cfg_unref(cfg);
+	pthread_mutex_lock(&n->lock);
+	/* a newer one is taken in the next pass */
+	same = n->dec->bb.cfg == o->cfg && n->dec->bb.list;
+	if (same)
+		update_duties(n);
 	pthread_mutex_unlock(&n->lock);
-	return orders;
+	return same;
 }
 
 static void pass(void *arg)
 {
 	struct nod *n = arg;
-	GArray *orders = wanted_orders(n);
+	bool ready = refresh(n);
 
-	for (guint i = 0; orders && i < orders->len; i++)
-		work_on(n, orders, &g_array_index(orders, struct plc_order, i));
-	if (orders)
-		g_array_unref(orders);
+	for (guint i = 0; ready && i < n->orders->works->len; i++)
+		work_on(n, &g_array_index(n->orders->works, struct work, i));
 	g_atomic_int_set(&n->orders->busy, 0);
 }
 
@@ -217,6 +305,8 @@
 	struct ord *o = g_new0(struct ord, 1);
 
 	o->states = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	o->duties = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	o->works = g_array_new(FALSE, FALSE, sizeof(struct work));
 	return o;
 }
 
@@ -228,5 +318,8 @@
 void ord_free(struct ord *o)
 {
 	g_hash_table_destroy(o->states);
+	g_hash_table_destroy(o->duties);
+	g_array_unref(o->works);
+	cfg_unref(o->cfg);
 	g_free(o);
 }
