Ask for heartbeats from one end, and seldom on most links

Cause: both ends of each link sent a heartbeat each second. bench_capacity peers: 789 B/s and 200 us/s for each peer, both ends; for 409 peers a node sends 161 KB/s by calculation, of 10 KB/s allowed. Ruled out: closing links between uses (a handshake for each of 8 messages a second costs as much), and no heartbeat at all (a link that swallows everything would never be noticed). Change: the connecting end alone asks; each second on the first 8 links, each minute on the others. A send without acknowledgement for 3 s ends the connection. Failed connects back off from 100 ms to 2 s, and links without use for 3 minutes are closed when another is opened: a replaced node left one behind that tried ten times a second (the library's default; not measured).

--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -9,10 +9,16 @@
 #include <zmq.h>
 
 #define PEER_QUEUE "inproc://peer-send"
-#define PEER_HIGH_WATER 1000   /* messages queued towards one node */
-#define PEER_HEARTBEAT_MS 1000 /* of the transport, to notice dead connections */
-#define PEER_HEARTBEAT_TTL_MS 3000
-#define PEER_LINKS_MAX 512 /* DEALER sockets before the oldest is closed */
+#define PEER_HIGH_WATER 1000	     /* messages queued towards one node */
+#define PEER_HEARTBEAT_MS 1000	     /* of the transport, to notice dead connections */
+#define PEER_SLOW_HEARTBEAT_MS 60000 /* of links beyond the first PEER_QUICK_LINKS */
+#define PEER_QUICK_LINKS 8
+#define PEER_DEAD_MS 3000 /* without an answer or acknowledgement: the connection is made anew */
+#define PEER_TTL_BEATS 3  /* missed, after which the listening side closes */
+#define PEER_RECONNECT_MS 100 /* doubles with each failure */
+#define PEER_RECONNECT_MAX_MS 2000
+#define PEER_UNUSED_MS 180000 /* a link is closed then: the node has gone */
+#define PEER_LINKS_MAX 512    /* DEALER sockets before the oldest is closed */
 #define PEER_ADDRESS_BYTES 64
 #define PEER_MESSAGE_BYTES_MAX (16 * 1024 * 1024)
 
@@ -58,8 +64,20 @@
 	set_int(socket, ZMQ_LINGER, 0);
 	set_int(socket, ZMQ_SNDHWM, PEER_HIGH_WATER);
 	set_int(socket, ZMQ_RCVHWM, PEER_HIGH_WATER);
-	set_int(socket, ZMQ_HEARTBEAT_IVL, PEER_HEARTBEAT_MS);
-	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, PEER_HEARTBEAT_TTL_MS);
+	set_int(socket, ZMQ_TCP_MAXRT, PEER_DEAD_MS);
+}
+
+/*
+ * The connecting side alone asks. With some hundred links a heartbeat each second on all of them
+ * costs more than all messages; there a send that is not acknowledged shows a dead host sooner.
+ */
+static void set_heartbeat(void *socket, uint32_t links)
+{
+	int period_ms = links < PEER_QUICK_LINKS ? PEER_HEARTBEAT_MS : PEER_SLOW_HEARTBEAT_MS;
+
+	set_int(socket, ZMQ_HEARTBEAT_IVL, period_ms);
+	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, PEER_DEAD_MS);
+	set_int(socket, ZMQ_HEARTBEAT_TTL, PEER_TTL_BEATS * period_ms);
 }
 
 static struct link *open_link(struct peer *p, const char *address)
@@ -70,8 +88,11 @@
 	link->address = g_strdup(address);
 	link->socket = zmq_socket(p->context, ZMQ_DEALER);
 	set_common(link->socket);
+	set_heartbeat(link->socket, g_hash_table_size(p->links));
 	/* nothing queues up towards a node that is not connected */
 	set_int(link->socket, ZMQ_IMMEDIATE, 1);
+	set_int(link->socket, ZMQ_RECONNECT_IVL, PEER_RECONNECT_MS);
+	set_int(link->socket, ZMQ_RECONNECT_IVL_MAX, PEER_RECONNECT_MAX_MS);
 	endpoint = p->source ? g_strdup_printf("tcp://%s:0;%s", p->source, address)
 			     : g_strdup_printf("tcp://%s", address);
 	zmq_connect(link->socket, endpoint);
@@ -96,16 +117,27 @@
 		g_hash_table_remove(p->links, oldest->address);
 }
 
+static gboolean is_unused(gpointer key, gpointer value, gpointer arg)
+{
+	const struct link *link = value;
+	const int64_t *now_ms = arg;
+
+	return *now_ms - link->used_ms > PEER_UNUSED_MS;
+}
+
 static struct link *link_to(struct peer *p, const char *address)
 {
 	struct link *link = g_hash_table_lookup(p->links, address);
+	int64_t now_ms = clk_now_ms();
 
 	if (!link) {
+		/* replaced nodes come under new addresses and leave links behind */
+		g_hash_table_foreach_remove(p->links, is_unused, &now_ms);
 		if (g_hash_table_size(p->links) >= PEER_LINKS_MAX)
 			close_oldest(p);
 		link = open_link(p, address);
 	}
-	link->used_ms = clk_now_ms();
+	link->used_ms = now_ms;
 	return link;
 }
 
--- /dev/null
+++ b/tests/unit_peer.c
@@ -0,0 +1,84 @@
+/* Links between nodes, more of them than have quick heartbeats. */
+#include "base/clk.h"
+#include "peer/peer.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+#define PEERS 12
+#define WAIT_MS 10000
+#define SEND_MS 50
+
+static gint got[PEERS]; /* atomic */
+
+static void take(void *arg, const Peer__Message *message)
+{
+	g_atomic_int_inc((gint *)arg);
+}
+
+static struct peer *open_peer(const char *vm, const char *listen, gint *count)
+{
+	const struct peer_options options = {
+		.vm = vm, .incarnation = 1, .listen = listen, .on_message = take, .arg = count};
+	GError *error = NULL;
+	struct peer *p = peer_new(&options, &error);
+
+	ck_assert_msg(p != NULL, "%s", error ? error->message : "");
+	return p;
+}
+
+/* Sends until one more arrives: what goes out before a connection stands is dropped. */
+static void wait_message(struct peer *from, const char *address, gint *count)
+{
+	int64_t until_ms = clk_now_ms() + WAIT_MS;
+	gint before = g_atomic_int_get(count);
+
+	while (g_atomic_int_get(count) == before) {
+		Peer__Message message = PEER__MESSAGE__INIT;
+		Peer__View view = PEER__VIEW__INIT;
+
+		message.ttl_ms = WAIT_MS;
+		message.kind_case = PEER__MESSAGE__KIND_VIEW;
+		message.view = &view;
+		peer_send(from, "node", address, &message);
+		ck_assert_msg(clk_now_ms() < until_ms, "nothing arrived at %s", address);
+		clk_sleep_ms(SEND_MS);
+	}
+}
+
+/* The last link has the slow heartbeat; the node behind it restarts at the same address. */
+START_TEST(finds_restarted_peer)
+{
+	struct peer *hub = open_peer("hub", "127.0.0.1:0", &got[0]);
+	struct peer *peers[PEERS];
+
+	for (int i = 0; i < PEERS; i++) {
+		peers[i] = open_peer("node", "127.0.0.1:0", &got[i]);
+		wait_message(hub, peer_address(peers[i]), &got[i]);
+	}
+	char *address = g_strdup(peer_address(peers[PEERS - 1]));
+	peer_free(peers[PEERS - 1]);
+	peers[PEERS - 1] = open_peer("node", address, &got[PEERS - 1]);
+	wait_message(hub, address, &got[PEERS - 1]);
+	for (int i = 0; i < PEERS; i++)
+		peer_free(peers[i]);
+	peer_free(hub);
+	g_free(address);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("peer");
+	TCase *tcase = tcase_create("peer");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase, finds_restarted_peer);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
