--- a/tests/proc_config.c
+++ b/tests/proc_config.c
@@ -215,7 +215,8 @@
 }
 END_TEST
 
-START_TEST(starts_without_service)
+/* A service that knows the whole document alone. */
+START_TEST(starts_without_index)
 {
 	publish("routing", 1, 2);
 	wait_everywhere("routing", 2);
@@ -228,6 +229,51 @@
 }
 END_TEST
 
+static bool is_ready(struct fleet *f, void *arg)
+{
+	const struct fleet_node *node = arg;
+	const struct hcl_call call = {.method = "GET",
+				      .address = node->admin,
+				      .path = "/readyz",
+				      .headers = {{"Authorization", "Bearer ops-key"}},
+				      .n_headers = 1,
+				      .timeout_ms = IN_FORCE_MS,
+				      .idempotent = true};
+	struct hcl_answer answer;
+	bool ready;
+
+	hcl_do(f->http, &call, &answer, NULL);
+	ready = answer.status == 200;
+	hcl_answer_clear(&answer);
+	return ready;
+}
+
+/*
+ * With empty memory and no list it knows no peer: it takes no work, the others go on, and it is
+ * ready within the bound once the service is back.
+ */
+START_TEST(starts_while_service_is_down)
+{
+	const struct fleet_request request = {.path = "/v1/pipelines/route-chat", .body = "{}"};
+	struct fleet_answer answer;
+
+	publish("routing", 1, 2);
+	wait_everywhere("routing", 2);
+	fleet_signal_node(fleet, 5, SIGKILL);
+	set_faults(json_pack("{s:b}", "down", 1));
+	fleet_start_node(fleet, 5);
+	clk_sleep_ms(IN_FORCE_MS);
+	ck_assert(!is_ready(fleet, &fleet->nodes[5]));
+	fleet_send(fleet, 5, &request, &answer);
+	ck_assert_int_ne(answer.status, 200);
+	ck_assert_str_ne(answer.outcome, "unknown");
+	fleet_answer_clear(&answer);
+	set_faults(json_object());
+	fleet_wait(fleet, is_ready, &fleet->nodes[5], IN_FORCE_MS, "a ready node");
+	wait_everywhere("routing", 2);
+}
+END_TEST
+
 START_TEST(refuses_bad_section_alone)
 {
 	fleet_edit_config(fleet, "\nrouting:\n  revision: 1\n",
@@ -335,7 +381,8 @@
 	tcase_add_test(tcase, spreads_from_one_node);
 	tcase_add_test(tcase, survives_outage);
 	tcase_add_test(tcase, never_goes_back);
-	tcase_add_test(tcase, starts_without_service);
+	tcase_add_test(tcase, starts_without_index);
+	tcase_add_test(tcase, starts_while_service_is_down);
 	tcase_add_test(tcase, refuses_bad_section_alone);
 	tcase_add_test(tcase, agrees_on_equal_revisions);
 	tcase_add_test(tcase, carries_large_document);
