--- a/tests/bench_capacity.c
+++ b/tests/bench_capacity.c
@@ -8,6 +8,7 @@
 #include "decide/cfr.h"
 #include "decide/dec.h"
 #include "node/dig.h"
+#include "policy_doc.h"
 
 #include <gsl/gsl_fit.h>
 #include <gsl/gsl_sort.h>
@@ -21,6 +22,7 @@
 #define ROUNDS 5
 #define TICKS 2000
 #define TICK_MS 10
+#define REQUEST_TICKS 9
 #define SEED 20261203
 #define START_MS 100000
 
@@ -288,6 +290,83 @@
 	cap_print(&ticks, sizes_target.upstreams);
 }
 
+/* Ends what was sent before and passes on what that brings about. */
+static void end_sends(struct dec *d, int64_t now_ms, GArray *open)
+{
+	GArray *sends = g_array_copy(open);
+	struct dec_out out;
+
+	g_array_set_size(open, 0);
+	dec_out_init(&out);
+	for (guint i = 0; i < sends->len; i++) {
+		const struct dec_cmd *cmd = &g_array_index(sends, struct dec_cmd, i);
+
+		policy_doc_end(d, now_ms, cmd->req, cmd->attempt, 0, &out);
+	}
+	for (guint i = 0; i < out.cmds->len; i++) {
+		const struct dec_cmd *cmd = &g_array_index(out.cmds, struct dec_cmd, i);
+
+		if (cmd->type == DEC_CMD_SEND)
+			g_array_append_vals(open, cmd, 1);
+	}
+	dec_out_free(&out);
+	g_array_unref(sends);
+}
+
+/* At a node's part of the peak: a request each 90 ms, each stage 10 ms. */
+static double busy_tick_us(uint32_t engines)
+{
+	const struct policy_doc doc = {.policy = "adaptive",
+				       .data_centres = 8,
+				       .services = 4,
+				       .upstreams = MAX(engines / 10, 3),
+				       .engines = engines,
+				       .warm_limit = 4,
+				       .pipelines = 31,
+				       .accounts = 2700,
+				       .deadline_ms = 4000,
+				       .cost_weight_pct = 100,
+				       .out = -1};
+	struct dec *d = policy_doc_start(&doc, SEED, START_MS);
+	GArray *open = g_array_new(FALSE, FALSE, sizeof(struct dec_cmd));
+	const struct dec_event tick = {.type = DEC_EV_TICK};
+	double spent = 0;
+
+	for (int k = 1; k <= TICKS; k++) {
+		int64_t now_ms = START_MS + k * TICK_MS;
+		double began = cap_thread_us();
+
+		event(d, now_ms, &tick);
+		spent += cap_thread_us() - began;
+		end_sends(d, now_ms, open);
+		if (k % REQUEST_TICKS)
+			continue;
+		struct dec_out out;
+		dec_out_init(&out);
+		policy_doc_request(d, now_ms, (uint64_t)k, k % 2700, 0, &out);
+		for (guint i = 0; i < out.cmds->len; i++) {
+			const struct dec_cmd *cmd = &g_array_index(out.cmds, struct dec_cmd, i);
+
+			if (cmd->type == DEC_CMD_SEND)
+				g_array_append_vals(open, cmd, 1);
+		}
+		dec_out_free(&out);
+	}
+	g_array_unref(open);
+	dec_free(d);
+	return spent / TICKS;
+}
+
+static void measure_busy_ticks(void)
+{
+	static const uint32_t counts[] = {610, 2000, 6100};
+	struct cap_series ticks = {"busy_tick", "us", "engines"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++)
+		cap_add(&ticks, counts[i], busy_tick_us(counts[i]));
+	cap_print(&ticks, sizes_target.upstreams);
+}
+
 static void measure_digest(void)
 {
 	static const uint32_t counts[] = {0, 4, 8, 12};
@@ -321,6 +400,40 @@
 	cap_print(&bytes, MEM_NEWS_MAX);
 }
 
+/* What mcf sends of the sections in force. */
+static void measure_sections(void)
+{
+	static const uint32_t counts[] = {2, 4, 8};
+	struct cap_series bytes = {"section_digest_message", "B", "sections"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+		Peer__Section sections[CFG_SECTIONS];
+		Peer__Section *list[CFG_SECTIONS];
+		Peer__Digest digest = PEER__DIGEST__INIT;
+		Peer__Message message = PEER__MESSAGE__INIT;
+
+		for (uint32_t k = 0; k < counts[i]; k++) {
+			peer__section__init(&sections[k]);
+			sections[k].id = k;
+			sections[k].revision = 4300;
+			sections[k].hash = UINT64_MAX;
+			list[k] = &sections[k];
+		}
+		digest.sections = list;
+		digest.n_sections = counts[i];
+		digest.list_age_ms = -1;
+		digest.reply_wanted = true;
+		message.from_vm = message.to_vm = (char *)"node-400";
+		message.from_incarnation = UINT64_MAX;
+		message.sent_wall_ms = clk_wall_ms();
+		message.ttl_ms = MEM_TTL_MS;
+		message.kind_case = PEER__MESSAGE__KIND_DIGEST;
+		message.digest = &digest;
+		cap_add(&bytes, counts[i], (double)peer__message__get_packed_size(&message));
+	}
+	cap_print(&bytes, CFG_SECTIONS);
+}
+
 static void measure_decisions(void)
 {
 	static const uint32_t upstreams[] = {610, 2000, 6100};
@@ -332,7 +445,9 @@
 	measure_document("nodes", offsetof(struct sizes, nodes), nodes, 3);
 	measure_list();
 	measure_ticks();
+	measure_busy_ticks();
 	measure_digest();
+	measure_sections();
 }
 
 int main(int argc, char **argv)
--- a/tests/capacity_net.c
+++ b/tests/capacity_net.c
@@ -210,6 +210,11 @@
 	static const char text[] = "{\"incarnation\":\"f123456789abcdef\",\"warm\":true,"
 				   "\"running\":3,\"queued\":0}";
 
+	/* an answer to the head alone would close the connection */
+	if (!*state) {
+		*state = arg;
+		return MHD_YES;
+	}
 	return hsv_answer(conn, 200, "application/json", text, strlen(text));
 }
 
@@ -242,7 +247,7 @@
 
 	hsv_bound_address(fd, address);
 	struct MHD_Daemon *daemon = MHD_start_daemon(
-		MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, answer_load, NULL,
+		MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, answer_load, http,
 		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_TIMEOUT, 60u, MHD_OPTION_END);
 	poll_times(http, address, 10);
 	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
--- a/tests/capacity_node.c
+++ b/tests/capacity_node.c
@@ -81,6 +81,11 @@
 				     "\"role\":\"mixed\",\"loading\":false}";
 	struct service *s = arg;
 
+	/* an answer to the head alone would close the connection */
+	if (!*state) {
+		*state = s;
+		return MHD_YES;
+	}
 	if (strcmp(url, "/v1/load") == 0)
 		return hsv_answer(conn, 200, "application/json", load, strlen(load));
 	if (strcmp(url, "/v1/orders") == 0)
