Check orders over random publications, pauses, restarts and lists

prop_orders plays 5 nodes and engines of both kinds: no engine is told back to an older placement, and after the faults all end in what is published. The bound on loads after a takeover stays a written limit.

--- /dev/null
+++ b/tests/prop_orders.cc
@@ -0,0 +1,328 @@
+// Orders over random lists, pauses, restarts and publications: no engine is told back, and each
+// ends in the placement of the newest configuration. The node's steps are played here: update the
+// claims, read an engine back, ask once more, give.
+#include "decide/plc.h"
+
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <map>
+#include <string>
+
+namespace
+{
+
+constexpr int NODES = 5;
+constexpr int DATA_CENTRES = 2;
+constexpr int ENGINES = 4; // by turns heeding fencing numbers and ignoring them
+constexpr int64_t STEP_MS = 250;
+constexpr int64_t LIST_LAG_MS = 1000;
+constexpr int64_t LOAD_MS = 1500;
+constexpr int64_t ANSWER_MAX_MS = 3000;
+constexpr int64_t SETTLE_MS = 40000;
+
+struct cfg *make_cfg(int revision)
+{
+	std::string text = "places:\n  revision: 1\n  data_centres:\n"
+			   "    - {name: dc-0, region: r}\n    - {name: dc-1, region: r}\n"
+			   "services:\n  revision: 1\n  items:\n"
+			   "    - {name: s0, kind: engine, cold_limit: 1, warm_limit: 4, "
+			   "checks_fencing: true}\n"
+			   "    - {name: s1, kind: engine, cold_limit: 1, warm_limit: 4}\n"
+			   "upstreams:\n  revision: 1\n  items:\n";
+	for (int i = 0; i < ENGINES; i++) {
+		std::string n = std::to_string(i);
+		text += "    - {name: up-" + n + ", service: s" + std::to_string(i % 2) +
+			", address: \"127.0.0.1:" + std::to_string(i + 1) + "\", vm: u-" + n +
+			", data_centre: dc-" + std::to_string(i / 2 % DATA_CENTRES) + "}\n";
+	}
+	text += "models:\n  revision: " + std::to_string(revision) +
+		"\n  items: [{name: m, version: v" + std::to_string(revision) +
+		", role: mixed, upstreams: [up-0, up-1, up-2, up-3]}]\n"
+		"pipelines: {revision: 1, items: []}\n"
+		"accounts: {revision: 1, classes: [{name: c, rank: 0}], items: []}\n"
+		"routing: {revision: 1}\n"
+		"capacity: {revision: 1, list_lag_ms: 1000, view_age_ms: 3000, longest_ms: 2000}\n";
+	GPtrArray *faults = sch_faults_new();
+	struct cfg *cfg = cfg_parse(text.c_str(), text.size(), faults);
+	if (!cfg)
+		abort();
+	g_ptr_array_unref(faults);
+	return cfg;
+}
+
+struct Engine {
+	int64_t fence = 0;
+	int64_t highest = 0;
+	int64_t loading_until_ms = 0;
+	std::string version;
+};
+
+struct Node {
+	struct bb bb = {};
+	bool running = false;
+	bool frozen = false;
+	bool watch_dead = false;
+	int revision = 0;
+	std::map<std::string, plc_claim> claims; // by engine
+	bool has_order = false;
+	plc_order order = {};
+	int64_t give_ms = 0; // when the engine's answer to the question is here
+};
+
+// The platform's list as it was from a time on.
+struct Listed {
+	int64_t from_ms;
+	unsigned mask;
+};
+
+struct World {
+	int64_t now_ms = 100000;
+	struct rnd rnd = {};
+	Node nodes[NODES];
+	std::map<std::string, Engine> engines;
+	std::map<int, struct cfg *> cfgs;
+	std::vector<Listed> lists;
+	int published = 0;
+	int told_back = 0;
+
+	explicit World(uint64_t seed)
+	{
+		rnd.state = seed;
+		lists.push_back({0, (1u << NODES) - 1});
+		publish();
+		for (int i = 0; i < NODES; i++)
+			start(i);
+	}
+
+	~World()
+	{
+		for (int i = 0; i < NODES; i++)
+			stop(i);
+		for (auto &cfg : cfgs)
+			cfg_unref(cfg.second);
+	}
+
+	void publish()
+	{
+		published++;
+		cfgs[published] = make_cfg(published);
+	}
+
+	void start(int i)
+	{
+		Node &node = nodes[i];
+
+		stop(i);
+		std::string vm = "n" + std::to_string(i);
+		std::string dc = "dc-" + std::to_string(i % DATA_CENTRES);
+		bb_init(&node.bb, vm.c_str(), dc.c_str(), 1, 1, now_ms);
+		node.running = true;
+		node.frozen = false;
+		take_cfg(node);
+	}
+
+	void stop(int i)
+	{
+		Node &node = nodes[i];
+
+		if (node.running)
+			bb_clear(&node.bb);
+		node.claims.clear();
+		node.has_order = false;
+		node.running = false;
+		node.revision = 0;
+	}
+
+	void take_cfg(Node &node)
+	{
+		if (node.revision == published)
+			return;
+		node.revision = published;
+		bb_set_config(&node.bb, cfgs[published], now_ms);
+		for (auto &claim : node.claims)
+			claim.second.list_version = 0;
+	}
+
+	void read_list(Node &node)
+	{
+		int64_t at_ms = now_ms - (int64_t)rnd_below(&rnd, LIST_LAG_MS);
+		size_t nth = 0;
+
+		while (nth + 1 < lists.size() && lists[nth + 1].from_ms <= at_ms)
+			nth++;
+		int64_t version = (int64_t)nth + 1;
+		if (node.bb.list && node.bb.list->version == version) {
+			bb_confirm_list(&node.bb, now_ms);
+			return;
+		}
+		std::string text = "{\"version\":" + std::to_string(version) + ",\"vms\":[";
+		const char *comma = "";
+		for (int i = 0; i < NODES; i++) {
+			if (!(lists[nth].mask & (1u << i)))
+				continue;
+			text += std::string(comma) + "{\"id\":\"n" + std::to_string(i) +
+				"\",\"role\":\"entry\",\"state\":\"live\",\"data_centre\":\"dc-" +
+				std::to_string(i % DATA_CENTRES) + "\"}";
+			comma = ",";
+		}
+		text += "]}";
+		bb_set_list(&node.bb, vml_parse(text.c_str(), text.size(), nullptr), now_ms,
+			    now_ms);
+	}
+
+	void take(const plc_order &order)
+	{
+		Engine &engine = engines[order.engine];
+
+		if (order.checks_fencing && order.fence < engine.fence)
+			return;
+		told_back += order.fence < engine.highest;
+		engine.fence = order.fence;
+		engine.highest = std::max(engine.highest, order.fence);
+		engine.version = order.version;
+		engine.loading_until_ms = now_ms + LOAD_MS;
+	}
+
+	void give(Node &node)
+	{
+		plc_claim &claim = node.claims[node.order.engine];
+
+		node.has_order = false;
+		if (plc_may_give(&node.bb, &node.order, &claim, now_ms))
+			take(node.order);
+	}
+
+	void look(Node &node, const plc_order &wanted)
+	{
+		plc_claim &claim = node.claims[wanted.engine];
+		const Engine &engine = engines[wanted.engine];
+
+		plc_update(&node.bb, &wanted, &claim, now_ms);
+		if (node.has_order || !plc_is_due(&claim, wanted.checks_fencing, now_ms))
+			return;
+		plc_order order = wanted;
+		order.made_ms = now_ms;
+		if (!plc_may_give(&node.bb, &order, &claim, now_ms) ||
+		    engine.loading_until_ms > now_ms || engine.fence > order.fence ||
+		    engine.version == order.version)
+			return;
+		node.order = order;
+		node.has_order = true;
+		node.give_ms = now_ms + (int64_t)rnd_below(&rnd, ANSWER_MAX_MS);
+	}
+
+	void step_node(Node &node, bool prompt)
+	{
+		if (node.has_order && now_ms >= node.give_ms)
+			give(node);
+		if (!node.watch_dead)
+			read_list(node);
+		if (prompt || rnd_below(&rnd, 4) == 0)
+			take_cfg(node);
+		GArray *orders = plc_wanted(node.bb.cfg);
+		for (guint i = 0; i < orders->len; i++) {
+			const plc_order *order = &g_array_index(orders, plc_order, i);
+			auto at = node.claims.find(order->engine);
+			if (at == node.claims.end())
+				node.claims[order->engine].first_ms = BB_NEVER;
+			look(node, *order);
+		}
+		g_array_unref(orders);
+	}
+
+	void run(int64_t for_ms, bool prompt)
+	{
+		for (int64_t until_ms = now_ms + for_ms; now_ms < until_ms; now_ms += STEP_MS) {
+			for (Node &node : nodes) {
+				if (node.running && !node.frozen)
+					step_node(node, prompt);
+			}
+		}
+	}
+
+	int holder(int otherwise) const
+	{
+		for (int i = 0; i < NODES; i++) {
+			if (nodes[i].has_order && !nodes[i].order.checks_fencing)
+				return i;
+		}
+		return otherwise;
+	}
+
+	int64_t some_time()
+	{
+		return (int64_t)rnd_below(&rnd, rnd_below(&rnd, 2) ? 1000 : 10000);
+	}
+
+	void heal()
+	{
+		for (int i = 0; i < NODES; i++) {
+			nodes[i].frozen = false;
+			nodes[i].watch_dead = false;
+			if (!nodes[i].running)
+				start(i);
+		}
+		lists.push_back({now_ms, (1u << NODES) - 1});
+	}
+};
+
+void apply(World &world, int fault, int i)
+{
+	switch (fault) {
+	case 0:
+		world.publish();
+		break;
+	case 1: // rather one with an order in hand; its VM may be taken for dead
+		i = world.holder(i);
+		world.nodes[i].frozen = world.nodes[i].running;
+		if (rnd_below(&world.rnd, 2) == 0)
+			world.lists.push_back({world.now_ms, world.lists.back().mask & ~(1u << i)});
+		break;
+	case 2:
+		world.nodes[i].frozen = false;
+		break;
+	case 3:
+		world.start(i);
+		break;
+	case 4:
+		world.stop(i);
+		break;
+	case 5:
+		world.nodes[i].watch_dead = !world.nodes[i].watch_dead;
+		break;
+	default: // the platform lists the node, or no longer
+		world.lists.push_back({world.now_ms, world.lists.back().mask ^ (1u << i)});
+	}
+}
+
+bool none_is_told_back()
+{
+	return rc::check("no engine is told back, and all end in what is published", [] {
+		const auto seed = *rc::gen::arbitrary<uint64_t>();
+		const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+			rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, NODES)));
+		World world(seed);
+
+		world.run(10000, true);
+		for (const auto &[fault, i] : steps) {
+			apply(world, fault, i);
+			world.run(world.some_time(), false);
+		}
+		world.heal();
+		world.run(SETTLE_MS, true);
+		RC_ASSERT(world.told_back == 0);
+		RC_ASSERT(world.engines.size() == (size_t)ENGINES);
+		for (const auto &engine : world.engines)
+			RC_ASSERT(engine.second.version == "v" + std::to_string(world.published));
+	});
+}
+
+} // namespace
+
+int main()
+{
+	setenv("RC_PARAMS", "seed=20261203 max_success=400", 0);
+	return none_is_told_back() ? 0 : 1;
+}
