--- a/tests/prop_orders.cc
+++ b/tests/prop_orders.cc
@@ -64,6 +64,7 @@
 	bool running = false;
 	bool frozen = false;
 	bool watch_dead = false;
+	bool cfg_dead = false; // hears of no newer configuration
 	int revision = 0;
 	std::map<std::string, plc_claim> claims; // by engine
 	bool has_order = false;
@@ -219,7 +220,7 @@
 			give(node);
 		if (!node.watch_dead)
 			read_list(node);
-		if (prompt || rnd_below(&rnd, 4) == 0)
+		if (!node.cfg_dead && (prompt || rnd_below(&rnd, 4) == 0))
 			take_cfg(node);
 		GArray *orders = plc_wanted(node.bb.cfg);
 		for (guint i = 0; i < orders->len; i++) {
@@ -261,6 +262,7 @@
 		for (int i = 0; i < NODES; i++) {
 			nodes[i].frozen = false;
 			nodes[i].watch_dead = false;
+			nodes[i].cfg_dead = false;
 			if (!nodes[i].running)
 				start(i);
 		}
@@ -292,6 +294,9 @@
 	case 5:
 		world.nodes[i].watch_dead = !world.nodes[i].watch_dead;
 		break;
+	case 6:
+		world.nodes[i].cfg_dead = !world.nodes[i].cfg_dead;
+		break;
 	default: // the platform lists the node, or no longer
 		world.lists.push_back({world.now_ms, world.lists.back().mask ^ (1u << i)});
 	}
@@ -302,7 +307,7 @@
 	return rc::check("no engine is told back, and all end in what is published", [] {
 		const auto seed = *rc::gen::arbitrary<uint64_t>();
 		const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-			rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, NODES)));
+			rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, NODES)));
 		World world(seed);
 
 		world.run(10000, true);
