Tell a restarted node who owns the tickets of its past incarnation

Cause: after a hand-over the successor told each address three times. A node that restarts at the same address was counted as told, did not learn the owner, and answered unknown for its own old tickets (3 of some 2,500 in a rolling restart). Ruled out: load on the machine (the new test fails on an idle one too); a longer silence before giving up (nobody would tell it later either). Change: who was told is kept by VM and incarnation, in a bounded table. Conclusion: an address names no process.

--- a/packages/node/fwd.c
+++ b/packages/node/fwd.c
@@ -325,8 +325,14 @@
 	return dues;
 }
 
-/* Nodes that have not been told often enough; their addresses change when they restart. */
-static void list_untold(struct fwd *f, GPtrArray *vms, GPtrArray *addresses)
+/* A node that may have to be told what was adopted here. */
+struct listener {
+	char vm[BB_NAME_BYTES];
+	char address[BB_ADDRESS_BYTES];
+	uint64_t incarnation; /* a restarted process has to be told anew */
+};
+
+static void list_listeners(struct fwd *f, GArray *listeners)
 {
 	struct nod *n = f->node;
 	GHashTableIter iter;
@@ -338,18 +344,26 @@
 		const struct bb_node *node = value;
 		if (!node->in_list || strcmp(node->vm, n->set->vm) == 0)
 			continue;
-		g_ptr_array_add(vms, g_strdup(node->vm));
-		g_ptr_array_add(addresses, g_strdup(node->peer_address));
+		struct listener listener = {.incarnation = node->incarnation};
+		g_strlcpy(listener.vm, node->vm, sizeof(listener.vm));
+		g_strlcpy(listener.address, node->peer_address, sizeof(listener.address));
+		g_array_append_val(listeners, listener);
 	}
 	pthread_mutex_unlock(&n->lock);
 }
 
-static bool tell(struct fwd *f, const char *address)
+static bool tell(struct fwd *f, const struct listener *listener)
 {
+	char key[BB_NAME_BYTES * 2];
+
+	g_snprintf(key, sizeof(key), "%s %" G_GINT64_MODIFIER "x", listener->vm,
+		   listener->incarnation);
 	pthread_mutex_lock(&f->lock);
-	int times = GPOINTER_TO_INT(g_hash_table_lookup(f->told, address));
+	if (g_hash_table_size(f->told) >= FWD_OWNERS_MAX)
+		g_hash_table_remove_all(f->told);
+	int times = GPOINTER_TO_INT(g_hash_table_lookup(f->told, key));
 	if (times < FWD_ANNOUNCE_TIMES)
-		g_hash_table_replace(f->told, g_strdup(address), GINT_TO_POINTER(times + 1));
+		g_hash_table_replace(f->told, g_strdup(key), GINT_TO_POINTER(times + 1));
 	pthread_mutex_unlock(&f->lock);
 	return times < FWD_ANNOUNCE_TIMES;
 }
@@ -369,8 +383,7 @@
 static void announce(struct fwd *f)
 {
 	GArray *adopted = list_adopted(f->node);
-	GPtrArray *vms = g_ptr_array_new_with_free_func(g_free);
-	GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
+	GArray *listeners = g_array_new(FALSE, FALSE, sizeof(struct listener));
 	Peer__Owner owner = PEER__OWNER__INIT;
 	Peer__Message message = PEER__MESSAGE__INIT;
 
@@ -380,14 +393,14 @@
 	message.kind_case = PEER__MESSAGE__KIND_OWNER;
 	message.owner = &owner;
 	if (adopted->len > 0)
-		list_untold(f, vms, addresses);
-	for (guint i = 0; i < vms->len; i++) {
-		if (tell(f, addresses->pdata[i]))
-			peer_send(f->node->peer, vms->pdata[i], addresses->pdata[i], &message);
+		list_listeners(f, listeners);
+	for (guint i = 0; i < listeners->len; i++) {
+		const struct listener *to = &g_array_index(listeners, struct listener, i);
+		if (tell(f, to))
+			peer_send(f->node->peer, to->vm, to->address, &message);
 	}
 	g_array_unref(adopted);
-	g_ptr_array_unref(vms);
-	g_ptr_array_unref(addresses);
+	g_array_unref(listeners);
 }
 
 void fwd_announce(struct fwd *f)
--- a/packages/node/fwd_int.h
+++ b/packages/node/fwd_int.h
@@ -9,7 +9,7 @@
 	pthread_mutex_t lock; /* guards all below */
 	GHashTable *pending;  /* request id -> struct fwd_pending, owned */
 	GHashTable *owners;   /* incarnation -> struct fwd_owner, owned */
-	GHashTable *told;     /* peer address -> times it was told what was adopted here */
+	GHashTable *told;     /* "VM INCARNATION" -> times it was told what was adopted here */
 	GHashTable *running;  /* set of keys of requests that run here for other nodes */
 	int64_t announce_at_ms;
 };
--- a/tests/proc_drain.c
+++ b/tests/proc_drain.c
@@ -298,6 +298,25 @@
 }
 END_TEST
 
+/* A restart keeps the address, and the new process has to hear who owns what the old one gave up.
+ */
+START_TEST(restarted_node_hears_who_owns_its_tickets)
+{
+	char *ticket = fleet_ticket(fleet, 1);
+	const struct fleet_request request = {.path = BOOK, .body = "x", .ticket = ticket};
+	struct fleet_answer answer;
+
+	ck_assert_int_eq(fleet_signal_node(fleet, 1, SIGTERM), 0);
+	fleet_start_node(fleet, 1);
+	fleet_wait_ready(fleet, 1);
+	fleet_send(fleet, 1, &request, &answer);
+	ck_assert_msg(strcmp(answer.outcome, "complete") == 0, "%s", answer.body);
+	fleet_answer_clear(&answer);
+	ck_assert_int_eq(bookings(), 1);
+	g_free(ticket);
+}
+END_TEST
+
 /* The successor that took the offer never hears the release, or its word is never heard. */
 START_TEST(frozen_fleet_leaves_at_most_one_owner)
 {
@@ -426,6 +445,7 @@
 	tcase_add_test(tcase, rolling_restart_fails_no_request);
 	tcase_add_test(tcase, long_streams_are_not_cut);
 	tcase_add_test(tcase, tickets_outlive_their_node);
+	tcase_add_test(tcase, restarted_node_hears_who_owns_its_tickets);
 	tcase_add_test(tcase, frozen_fleet_leaves_at_most_one_owner);
 	tcase_add_test(tcase, leaves_address_answers_first_and_says_what_it_waits_for);
 	srunner_run_all(runner, CK_NORMAL);
