Carry a cut stream on at another engine

A stream that was cut after bytes had gone to its caller ended without a terminator, whatever time was left. Engines can begin a stream at a byte, so the decisions now send another attempt with the offset of what was passed on. It is a retry (deadline, attempts, budget) and never hedged. An answer whose head doesn't echo the offset is no_resume and none of it is passed on.

Found on the way: - Of a stream that belongs to another request, bytes reached the caller before the request id in the head was judged, at the end. The head is now judged before the first byte. - Commands of one request are run by several threads with no order between them: the send of a stage could overtake the acceptance of the one before and take that one's input. Found by reading, not brought about by a test. A worker now waits for the input of its stage.

Ruled out: buffering the whole stream, which takes the first byte from the caller.

--- a/packages/base/err.c
+++ b/packages/base/err.c
@@ -25,6 +25,7 @@
 	[ERR_UPSTREAM_REFUSED] = {"upstream_refused", 503, ERR_OUTCOME_NOT_RUN, true},
 	[ERR_UPSTREAM_TIMEOUT] = {"upstream_timeout", 504, ERR_OUTCOME_UNKNOWN, false},
 	[ERR_STREAM_CUT] = {"stream_cut", 502, ERR_OUTCOME_UNKNOWN, false},
+	[ERR_NO_RESUME] = {"no_resume", 502, ERR_OUTCOME_UNKNOWN, false},
 	[ERR_NOT_READY] = {"not_ready", 503, ERR_OUTCOME_NOT_RUN, true},
 	[ERR_DRAINING] = {"draining", 503, ERR_OUTCOME_NOT_RUN, true},
 	[ERR_YAML] = {"yaml", 400, ERR_OUTCOME_NOT_RUN, false},
--- a/packages/base/hcl.c
+++ b/packages/base/hcl.c
@@ -218,6 +218,8 @@
 			answer->headers[i] =
 				g_strdup(ne_get_response_header(request, call->want_headers[i]));
 	}
+	if (call->on_head && !call->on_head(call->on_head_arg, answer))
+		return err_set(error, ERR_PROTOCOL, "the reader refused the answer's head");
 	if (!has_framing(request, answer->status))
 		return err_set(error, ERR_PROTOCOL, "answer has neither length nor chunks");
 	while ((n = ne_read_response_block(request, block, sizeof(block))) > 0) {
--- a/packages/base/include/base/hcl.h
+++ b/packages/base/include/base/hcl.h
@@ -24,6 +24,11 @@
  */
 typedef bool (*hcl_send_fn)(void *arg);
 
+struct hcl_answer;
+
+/* Called when status and headers are known; false ends the call with ERR_PROTOCOL. */
+typedef bool (*hcl_head_fn)(void *arg, const struct hcl_answer *answer);
+
 /* Called for each block of the answer's body; false ends the call with ERR_IO. */
 typedef bool (*hcl_block_fn)(void *arg, const char *data, size_t len);
 
@@ -36,7 +41,9 @@
 	const char *body; /* NULL: none */
 	size_t body_len;
 	int64_t timeout_ms;
-	bool idempotent;       /* false: a fresh connection, and never sent again by the library */
+	bool idempotent;     /* false: a fresh connection, and never sent again by the library */
+	hcl_head_fn on_head; /* NULL: any head is taken */
+	void *on_head_arg;
 	hcl_block_fn on_block; /* NULL: the body is collected */
 	void *on_block_arg;
 	hcl_send_fn may_send; /* NULL: always */
--- a/packages/decide/dec_int.h
+++ b/packages/decide/dec_int.h
@@ -15,6 +15,7 @@
 	uint32_t rank;	  /* place in bb_service.uses */
 	int64_t sent_at_ms;
 	bool cancelled; /* its failure says nothing of the upstream */
+	bool resumed;	/* made a part of the answer only */
 	bool withheld;	/* dec_may_send() forbade it */
 };
 
--- a/packages/decide/dec_queue.c
+++ b/packages/decide/dec_queue.c
@@ -70,7 +70,8 @@
 	if (req->n_attempts == 1)
 		d->policy.retry->first(&d->bb, &stage->service->budget);
 	wait_ms = d->policy.retry->hedge_after_ms(&d->bb, req, now_ms);
-	req->hedge_at_ms = stage->idempotent && wait_ms >= 0 ? now_ms + wait_ms : BB_NEVER;
+	req->hedge_at_ms = stage->idempotent && !req->stream_open && wait_ms >= 0 ? now_ms + wait_ms
+										  : BB_NEVER;
 	dec_plan_wake(d, req, now_ms);
 	return true;
 }
--- a/packages/decide/dec_send.c
+++ b/packages/decide/dec_send.c
@@ -57,6 +57,8 @@
 	cmd->idempotent = stage->idempotent;
 	/* a ticket's answer is kept whole for repeats */
 	cmd->stream = stage->stream && !req->has_ticket;
+	cmd->resume = req->stream_open;
+	cmd->offset = req->passed_bytes;
 	cmd->hedge = req->attempts[req->n_attempts - 1].hedge;
 	cmd->keep_body = req->has_ticket && req->stage + 1 == req->n_stages;
 	cmd->rank = req->rank;
@@ -74,6 +76,7 @@
 		.service = req->stages[req->stage].service,
 		.rank = bb_rank(req->rank),
 		.sent_at_ms = now_ms,
+		.resumed = req->stream_open,
 	};
 
 	g_hash_table_add(d->flights, g_memdup2(&flight, sizeof(flight)));
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -37,10 +37,11 @@
 	bb_count(up, flight->service, flight->rank, -1);
 	if (ev->sent && may_run_on(ev->code))
 		slt_doubt(&d->bb, up, now_ms);
-	if (!healthy && (flight->cancelled || flight->withheld || ev->code == ERR_OVERLOADED))
+	if (!healthy && (flight->cancelled || flight->withheld || ev->code == ERR_OVERLOADED ||
+			 ev->code == ERR_NO_RESUME))
 		return;
 	d->policy.slots->ended(&d->bb, up, &end, now_ms);
-	if (healthy)
+	if (healthy && !flight->resumed)
 		book_latency(up, flight->service, ev->latency_us, now_ms);
 	/* a refusal tells of load, and an ejection would only move that to the others */
 	if (ev->code != ERR_UPSTREAM_REFUSED)
@@ -99,10 +100,13 @@
 	dec_start_stage(d, req, now_ms, out);
 }
 
-/* A stage may run again when it is idempotent or the failed attempt was never sent. */
+/*
+ * A stage may run again when it is idempotent or the failed attempt was never sent. Of a stream
+ * that is open the next attempt makes what is missing.
+ */
 static bool may_run_again(const struct req *req, const struct dec_ev_attempt *ev)
 {
-	return !req->stream_open && (req->stages[req->stage].idempotent || !ev->sent);
+	return req->stages[req->stage].idempotent || !ev->sent;
 }
 
 static void handle_failure(struct dec *d, struct req *req, const struct dec_ev_attempt *ev,
@@ -111,6 +115,8 @@
 	struct rty_budget *budget = &req->stages[req->stage].service->budget;
 
 	req->last_code = ev->code;
+	if (req->stream_open)
+		req->passed_bytes += ev->bytes;
 	if (outstanding(req) > 0)
 		return;
 	if (may_run_again(req, ev) && now_ms < req->deadline_at_ms &&
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -57,7 +57,7 @@
 	int code;	    /* ERR_NONE: whole result */
 	bool sent;	    /* the first byte was written: it may have run */
 	int64_t latency_us; /* of the whole attempt */
-	uint64_t bytes;	    /* of the result */
+	uint64_t bytes;	    /* of the result; of a stream as far as it was taken */
 	GBytes *body;	    /* of a ticketed request's last stage, borrowed; else NULL */
 };
 
@@ -113,6 +113,8 @@
 	struct tkt_id ticket;	/* FORWARD */
 	bool idempotent;
 	bool stream;
+	bool resume;	 /* goes on with the stream that an earlier attempt began */
+	uint64_t offset; /* of the resume: bytes that were passed on already */
 	bool hedge;
 	bool keep_body; /* the result goes into the ticket table */
 	int64_t rank;
--- a/packages/emul/emu_ups.c
+++ b/packages/emul/emu_ups.c
@@ -74,6 +74,10 @@
 	enum MHD_Result rc;
 
 	MHD_add_response_header(response, "Currantscale-Request", id);
+	/* tells that the answer begins there */
+	if (up->kind == CFG_KIND_ENGINE && offset > 0)
+		MHD_add_response_header(response, "Currantscale-Offset",
+					header(conn, "Currantscale-Offset"));
 	rc = MHD_queue_response(conn, MHD_HTTP_OK, response);
 	MHD_destroy_response(response);
 	g_free(id);
--- a/packages/node/hrq.c
+++ b/packages/node/hrq.c
@@ -46,6 +46,53 @@
 	g_free(hrq);
 }
 
+void hrq_set_input(struct hrq *hrq, uint32_t stage, GBytes *input)
+{
+	pthread_mutex_lock(&hrq->lock);
+	if (hrq->input)
+		g_bytes_unref(hrq->input);
+	hrq->input = g_bytes_ref(input);
+	hrq->input_stage = stage;
+	pthread_cond_broadcast(&hrq->room);
+	pthread_mutex_unlock(&hrq->lock);
+}
+
+GBytes *hrq_wait_input(struct hrq *hrq, uint32_t stage)
+{
+	GBytes *input;
+
+	pthread_mutex_lock(&hrq->lock);
+	while (hrq->input_stage < stage && !hrq->over)
+		pthread_cond_wait(&hrq->room, &hrq->lock);
+	input = g_bytes_ref(hrq->input);
+	pthread_mutex_unlock(&hrq->lock);
+	return input;
+}
+
+void hrq_set_over(struct hrq *hrq)
+{
+	pthread_mutex_lock(&hrq->lock);
+	hrq->over = true;
+	pthread_cond_broadcast(&hrq->room);
+	pthread_mutex_unlock(&hrq->lock);
+}
+
+void hrq_resume_stream(struct hrq *hrq, uint32_t stage, uint32_t attempt)
+{
+	struct hrq_attempt *next;
+	struct hrq_attempt *before;
+
+	pthread_mutex_lock(&hrq->lock);
+	next = hrq_attempt(hrq, stage, attempt);
+	before = hrq->streamed;
+	if (before && before != next) {
+		g_byte_array_append(next->out, before->out->data, before->out->len);
+		g_byte_array_set_size(before->out, 0);
+		hrq->streamed = next;
+	}
+	pthread_mutex_unlock(&hrq->lock);
+}
+
 void hrq_wake(struct hrq *hrq)
 {
 	if (!hrq->suspended || !hrq->conn)
--- a/packages/node/include/node/hrq.h
+++ b/packages/node/include/node/hrq.h
@@ -40,7 +40,9 @@
 	bool answered; /* the response was queued */
 	GByteArray *body;
 	bool too_large;
-	GBytes *input;		      /* of the current stage */
+	GBytes *input; /* of stage input_stage */
+	uint32_t input_stage;
+	bool over;		      /* the decisions have ended it */
 	GPtrArray *attempts;	      /* struct hrq_attempt */
 	struct hrq_attempt *streamed; /* the attempt passed on; borrowed */
 	bool stream_end;	      /* whole */
@@ -63,6 +65,18 @@
 struct hrq *hrq_ref(struct hrq *hrq);
 void hrq_unref(struct hrq *hrq);
 
+/* Makes a stage's input known; commands of other threads may have asked for it already. */
+void hrq_set_input(struct hrq *hrq, uint32_t stage, GBytes *input);
+
+/* Input of a stage; waits for it. The caller unrefs. Call without the lock. */
+GBytes *hrq_wait_input(struct hrq *hrq, uint32_t stage);
+
+/* The request is over: nobody needs to wait. */
+void hrq_set_over(struct hrq *hrq);
+
+/* Passes the bytes of this attempt on, after what is left of the one before. */
+void hrq_resume_stream(struct hrq *hrq, uint32_t stage, uint32_t attempt);
+
 /* Resumes the connection when it waits. Call with the lock held. */
 void hrq_wake(struct hrq *hrq);
 
--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -61,6 +61,8 @@
 		ctr_add(CTR_HEDGES, 1);
 	else if (cmd->attempt > 0)
 		ctr_add(CTR_RETRIES, 1);
+	if (cmd->resume)
+		hrq_resume_stream(hrq, cmd->stage, cmd->attempt);
 	struct wkp *pool = pool_of(n, cmd->service);
 	if (!pool || !wkp_submit(pool, ups_send, att)) {
 		free_attempt(att);
@@ -79,18 +81,22 @@
 /* The accepted result becomes the next stage's input, or the answer. */
 static void run_accept(struct hrq *hrq, const struct dec_cmd *cmd)
 {
+	GBytes *result = NULL;
+
 	pthread_mutex_lock(&hrq->lock);
 	struct hrq_attempt *record = hrq_attempt(hrq, cmd->stage, cmd->attempt);
 	if (record == hrq->streamed) {
 		hrq->stream_end = true;
 		hrq_wake(hrq);
 	} else {
-		if (hrq->input)
-			g_bytes_unref(hrq->input);
-		hrq->input = g_bytes_new(record->out->data, record->out->len);
+		result = g_bytes_new(record->out->data, record->out->len);
 		g_byte_array_set_size(record->out, 0);
 	}
 	pthread_mutex_unlock(&hrq->lock);
+	if (!result)
+		return;
+	hrq_set_input(hrq, cmd->stage + 1, result);
+	g_bytes_unref(result);
 }
 
 static void run_stream(struct hrq *hrq, const struct dec_cmd *cmd)
@@ -121,6 +127,7 @@
 	bool call_back = false;
 
 	ctr_add(outcome_counter(outcome), 1);
+	hrq_set_over(hrq);
 	pthread_mutex_lock(&hrq->lock);
 	if (hrq->state != HRQ_DONE)
 		hrq->outcome = outcome;
--- a/packages/node/ups.c
+++ b/packages/node/ups.c
@@ -14,6 +14,7 @@
 	struct ups_attempt *att;
 	struct hrq_attempt *record;
 	bool began;
+	int head_code; /* why the answer's head was refused */
 	uint64_t bytes;
 };
 
@@ -49,7 +50,8 @@
 	reader->bytes += len;
 	if (reader->record == hrq->streamed)
 		hrq_wake(hrq);
-	go_on = wait_for_room(hrq, reader->record) && reader->bytes <= UPS_ANSWER_BYTES_MAX;
+	go_on = wait_for_room(hrq, reader->record) &&
+		reader->att->cmd.offset + reader->bytes <= UPS_ANSWER_BYTES_MAX;
 	pthread_mutex_unlock(&hrq->lock);
 	if (!reader->began && reader->att->cmd.stream)
 		post_first_byte(reader->att);
@@ -58,7 +60,7 @@
 }
 
 static void fill_call(struct hcl_call *call, const struct ups_attempt *att, const char *path,
-		      char texts[3][24])
+		      char texts[4][24])
 {
 	g_snprintf(texts[0], 24, "%u", att->cmd.attempt);
 	g_snprintf(texts[1], 24, "%" G_GINT64_FORMAT, att->cmd.rank);
@@ -71,26 +73,55 @@
 	call->headers[2] = (struct hcl_header){"Currantscale-Priority", texts[1]};
 	call->headers[3] = (struct hcl_header){"Currantscale-Deadline-Ms", texts[2]};
 	call->n_headers = 4;
+	if (att->cmd.offset > 0) {
+		g_snprintf(texts[3], 24, "%" G_GUINT64_FORMAT, att->cmd.offset);
+		call->headers[call->n_headers++] =
+			(struct hcl_header){"Currantscale-Offset", texts[3]};
+	}
 	call->timeout_ms = att->cmd.timeout_ms;
 	call->idempotent = att->cmd.idempotent;
 }
 
+/* True when the answer goes on where the attempts before it ended. */
+static bool resumes_at(const struct hcl_answer *answer, uint64_t offset)
+{
+	guint64 at = 0;
+
+	if (answer->headers[1] &&
+	    !g_ascii_string_to_unsigned(answer->headers[1], 10, 0, G_MAXUINT64, &at, NULL))
+		return false;
+	return at == offset;
+}
+
+/* Asked before the first byte of the answer is taken: none of a wrong one may be passed on. */
+static bool take_head(void *arg, const struct hcl_answer *answer)
+{
+	struct reader *reader = arg;
+	const struct ups_attempt *att = reader->att;
+
+	if (answer->status != 200)
+		return true;
+	/* an answer that belongs to another request must never reach this one */
+	if (!answer->headers[0] || strcmp(answer->headers[0], att->hrq->text_id) != 0)
+		reader->head_code = ERR_PROTOCOL;
+	else if (!resumes_at(answer, att->cmd.offset))
+		reader->head_code = ERR_NO_RESUME;
+	return reader->head_code == ERR_NONE;
+}
+
 /* What an upstream's answer means; *sent turns false when it says that nothing ran. */
-static int judge(const struct hcl_answer *answer, bool ok, const GError *error, const char *text_id,
-		 bool *sent)
+static int judge(const struct hcl_answer *answer, bool ok, const GError *error,
+		 const struct reader *reader, bool *sent)
 {
+	if (reader->head_code != ERR_NONE)
+		return reader->head_code;
 	if (!ok)
 		return error->code == ERR_IO && answer->status ? ERR_STREAM_CUT : error->code;
 	if (answer->status == 429 || answer->status == 503) {
 		*sent = false;
 		return ERR_UPSTREAM_REFUSED;
 	}
-	if (answer->status != 200)
-		return ERR_UPSTREAM_BROKEN;
-	/* an answer that belongs to another request must never reach this one */
-	if (!answer->headers[0] || strcmp(answer->headers[0], text_id) != 0)
-		return ERR_PROTOCOL;
-	return ERR_NONE;
+	return answer->status == 200 ? ERR_NONE : ERR_UPSTREAM_BROKEN;
 }
 
 static void post_result(struct ups_attempt *att, const struct reader *reader, int code, bool sent,
@@ -142,6 +173,8 @@
 	struct ups_attempt *att = arg;
 	struct reader reader = {.att = att};
 	struct hcl_call call = {
+		.on_head = take_head,
+		.on_head_arg = &reader,
 		.on_block = take_block,
 		.on_block_arg = &reader,
 		.may_send = may_send,
@@ -150,22 +183,23 @@
 	struct hcl_answer answer;
 	GError *error = NULL;
 	char path[UPS_PATH_BYTES];
-	char texts[3][24];
+	char texts[4][24];
 	int64_t began_us = clk_now_us();
 
 	pthread_mutex_lock(&att->hrq->lock);
 	reader.record = hrq_attempt(att->hrq, att->cmd.stage, att->cmd.attempt);
-	GBytes *input = g_bytes_ref(att->hrq->input);
 	pthread_mutex_unlock(&att->hrq->lock);
+	GBytes *input = hrq_wait_input(att->hrq, att->cmd.stage);
 	g_snprintf(path, sizeof(path), "/v1/run/%s", att->cmd.call);
 	fill_call(&call, att, path, texts);
 	call.body = g_bytes_get_data(input, &call.body_len);
 	if (!call.body)
 		call.body = "";
 	call.want_headers[0] = "Currantscale-Request";
+	call.want_headers[1] = "Currantscale-Offset";
 	bool ok = hcl_do(att->node->http, &call, &answer, &error);
 	bool sent = answer.sent;
-	int code = judge(&answer, ok, error, att->hrq->text_id, &sent);
+	int code = judge(&answer, ok, error, &reader, &sent);
 	post_result(att, &reader, code, sent, clk_now_us() - began_us);
 	hcl_answer_clear(&answer);
 	g_clear_error(&error);
@@ -178,7 +212,7 @@
 	struct ups_attempt *att = arg;
 	struct hcl_call call = {0};
 	struct hcl_answer answer;
-	char texts[3][24];
+	char texts[4][24];
 
 	fill_call(&call, att, "/v1/cancel", texts);
 	call.timeout_ms = UPS_CANCEL_MS;
--- a/tests/raw.c
+++ b/tests/raw.c
@@ -56,3 +56,21 @@
 	}
 	return text;
 }
+
+GString *raw_unchunk(const GString *answer)
+{
+	GString *body = g_string_new(NULL);
+	const char *at = strstr(answer->str, "\r\n\r\n");
+	const char *end = answer->str + answer->len;
+	gsize n;
+
+	at = at ? at + strlen("\r\n\r\n") : end;
+	while ((n = g_ascii_strtoull(at, NULL, 16)) > 0 && (at = strstr(at, "\r\n"))) {
+		at += strlen("\r\n");
+		g_string_append_len(body, at, (gssize)MIN(n, (gsize)(end - at)));
+		if (n + strlen("\r\n") >= (gsize)(end - at))
+			break;
+		at += n + strlen("\r\n");
+	}
+	return body;
+}
--- a/tests/raw.h
+++ b/tests/raw.h
@@ -16,4 +16,7 @@
 /* Reads to the end of the connection or until nothing came for wait_ms; NUL-terminated. */
 GString *raw_read(int fd, int64_t wait_ms);
 
+/* Body of a chunked answer, as far as it came. */
+GString *raw_unchunk(const GString *answer);
+
 #endif
