Carry a pipeline on from a booking that ran

A failure after a non-idempotent stage ended in unknown for good, though the stage's result was there. It now stays with the ticket, in the bounds of the stored answers; the caller is told partly_done and gets no fresh ticket (it would book twice), and a repeat of the ticket starts at the stage after it, here or at the successor after a planned stop.

Ruled out: running the earlier stages again on a repeat, since what the booking was made with could change.

--- a/packages/base/err.c
+++ b/packages/base/err.c
@@ -26,6 +26,7 @@
 	[ERR_UPSTREAM_TIMEOUT] = {"upstream_timeout", 504, ERR_OUTCOME_UNKNOWN, false},
 	[ERR_STREAM_CUT] = {"stream_cut", 502, ERR_OUTCOME_UNKNOWN, false},
 	[ERR_NO_RESUME] = {"no_resume", 502, ERR_OUTCOME_UNKNOWN, false},
+	[ERR_PARTLY_DONE] = {"partly_done", 503, ERR_OUTCOME_UNKNOWN, true},
 	[ERR_NOT_READY] = {"not_ready", 503, ERR_OUTCOME_NOT_RUN, true},
 	[ERR_DRAINING] = {"draining", 503, ERR_OUTCOME_NOT_RUN, true},
 	[ERR_YAML] = {"yaml", 400, ERR_OUTCOME_NOT_RUN, false},
--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -62,6 +62,8 @@
 		g_sequence_remove(req->waiting);
 	if (req->wake)
 		g_sequence_remove(req->wake);
+	if (req->held)
+		g_bytes_unref(req->held);
 	g_free(req);
 }
 
@@ -141,6 +143,29 @@
 	return ran;
 }
 
+/* True when nothing ran since the stored result that may not be run again. */
+static bool can_go_on(const struct req *req)
+{
+	bool ran = false;
+
+	for (uint32_t i = 0; i < req->n_attempts; i++)
+		ran = ran || req->attempts[i].may_have_run;
+	return req->held && (!ran || req->stages[req->stage].idempotent);
+}
+
+static uint32_t plan_of(const struct req *req)
+{
+	uint32_t plan = req->n_stages;
+
+	for (uint32_t i = 0; i < req->n_stages; i++) {
+		const struct req_stage *stage = &req->stages[i];
+		plan = plan * 31 + g_str_hash(stage->service->name);
+		plan = plan * 31 + g_str_hash(stage->call);
+		plan = plan * 31 + stage->idempotent;
+	}
+	return plan;
+}
+
 void dec_refuse(struct dec *d, struct req *req, int code, int64_t retry_after_ms, int64_t now_ms,
 		struct dec_out *out)
 {
@@ -148,8 +173,14 @@
 
 	if (may_have_run(req))
 		answer.outcome = ERR_OUTCOME_UNKNOWN;
+	if (can_go_on(req)) {
+		answer.code = ERR_PARTLY_DONE;
+		answer.body = req->held;
+		answer.next_stage = req->held_stage;
+		answer.plan = plan_of(req);
+	}
 	dec_cancel_attempts(d, req, REQ_ATTEMPTS_MAX, now_ms, out);
-	push_refusal(out, req->id, code, answer.outcome, retry_after_ms);
+	push_refusal(out, req->id, answer.code, answer.outcome, retry_after_ms);
 	end_ticket(d, req, &answer, out);
 	g_hash_table_remove(d->reqs, &req->id);
 }
@@ -247,8 +278,30 @@
 	g_array_append_val(joined, id);
 }
 
+/* True when a repeat goes on from the result that is stored with its ticket. */
+static bool go_on(struct dec *d, struct req *req, struct dec_out *out)
+{
+	const struct tkt_answer *answer = tkt_answer(d->tickets, &req->ticket);
+	uint32_t stage = answer->next_stage;
+	struct dec_cmd *cmd;
+
+	if (stage == 0 || answer->plan != plan_of(req))
+		return false;
+	req->held = tkt_reopen(d->tickets, &req->ticket, req->id);
+	if (!req->held)
+		return false;
+	req->held_stage = stage;
+	req->stage = stage;
+	req->ran = true;
+	req->body_bytes = g_bytes_get_size(req->held);
+	cmd = dec_push(out, DEC_CMD_INPUT, req->id);
+	cmd->stage = stage;
+	cmd->body = g_bytes_ref(req->held);
+	return true;
+}
+
 /* True when the request may run here; else it has been answered, joined or forwarded. */
-static bool claim_ticket(struct dec *d, const struct req *req, int64_t now_ms,
+static bool claim_ticket(struct dec *d, struct req *req, int64_t now_ms,
 			 const struct dec_ev_request *ev, struct dec_out *out)
 {
 	uint64_t running = 0;
@@ -261,6 +314,10 @@
 		join(d, running, ev->id);
 		break;
 	case TKT_REPLAY:
+		if (go_on(d, req, out))
+			return true;
+		push_answer(out, ev->id, tkt_answer(d->tickets, &ev->ticket));
+		break;
 	case TKT_NOT_RUN:
 		push_answer(out, ev->id, tkt_answer(d->tickets, &ev->ticket));
 		break;
--- a/packages/decide/dec_send.c
+++ b/packages/decide/dec_send.c
@@ -60,7 +60,7 @@
 	cmd->resume = req->stream_open;
 	cmd->offset = req->passed_bytes;
 	cmd->hedge = req->attempts[req->n_attempts - 1].hedge;
-	cmd->keep_body = req->has_ticket && req->stage + 1 == req->n_stages;
+	cmd->keep_body = req->has_ticket && (req->stage + 1 == req->n_stages || !stage->idempotent);
 	cmd->rank = req->rank;
 	cmd->timeout_ms = req->deadline_at_ms - now_ms;
 }
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -80,6 +80,20 @@
 	return n;
 }
 
+/* What can't be run again is kept, so that the stages after it can be. */
+static void hold_result(struct req *req, GBytes *body)
+{
+	if (req->stages[req->stage].idempotent)
+		return;
+	if (req->held)
+		g_bytes_unref(req->held);
+	req->held = NULL;
+	if (!body || g_bytes_get_size(body) > TKT_HELD_BYTES_MAX)
+		return;
+	req->held = g_bytes_ref(body);
+	req->held_stage = req->stage + 1;
+}
+
 static void accept_result(struct dec *d, struct req *req, const struct dec_ev_attempt *ev,
 			  int64_t now_ms, struct dec_out *out)
 {
@@ -92,6 +106,7 @@
 		dec_finish(d, req, ev->body, out);
 		return;
 	}
+	hold_result(req, ev->body);
 	req->ran = true;
 	req->stage++;
 	req->n_attempts = 0;
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -58,7 +58,7 @@
 	bool sent;	    /* the first byte was written: it may have run */
 	int64_t latency_us; /* of the whole attempt */
 	uint64_t bytes;	    /* of the result; of a stream as far as it was taken */
-	GBytes *body;	    /* of a ticketed request's last stage, borrowed; else NULL */
+	GBytes *body;	    /* when the command said keep_body, borrowed; else NULL */
 };
 
 struct dec_ev_report {
@@ -88,6 +88,7 @@
 enum dec_cmd_type {
 	DEC_CMD_SEND,	  /* send an attempt of a stage */
 	DEC_CMD_CANCEL,	  /* tell an upstream to drop an attempt */
+	DEC_CMD_INPUT,	  /* the stage's input is a result stored before */
 	DEC_CMD_ACCEPT,	  /* the attempt's result is the stage's */
 	DEC_CMD_DROP,	  /* the attempt's result is late or second */
 	DEC_CMD_STREAM,	  /* pass this attempt's bytes to the caller from now on */
@@ -122,7 +123,7 @@
 	int code;		  /* REFUSE */
 	enum err_outcome outcome; /* REFUSE */
 	int64_t retry_after_ms;	  /* REFUSE; 0: none */
-	GBytes *body;		  /* REPLAY; owned by the command */
+	GBytes *body;		  /* INPUT, REPLAY; owned by the command */
 };
 
 /* Commands of one call; dec_out_clear() frees what they own. */
--- a/packages/decide/include/decide/req.h
+++ b/packages/decide/include/decide/req.h
@@ -51,6 +51,8 @@
 	struct tkt_id ticket;
 	bool stream_open;	/* bytes of the last stage already went to the caller */
 	uint64_t passed_bytes;	/* of that stream, by attempts that ended */
+	GBytes *held;		/* result of the last non-idempotent stage, owned; or NULL */
+	uint32_t held_stage;	/* the stage that it is the input of */
 	bool ran;		/* an attempt of an earlier stage ran */
 	GSequenceIter *waiting; /* place in its service's queue, NULL when not waiting */
 	GSequenceIter *wake;	/* place in the queue of times; NULL until the first one */
--- a/packages/decide/include/decide/tkt.h
+++ b/packages/decide/include/decide/tkt.h
@@ -20,6 +20,7 @@
 #define TKT_LIFE_MS INT64_C(600000)
 #define TKT_ENTRIES_MAX 16384		       /* ended tickets that are kept */
 #define TKT_BODIES_BYTES_MAX (4 * 1024 * 1024) /* of all stored answers */
+#define TKT_HELD_BYTES_MAX (256 * 1024)	       /* of a stage's result that is carried on from */
 #define TKT_ADOPTED_MAX 64		       /* incarnations taken over from other nodes */
 
 struct tkt_id {
@@ -48,7 +49,9 @@
 struct tkt_answer {
 	enum err_outcome outcome;
 	int code;
-	GBytes *body; /* NULL for an error */
+	GBytes *body;	     /* the answer; with next_stage the input of that stage; else NULL */
+	uint32_t next_stage; /* of UNKNOWN: a repeat goes on from there; 0: it can't */
+	uint32_t plan;	     /* digest of the stages, so that a repeat goes on with the same */
 };
 
 struct tkt_table;
@@ -80,6 +83,12 @@
 /* Answer of an ended ticket, NULL when it has none; owned by the table. */
 const struct tkt_answer *tkt_answer(const struct tkt_table *t, const struct tkt_id *id);
 
+/*
+ * An ended ticket whose answer has a next_stage runs again for req, from that stage on. Returns the
+ * stage's input, which the caller unrefs; NULL when there is nothing to go on from.
+ */
+GBytes *tkt_reopen(struct tkt_table *t, const struct tkt_id *id, uint64_t req);
+
 uint32_t tkt_count(const struct tkt_table *t);
 
 /* Bytes of stored answers. */
--- a/packages/decide/tkt.c
+++ b/packages/decide/tkt.c
@@ -11,6 +11,8 @@
 	uint64_t req;
 	struct range *range; /* borrowed */
 	bool ended;
+	GList *in_ended;  /* place in tkt_table.ended */
+	GList *in_bodies; /* place in tkt_table.bodies; NULL without a body */
 	struct tkt_answer answer;
 };
 
@@ -160,6 +162,8 @@
 	clear_body(&entry->answer);
 	entry->answer.outcome = ERR_OUTCOME_UNKNOWN;
 	entry->answer.code = ERR_TICKET_EXPIRED;
+	entry->answer.next_stage = 0;
+	entry->in_bodies = NULL;
 }
 
 static void raise_low_water(struct range *range, int64_t now_wall_ms)
@@ -234,14 +238,34 @@
 	entry->ended = true;
 	entry->answer = *answer;
 	g_queue_push_tail(&t->ended, entry);
+	entry->in_ended = t->ended.tail;
 	if (answer->body) {
 		g_bytes_ref(answer->body);
 		t->bytes += g_bytes_get_size(answer->body);
 		g_queue_push_tail(&t->bodies, entry);
+		entry->in_bodies = t->bodies.tail;
 	}
 	trim(t);
 }
 
+GBytes *tkt_reopen(struct tkt_table *t, const struct tkt_id *id, uint64_t req)
+{
+	struct entry *entry = find(t, id);
+	GBytes *body;
+
+	if (!entry || !entry->ended || entry->range->released || entry->answer.next_stage == 0)
+		return NULL;
+	body = entry->answer.body;
+	t->bytes -= g_bytes_get_size(body);
+	g_queue_delete_link(&t->ended, entry->in_ended);
+	g_queue_delete_link(&t->bodies, entry->in_bodies);
+	entry->in_bodies = NULL;
+	memset(&entry->answer, 0, sizeof(entry->answer));
+	entry->ended = false;
+	entry->req = req;
+	return body;
+}
+
 void tkt_finish(struct tkt_table *t, const struct tkt_id *id, const struct tkt_answer *answer)
 {
 	struct entry *entry = find(t, id);
@@ -307,6 +331,7 @@
 			entry->ended = true;
 			entry->answer = answer;
 			g_queue_push_tail(&t->ended, entry);
+			entry->in_ended = t->ended.tail;
 		}
 	}
 	g_list_free(entries);
--- a/packages/node/rel_msg.c
+++ b/packages/node/rel_msg.c
@@ -17,6 +17,8 @@
 	ticket->serial = record->serial;
 	ticket->code = record->answer.code;
 	ticket->outcome = (int32_t)record->answer.outcome;
+	ticket->next_stage = record->answer.next_stage;
+	ticket->plan = record->answer.plan;
 	if (record->answer.body) {
 		ticket->body.data = (uint8_t *)g_bytes_get_data(record->answer.body, &len);
 		ticket->body.len = len;
@@ -119,7 +121,9 @@
 
 		record.answer.outcome = (enum err_outcome)ticket->outcome;
 		record.answer.code = ticket->code;
-		if (record.answer.outcome == ERR_OUTCOME_COMPLETE)
+		record.answer.next_stage = ticket->next_stage;
+		record.answer.plan = ticket->plan;
+		if (record.answer.outcome == ERR_OUTCOME_COMPLETE || ticket->next_stage > 0)
 			record.answer.body = g_bytes_new(ticket->body.data, ticket->body.len);
 		g_array_append_val(release->records, record);
 	}
--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -183,8 +183,11 @@
 {
 	char ticket[TKT_TEXT_BYTES] = "";
 
-	/* a ticket that was refused is used up; so may be one of unknown fate */
-	if (code == ERR_TICKET_REQUIRED || hrq->given_ticket[0])
+	/*
+	 * A ticket that was refused is used up; so may be one of unknown fate. One that is partly
+	 * done is to be sent again, and with another one it would run a second time.
+	 */
+	if (code == ERR_TICKET_REQUIRED || (hrq->given_ticket[0] && code != ERR_PARTLY_DONE))
 		run_fresh_ticket(n, ticket);
 	pthread_mutex_lock(&hrq->lock);
 	g_strlcpy(hrq->ticket, ticket, sizeof(hrq->ticket));
@@ -205,6 +208,10 @@
 	case DEC_CMD_CANCEL:
 		run_cancel(n, hrq, cmd);
 		break;
+	case DEC_CMD_INPUT:
+		ctr_add(CTR_CARRIED_ON, 1);
+		hrq_set_input(hrq, cmd->stage, cmd->body);
+		break;
 	case DEC_CMD_ACCEPT:
 		run_accept(hrq, cmd);
 		break;
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -356,10 +356,15 @@
   int32_t code;
   int32_t outcome;
   ProtobufCBinaryData body;
+  /*
+   * as in struct tkt_answer
+   */
+  uint32_t next_stage;
+  uint32_t plan;
 };
 #define PEER__TICKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__ticket__descriptor) \
-    , 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, {0,NULL}, 0, 0 }
 
 
 struct  Peer__ReleaseAck
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -2184,7 +2184,7 @@
   (ProtobufCMessageInit) peer__release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ticket__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__ticket__field_descriptors[6] =
 {
   {
     "serial",
@@ -2234,17 +2234,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "next_stage",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ticket, next_stage),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "plan",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ticket, plan),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__ticket__field_indices_by_name[] = {
   3,   /* field[3] = body */
   1,   /* field[1] = code */
+  4,   /* field[4] = next_stage */
   2,   /* field[2] = outcome */
+  5,   /* field[5] = plan */
   0,   /* field[0] = serial */
 };
 static const ProtobufCIntRange peer__ticket__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__ticket__descriptor =
 {
@@ -2254,7 +2280,7 @@
   "Peer__Ticket",
   "peer",
   sizeof(Peer__Ticket),
-  4,
+  6,
   peer__ticket__field_descriptors,
   peer__ticket__field_indices_by_name,
   1,  peer__ticket__number_ranges,
--- /dev/null
+++ b/tests/proc_partly.c
@@ -0,0 +1,167 @@
+/*
+ * A pipeline with a booking in the middle, with real processes: when what follows fails, a repeat
+ * with the same ticket goes on from the booking's result. The judge is the emulator's log.
+ */
+#include "fleet.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TEST_TIMEOUT_S 120
+#define NODES 2
+#define WAIT_MS 8000
+#define ADVISE "/v1/pipelines/advise"
+#define WHOLE "reranker(weighbridge(encoder(x)))"
+
+static struct fleet *fleet;
+
+static bool is_set_up(struct fleet *f, void *arg)
+{
+	bool ready = true;
+
+	for (uint32_t i = 0; i < NODES; i++) {
+		json_t *dump = fleet_dump(f, i);
+		json_t *revisions =
+			json_object_get(json_object_get(dump, "decisions"), "revisions");
+		ready = ready && json_integer_value(json_object_get(revisions, "pipelines")) == 2 &&
+			json_integer_value(json_object_get(revisions, "routing")) == 2;
+		json_decref(dump);
+	}
+	return ready;
+}
+
+/* Baseline: all upstreams are every node's, and none is left out for its failures. */
+static void set_up(void)
+{
+	fleet = fleet_new("association.yaml", NODES);
+	fleet_edit_config(fleet, "policy: adaptive", "policy: baseline\n  eject_failures: 1000");
+	fleet_edit_config(fleet, "routing:\n  revision: 1", "routing:\n  revision: 2");
+	fleet_edit_config(fleet, "{name: retrieve, service: retriever}",
+			  "{name: book, service: weighbridge, call: book}");
+	fleet_edit_config2(fleet, "\n        - {name: generate, service: chat, stream: true}", "",
+			   "pipelines:\n  revision: 1", "pipelines:\n  revision: 2");
+	fleet_wait(fleet, is_set_up, NULL, WAIT_MS, "the configuration");
+}
+
+static void tear_down(void)
+{
+	fleet_free(fleet);
+}
+
+static void set_service(const char *service, const char *json)
+{
+	for (int i = 1; i <= 3; i++) {
+		char *name = g_strdup_printf("%s-%d", service, i);
+		fleet_upstream(fleet, name, json);
+		g_free(name);
+	}
+}
+
+static int bookings(void)
+{
+	json_t *log = fleet_log(fleet);
+	int count = fleet_count(log, NULL, "book", NULL);
+
+	json_decref(log);
+	return count;
+}
+
+static void check_answer(uint32_t node, const char *ticket, const char *outcome, const char *part)
+{
+	const struct fleet_request request = {.path = ADVISE, .body = "x", .ticket = ticket};
+	struct fleet_answer answer;
+
+	fleet_send(fleet, node, &request, &answer);
+	ck_assert_msg(strcmp(answer.outcome, outcome) == 0, "%s: %s", answer.outcome, answer.body);
+	ck_assert_msg(strstr(answer.body, part) != NULL, "%s", answer.body);
+	/* with a fresh ticket its caller would book a second time */
+	ck_assert_ptr_null(answer.ticket);
+	fleet_answer_clear(&answer);
+}
+
+START_TEST(repeat_goes_on_from_the_booking)
+{
+	char *ticket = fleet_ticket(fleet, 1);
+
+	set_service("reranker", "{\"fail_pct\":100}");
+	for (uint32_t i = 0; i < 2 * NODES; i++)
+		check_answer(i % NODES, ticket, "unknown", "\"partly_done\"");
+	set_service("reranker", "{\"fail_pct\":0}");
+	for (uint32_t i = 0; i < 2 * NODES; i++)
+		check_answer(i % NODES, ticket, "complete", WHOLE);
+	ck_assert_int_eq(bookings(), 1);
+	g_free(ticket);
+}
+END_TEST
+
+/* One upstream of the last stage fails: the stage alone is done again. */
+START_TEST(later_stage_is_retried)
+{
+	fleet_upstream(fleet, "reranker-1", "{\"fail_pct\":100}");
+	fleet_upstream(fleet, "reranker-2", "{\"drop_after_read\":true}");
+	for (int i = 0; i < 6; i++) {
+		char *ticket = fleet_ticket(fleet, 0);
+		check_answer(0, ticket, "complete", WHOLE);
+		g_free(ticket);
+	}
+	ck_assert_int_eq(bookings(), 6);
+}
+END_TEST
+
+/* The node that holds the booking's result stops as planned: its successor goes on from it. */
+START_TEST(successor_goes_on_from_the_booking)
+{
+	char *ticket = fleet_ticket(fleet, 1);
+
+	set_service("reranker", "{\"fail_pct\":100}");
+	check_answer(1, ticket, "unknown", "\"partly_done\"");
+	fleet_signal_node(fleet, 1, SIGTERM);
+	check_answer(0, ticket, "unknown", "\"partly_done\"");
+	set_service("reranker", "{\"fail_pct\":0}");
+	check_answer(0, ticket, "complete", WHOLE);
+	ck_assert_int_eq(bookings(), 1);
+	g_free(ticket);
+}
+END_TEST
+
+/* The booking itself is of unknown fate: nothing goes on, and it isn't run again. */
+START_TEST(unknown_booking_is_not_repeated)
+{
+	char *ticket = fleet_ticket(fleet, 0);
+	const struct fleet_request request = {.path = ADVISE, .body = "x", .ticket = ticket};
+
+	set_service("weighbridge", "{\"drop_after_read\":true}");
+	for (uint32_t i = 0; i < 2 * NODES; i++) {
+		struct fleet_answer answer;
+		fleet_send(fleet, i % NODES, &request, &answer);
+		ck_assert_str_eq(answer.outcome, "unknown");
+		ck_assert_ptr_null(strstr(answer.body, "partly_done"));
+		fleet_answer_clear(&answer);
+		set_service("weighbridge", "{\"drop_after_read\":false}");
+	}
+	ck_assert_int_eq(bookings(), 1);
+	g_free(ticket);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("partly");
+	TCase *tcase = tcase_create("partly");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_test(tcase, repeat_goes_on_from_the_booking);
+	tcase_add_test(tcase, later_stage_is_retried);
+	tcase_add_test(tcase, successor_goes_on_from_the_booking);
+	tcase_add_test(tcase, unknown_booking_is_not_repeated);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
