--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -61,6 +61,8 @@
 		ctr_add(CTR_HEDGES, 1);
 	else if (cmd->attempt > 0)
 		ctr_add(CTR_RETRIES, 1);
+	if (cmd->resume)
+		hrq_resume_stream(hrq, cmd->stage, cmd->attempt);
 	struct wkp *pool = pool_of(n, cmd->service);
 	if (!pool || !wkp_submit(pool, ups_send, att)) {
 		free_attempt(att);
@@ -79,18 +81,22 @@
 /* The accepted result becomes the next stage's input, or the answer. */
 static void run_accept(struct hrq *hrq, const struct dec_cmd *cmd)
 {
+	GBytes *result = NULL;
+
 	pthread_mutex_lock(&hrq->lock);
 	struct hrq_attempt *record = hrq_attempt(hrq, cmd->stage, cmd->attempt);
 	if (record == hrq->streamed) {
 		hrq->stream_end = true;
 		hrq_wake(hrq);
 	} else {
-		if (hrq->input)
-			g_bytes_unref(hrq->input);
-		hrq->input = g_bytes_new(record->out->data, record->out->len);
+		result = g_bytes_new(record->out->data, record->out->len);
 		g_byte_array_set_size(record->out, 0);
 	}
 	pthread_mutex_unlock(&hrq->lock);
+	if (!result)
+		return;
+	hrq_set_input(hrq, cmd->stage + 1, result);
+	g_bytes_unref(result);
 }
 
 static void run_stream(struct hrq *hrq, const struct dec_cmd *cmd)
@@ -121,6 +127,7 @@
 	bool call_back = false;
 
 	ctr_add(outcome_counter(outcome), 1);
+	hrq_set_over(hrq);
 	pthread_mutex_lock(&hrq->lock);
 	if (hrq->state != HRQ_DONE)
 		hrq->outcome = outcome;
@@ -176,8 +183,11 @@
 {
 	char ticket[TKT_TEXT_BYTES] = "";
 
-	/* a ticket that was refused is used up; so may be one of unknown fate */
-	if (code == ERR_TICKET_REQUIRED || hrq->given_ticket[0])
+	/*
+	 * A ticket that was refused is used up; so may be one of unknown fate. One that is partly
+	 * done is to be sent again, and with another one it would run a second time.
+	 */
+	if (code == ERR_TICKET_REQUIRED || (hrq->given_ticket[0] && code != ERR_PARTLY_DONE))
 		run_fresh_ticket(n, ticket);
 	pthread_mutex_lock(&hrq->lock);
 	g_strlcpy(hrq->ticket, ticket, sizeof(hrq->ticket));
@@ -198,6 +208,10 @@
 	case DEC_CMD_CANCEL:
 		run_cancel(n, hrq, cmd);
 		break;
+	case DEC_CMD_INPUT:
+		ctr_add(CTR_CARRIED_ON, 1);
+		hrq_set_input(hrq, cmd->stage, cmd->body);
+		break;
 	case DEC_CMD_ACCEPT:
 		run_accept(hrq, cmd);
 		break;
