Keep account limits over the fleet by floors and leases

Cause: limit_per_s was read and not enforced.

Ruled out: limit/n for each node (kept as the baseline `equal`): one node alone admits a seventh of the limit at 7 nodes, 1/410 at the target. Sums by digest: two nodes that lost each other's news both admit the whole.

Change: a quarter of a limit stands to all listed nodes in equal shares; the rest is cut into a part for each data centre, kept by the first node by rendezvous hash and lent for 3 s to those that ask. A keeper counts a lease from the moment at which it lends, a borrower from the moment at which it asked, so no clocks are compared. A part gained lends only after all nodes know the list or the old keeper's view has lapsed, and one lease more.

Tests: prop_share: at each moment the rates of all processes stay within the limit, but for the floors of nodes that were taken from the list and can't know it yet, through lost, late and doubled messages, kills, freezes, replacements and partitions; admitted work stays within limit and burst; demand follows.

--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -13,6 +13,7 @@
 	.route = &rte_score,
 	.admit = &adm_priority,
 	.retry = &rty_budget_ops,
+	.share = &shr_lease,
 };
 
 const struct dec_policy dec_baseline = {
@@ -20,6 +21,7 @@
 	.route = &rte_round_robin,
 	.admit = &adm_open,
 	.retry = &rty_none,
+	.share = &shr_equal,
 };
 
 static void free_cmd(gpointer data)
@@ -28,6 +30,7 @@
 
 	if (cmd->body)
 		g_bytes_unref(cmd->body);
+	g_free(cmd->demand);
 }
 
 void dec_out_init(struct dec_out *out)
@@ -73,6 +76,7 @@
 	bb_init(&d->bb, vm, data_centre, incarnation, seed, now_ms);
 	d->policy = dec_adaptive;
 	d->tickets = tkt_new(vm, incarnation);
+	d->shares = shr_new(now_ms);
 	d->reqs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_req);
 	d->wakes = g_sequence_new(NULL);
 	d->flights = g_hash_table_new_full(dec_flight_hash, dec_flight_equal, g_free, NULL);
@@ -88,6 +92,7 @@
 	g_hash_table_destroy(d->flights);
 	g_hash_table_destroy(d->joins);
 	tkt_free(d->tickets);
+	shr_free(d->shares);
 	bb_clear(&d->bb);
 	g_free(d);
 }
@@ -281,6 +286,19 @@
 	return false;
 }
 
+/* The account's limit over the fleet. */
+static struct adm_verdict take_share(struct dec *d, const struct req *req,
+				     const struct dec_ev_request *ev, int64_t now_ms)
+{
+	const struct cfg *cfg = ev->cfg ? ev->cfg : d->bb.cfg;
+	struct adm_verdict verdict = {.code = ERR_NONE};
+
+	if (!shr_take(d->shares, &d->bb, &cfg->accounts.items[req->account], now_ms,
+		      &verdict.retry_after_ms))
+		verdict.code = ERR_RATE_LIMITED;
+	return verdict;
+}
+
 static bool is_full(const struct dec *d)
 {
 	return g_hash_table_size(d->reqs) > d->bb.cfg->capacity.max_in_flight;
@@ -313,6 +331,9 @@
 		return;
 	}
 	struct adm_verdict verdict = d->policy.admit->arrive(&d->bb, req, now_ms);
+	/* a request that is refused anyway costs its account nothing */
+	if (verdict.code == ERR_NONE)
+		verdict = take_share(d, req, ev, now_ms);
 	if (verdict.code != ERR_NONE)
 		dec_refuse(d, req, verdict.code, verdict.retry_after_ms, now_ms, out);
 	else if (is_full(d) && !dec_shed(d, req, now_ms, out))
@@ -348,8 +369,10 @@
 
 static void handle_list(struct dec *d, int64_t now_ms, const struct dec_event *ev)
 {
-	if (bb_set_list(&d->bb, ev->u.list, ev->at_ms ? ev->at_ms : now_ms, now_ms))
-		slt_recompute(&d->bb, now_ms);
+	if (!bb_set_list(&d->bb, ev->u.list, ev->at_ms ? ev->at_ms : now_ms, now_ms))
+		return;
+	slt_recompute(&d->bb, now_ms);
+	shr_recompute(d->shares, &d->bb, now_ms);
 }
 
 static void push_to_node(struct dec_out *out, enum dec_cmd_type type, const struct bb_node *node)
@@ -370,6 +393,52 @@
 		push_to_node(out, DEC_CMD_ASK_LIST, from);
 }
 
+static void push_demand(struct dec *d, const struct shr_message *message, struct dec_out *out)
+{
+	const struct bb_node *node = bb_node(&d->bb, message->vm);
+
+	if (!node)
+		return;
+	push_to_node(out, DEC_CMD_DEMAND, node);
+	g_array_index(out->cmds, struct dec_cmd, out->cmds->len - 1).demand =
+		g_memdup2(message, sizeof(*message));
+}
+
+static void handle_demand(struct dec *d, int64_t now_ms, const struct shr_message *message,
+			  struct dec_out *out)
+{
+	struct shr_message reply;
+
+	if (message->reply)
+		shr_borrow(d->shares, &d->bb, message, now_ms);
+	else if (shr_lend(d->shares, &d->bb, message, now_ms, &reply))
+		push_demand(d, &reply, out);
+}
+
+/* The keeper of a part is among those who borrow from it. */
+static void lend_to_self(struct dec *d, int64_t now_ms, struct shr_message *ask)
+{
+	struct shr_message reply;
+
+	ask->incarnation = d->bb.incarnation;
+	if (shr_lend(d->shares, &d->bb, ask, now_ms, &reply))
+		shr_borrow(d->shares, &d->bb, &reply, now_ms);
+}
+
+static void tick_shares(struct dec *d, int64_t now_ms, struct dec_out *out)
+{
+	struct shr_message ask;
+
+	shr_settle(d->shares, &d->bb, now_ms);
+	shr_sweep(d->shares, now_ms);
+	while (shr_ask(d->shares, &d->bb, now_ms, &ask)) {
+		if (strcmp(ask.vm, d->bb.self_vm) == 0)
+			lend_to_self(d, now_ms, &ask);
+		else
+			push_demand(d, &ask, out);
+	}
+}
+
 static void tick_membership(struct dec *d, int64_t now_ms, struct dec_out *out)
 {
 	struct bb_upstream *up;
@@ -401,6 +470,7 @@
 	const struct adm_ops *before = d->policy.admit;
 
 	d->policy = d->bb.cfg->routing.policy == CFG_POLICY_BASELINE ? dec_baseline : dec_adaptive;
+	shr_set_ops(d->shares, d->policy.share);
 	if (d->policy.admit != before)
 		dec_sort_queues(d);
 }
@@ -428,6 +498,7 @@
 		bb_set_config(&d->bb, ev->u.cfg, ev->at_ms ? ev->at_ms : now_ms);
 		set_policy(d);
 		slt_recompute(&d->bb, now_ms);
+		shr_recompute(d->shares, &d->bb, now_ms);
 		break;
 	case DEC_EV_CONFIG_SAME:
 		d->bb.cfg_confirmed_ms = MAX(d->bb.cfg_confirmed_ms, ev->at_ms);
@@ -438,12 +509,16 @@
 	case DEC_EV_DIGEST:
 		handle_digest(d, now_ms, ev->u.digest, out);
 		break;
+	case DEC_EV_DEMAND:
+		handle_demand(d, now_ms, ev->u.demand, out);
+		break;
 	case DEC_EV_LIST_CONFIRMED:
 		bb_confirm_list(&d->bb, ev->u.asked_ms);
 		break;
 	case DEC_EV_TICK:
 		d->bb.last_tick_ms = now_ms;
 		tick_membership(d, now_ms, out);
+		tick_shares(d, now_ms, out);
 		dec_tick_requests(d, now_ms, out);
 		break;
 	case DEC_EV_DRAIN:
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -11,6 +11,7 @@
 #include "decide/req.h"
 #include "decide/rte.h"
 #include "decide/rty.h"
+#include "decide/shr.h"
 #include "decide/slt.h"
 #include "decide/tkt.h"
 
@@ -32,6 +33,7 @@
 	DEC_EV_CLOSE,	       /* planned stop: new work is refused from here on */
 	DEC_EV_CONFIG_SAME,    /* the configuration service holds nothing newer */
 	DEC_EV_DIGEST,	       /* what another node said of itself and of what it saw */
+	DEC_EV_DEMAND, /* another node asks for a part of an account's limit, or lends one */
 };
 
 struct dec_ev_request {
@@ -81,6 +83,7 @@
 		struct cfg *cfg;  /* CONFIG; the event's reference stays the caller's */
 		struct vml *list; /* LIST; ownership passes */
 		const struct mem_digest *digest;
+		const struct shr_message *demand;
 		int64_t asked_ms; /* LIST_CONFIRMED: when the platform was asked */
 	} u;
 };
@@ -98,6 +101,7 @@
 	DEC_CMD_POLL,	  /* read an upstream's load report */
 	DEC_CMD_PROBE,	  /* send a digest to the node vm at address */
 	DEC_CMD_ASK_LIST, /* ask the node vm at address for its VM list */
+	DEC_CMD_DEMAND,	  /* send demand to the node vm at address */
 };
 
 struct dec_cmd {
@@ -109,7 +113,7 @@
 	char address[BB_ADDRESS_BYTES];
 	char service[BB_NAME_BYTES];
 	char call[BB_NAME_BYTES];
-	char vm[BB_NAME_BYTES]; /* FORWARD, PROBE, ASK_LIST */
+	char vm[BB_NAME_BYTES]; /* FORWARD, PROBE, ASK_LIST, DEMAND */
 	struct tkt_id ticket;	/* FORWARD */
 	bool idempotent;
 	bool stream;
@@ -117,10 +121,11 @@
 	bool keep_body; /* the result goes into the ticket table */
 	int64_t rank;
 	int64_t timeout_ms;
-	int code;		  /* REFUSE */
-	enum err_outcome outcome; /* REFUSE */
-	int64_t retry_after_ms;	  /* REFUSE; 0: none */
-	GBytes *body;		  /* REPLAY; owned by the command */
+	int code;		    /* REFUSE */
+	enum err_outcome outcome;   /* REFUSE */
+	int64_t retry_after_ms;	    /* REFUSE; 0: none */
+	GBytes *body;		    /* REPLAY; owned by the command */
+	struct shr_message *demand; /* DEMAND; owned by the command */
 };
 
 /* Commands of one call; dec_out_clear() frees what they own. */
@@ -138,6 +143,7 @@
 	const struct rte_ops *route;
 	const struct adm_ops *admit;
 	const struct rty_ops *retry;
+	const struct shr_ops *share;
 };
 
 extern const struct dec_policy dec_adaptive;
@@ -147,6 +153,7 @@
 	struct bb bb;
 	struct dec_policy policy;
 	struct tkt_table *tickets;
+	struct shr *shares;
 	bool closing;	     /* refuses new work of callers; that of other nodes goes on */
 	GHashTable *reqs;    /* id -> struct req, owned */
 	GSequence *wakes;    /* struct req, borrowed, by wake_at_ms */
--- a/packages/node/msg.c
+++ b/packages/node/msg.c
@@ -1,6 +1,7 @@
 /* Messages with other nodes: what comes in becomes events, what the decisions order goes out. */
 #include "base/clk.h"
 #include "node/dig.h"
+#include "node/dmd.h"
 #include "node/fwd.h"
 #include "node/nod.h"
 #include "node/rel.h"
@@ -88,6 +89,9 @@
 	case PEER__MESSAGE__KIND_VIEW:
 		take_view(n, message);
 		break;
+	case PEER__MESSAGE__KIND_DEMAND:
+		dmd_take(n, message);
+		break;
 	case PEER__MESSAGE__KIND_LIST_ASK:
 		answer_list(n, message);
 		break;
--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -4,6 +4,7 @@
 #include "base/clk.h"
 #include "base/ctr.h"
 #include "base/log.h"
+#include "node/dmd.h"
 #include "node/fwd.h"
 
 #define RUN_POOL_QUEUED 4096
@@ -222,6 +223,7 @@
 	case DEC_CMD_POLL:
 	case DEC_CMD_PROBE:
 	case DEC_CMD_ASK_LIST:
+	case DEC_CMD_DEMAND:
 		break;
 	}
 }
@@ -239,6 +241,9 @@
 	case DEC_CMD_ASK_LIST:
 		msg_ask_list(n, cmd);
 		return true;
+	case DEC_CMD_DEMAND:
+		dmd_send(n, cmd);
+		return true;
 	default:
 		return false;
 	}
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -374,28 +374,43 @@
 
 
 /*
- * Share of an account's limit that a node used, summed up within a data centre.
+ * Asks the keeper of parts of accounts' limits for a lease, or answers such a question.
  */
 struct  Peer__Demand
 {
   ProtobufCMessage base;
   size_t n_accounts;
   Peer__AccountDemand **accounts;
+  /*
+   * by the clock of the node that asks; a reply gives it back
+   */
+  int64_t asked_ms;
+  protobuf_c_boolean reply;
 };
 #define PEER__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__demand__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0, 0 }
 
 
 struct  Peer__AccountDemand
 {
   ProtobufCMessage base;
-  char *account;
+  /*
+   * hash of its name
+   */
+  uint64_t account;
+  /*
+   * index of the part's data centre
+   */
+  uint32_t part;
+  /*
+   * wanted in a question, lent in a reply
+   */
   double per_s;
 };
 #define PEER__ACCOUNT_DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__account_demand__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0 }
 
 
 typedef enum {
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -2312,7 +2312,7 @@
   (ProtobufCMessageInit) peer__release_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__demand__field_descriptors[1] =
+static const ProtobufCFieldDescriptor peer__demand__field_descriptors[3] =
 {
   {
     "accounts",
@@ -2326,14 +2326,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Demand, asked_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Demand, reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__demand__field_indices_by_name[] = {
   0,   /* field[0] = accounts */
+  1,   /* field[1] = asked_ms */
+  2,   /* field[2] = reply */
 };
 static const ProtobufCIntRange peer__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__demand__descriptor =
 {
@@ -2343,31 +2369,43 @@
   "Peer__Demand",
   "peer",
   sizeof(Peer__Demand),
-  1,
+  3,
   peer__demand__field_descriptors,
   peer__demand__field_indices_by_name,
   1,  peer__demand__number_ranges,
   (ProtobufCMessageInit) peer__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__account_demand__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__account_demand__field_descriptors[3] =
 {
   {
     "account",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
     offsetof(Peer__AccountDemand, account),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "per_s",
+    "part",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__AccountDemand, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
     offsetof(Peer__AccountDemand, per_s),
@@ -2379,12 +2417,13 @@
 };
 static const unsigned peer__account_demand__field_indices_by_name[] = {
   0,   /* field[0] = account */
-  1,   /* field[1] = per_s */
+  1,   /* field[1] = part */
+  2,   /* field[2] = per_s */
 };
 static const ProtobufCIntRange peer__account_demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__account_demand__descriptor =
 {
@@ -2394,7 +2433,7 @@
   "Peer__AccountDemand",
   "peer",
   sizeof(Peer__AccountDemand),
-  2,
+  3,
   peer__account_demand__field_descriptors,
   peer__account_demand__field_indices_by_name,
   1,  peer__account_demand__number_ranges,
--- a/tests/small.h
+++ b/tests/small.h
@@ -10,6 +10,7 @@
 #define SMALL_LIST_LAG_MS 1000
 #define SMALL_VIEW_AGE_MS 3000
 #define SMALL_LONGEST_MS 2000
+#define SMALL_LIMIT_PER_S 50 /* of the one account */
 
 struct small_sizes {
 	int data_centres; /* dc-0, dc-1 and so on, a region each two */
@@ -40,11 +41,13 @@
 			       "pipelines: {revision: 1, items: []}\n"
 			       "accounts:\n  revision: 1\n"
 			       "  classes: [{name: c, rank: 0}]\n"
-			       "  items: [{name: a, class: c, key_sha256: \"%064d\"}]\n"
+			       "  items: [{name: a, class: c, limit_per_s: %d, "
+			       "key_sha256: \"%064d\"}]\n"
 			       "routing: {revision: 1}\n"
 			       "capacity: {revision: 1, list_lag_ms: %d, view_age_ms: %d, "
 			       "longest_ms: %d}\n",
-			       0, SMALL_LIST_LAG_MS, SMALL_VIEW_AGE_MS, SMALL_LONGEST_MS);
+			       SMALL_LIMIT_PER_S, 0, SMALL_LIST_LAG_MS, SMALL_VIEW_AGE_MS,
+			       SMALL_LONGEST_MS);
 	struct cfg *cfg = cfg_parse(text->str, text->len, faults);
 	if (!cfg) {
 		struct sch_fault *fault = (struct sch_fault *)g_ptr_array_index(faults, 0);
--- a/tests/small_fleet.h
+++ b/tests/small_fleet.h
@@ -66,6 +66,13 @@
 	struct mem_digest digest;
 };
 
+// A message about shares of accounts, as it leaves its node.
+struct Demand {
+	size_t from;
+	std::string to;
+	struct shr_message message;
+};
+
 struct Version {
 	int64_t at_ms;
 	int64_t version;
@@ -101,6 +108,7 @@
 
 	std::vector<Node> nodes;
 	std::vector<Upstream> upstreams;
+	std::vector<Demand> demands; // for the test to deliver
 	int64_t now_ms = start_ms;
 	int64_t starts = 0;
 	int64_t above = 0; // arrivals above an upstream's limit
@@ -334,6 +342,8 @@
 
 			if (cmd->type == DEC_CMD_PROBE)
 				send_digest(i, cmd->vm);
+			else if (cmd->type == DEC_CMD_DEMAND)
+				demands.push_back({i, cmd->vm, *cmd->demand});
 			else if (cmd->type == DEC_CMD_POLL)
 				give_report(nodes[i], cmd->upstream);
 		}
