Give up a request that joined a running ticket at its own deadline

Cause: it stood in no queue of times and waited for the running one's end. Change: joins carry their deadline; a tick answers those that are due with `unknown` and leaves the running request alone.

--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -82,6 +82,7 @@
 	d->flights = g_hash_table_new_full(dec_flight_hash, dec_flight_equal, g_free, NULL);
 	d->joins = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 (GDestroyNotify)g_array_unref);
+	d->join_wake_ms = INT64_MAX;
 	return d;
 }
 
@@ -133,7 +134,7 @@
 	if (!joined)
 		return;
 	for (uint32_t i = 0; i < joined->len; i++)
-		push_answer(out, g_array_index(joined, uint64_t, i), answer);
+		push_answer(out, g_array_index(joined, struct dec_join, i).id, answer);
 	g_hash_table_remove(d->joins, &req->id);
 }
 
@@ -241,15 +242,47 @@
 	return false;
 }
 
-static void join(struct dec *d, uint64_t running, uint64_t id)
+static void join(struct dec *d, uint64_t running, const struct dec_join *join)
 {
 	GArray *joined = g_hash_table_lookup(d->joins, &running);
 
 	if (!joined) {
-		joined = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+		joined = g_array_new(FALSE, FALSE, sizeof(struct dec_join));
 		g_hash_table_insert(d->joins, g_memdup2(&running, sizeof(running)), joined);
 	}
-	g_array_append_val(joined, id);
+	g_array_append_vals(joined, join, 1);
+	d->join_wake_ms = MIN(d->join_wake_ms, join->deadline_at_ms);
+}
+
+/* Gives up those whose time is over: what they joined may still run to its end. */
+static void expire_joined(struct dec *d, GArray *joined, int64_t now_ms, struct dec_out *out)
+{
+	for (guint i = joined->len; i-- > 0;) {
+		const struct dec_join waits = g_array_index(joined, struct dec_join, i);
+
+		if (now_ms < waits.deadline_at_ms) {
+			d->join_wake_ms = MIN(d->join_wake_ms, waits.deadline_at_ms);
+			continue;
+		}
+		g_array_remove_index_fast(joined, i);
+		push_refusal(out, waits.id, ERR_DEADLINE_EXPIRED, ERR_OUTCOME_UNKNOWN, 0);
+	}
+}
+
+static void tick_joins(struct dec *d, int64_t now_ms, struct dec_out *out)
+{
+	GHashTableIter iter;
+	gpointer joined;
+
+	if (now_ms < d->join_wake_ms)
+		return;
+	d->join_wake_ms = INT64_MAX;
+	g_hash_table_iter_init(&iter, d->joins);
+	while (g_hash_table_iter_next(&iter, NULL, &joined)) {
+		expire_joined(d, joined, now_ms, out);
+		if (((GArray *)joined)->len == 0)
+			g_hash_table_iter_remove(&iter);
+	}
 }
 
 /* True when the request may run here; else it has been answered, joined or forwarded. */
@@ -263,7 +296,7 @@
 	case TKT_RUN:
 		return true;
 	case TKT_JOIN:
-		join(d, running, ev->id);
+		join(d, running, &(struct dec_join){ev->id, req->deadline_at_ms});
 		break;
 	case TKT_REPLAY:
 	case TKT_NOT_RUN:
@@ -520,6 +553,7 @@
 		tick_membership(d, now_ms, out);
 		tick_shares(d, now_ms, out);
 		dec_tick_requests(d, now_ms, out);
+		tick_joins(d, now_ms, out);
 		break;
 	case DEC_EV_DRAIN:
 		d->bb.draining = true;
--- a/packages/decide/dec_int.h
+++ b/packages/decide/dec_int.h
@@ -18,6 +18,12 @@
 	bool withheld;	/* dec_may_send() forbade it */
 };
 
+/* A request that waits for the answer of a running one with its ticket. */
+struct dec_join {
+	uint64_t id;
+	int64_t deadline_at_ms;
+};
+
 guint dec_flight_hash(gconstpointer key);
 gboolean dec_flight_equal(gconstpointer a, gconstpointer b);
 
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -154,12 +154,13 @@
 	struct dec_policy policy;
 	struct tkt_table *tickets;
 	struct shr *shares;
-	bool closing;	     /* refuses new work of callers; that of other nodes goes on */
-	GHashTable *reqs;    /* id -> struct req, owned */
-	GSequence *wakes;    /* struct req, borrowed, by wake_at_ms */
-	int64_t peaks_at_ms; /* when the peaks of use last faded */
-	GHashTable *flights; /* set of struct dec_flight, owned: attempts not yet ended */
-	GHashTable *joins;   /* running id -> GArray of uint64_t ids that wait for its answer */
+	bool closing;	      /* refuses new work of callers; that of other nodes goes on */
+	GHashTable *reqs;     /* id -> struct req, owned */
+	GSequence *wakes;     /* struct req, borrowed, by wake_at_ms */
+	int64_t peaks_at_ms;  /* when the peaks of use last faded */
+	GHashTable *flights;  /* set of struct dec_flight, owned: attempts not yet ended */
+	GHashTable *joins;    /* running id -> GArray of struct dec_join that wait for its answer */
+	int64_t join_wake_ms; /* when the first of them is given up; INT64_MAX: never */
 };
 
 struct dec *dec_new(const char *vm, const char *data_centre, uint64_t incarnation, uint64_t seed,
--- a/tests/prop_queue.cc
+++ b/tests/prop_queue.cc
@@ -63,6 +63,8 @@
 	std::map<uint64_t, int> finals;
 	std::map<uint64_t, int> streams;
 	std::map<uint64_t, uint32_t> streamed;
+	std::map<uint64_t, int64_t> deadlines;
+	std::vector<struct tkt_id> tickets;
 
 	world()
 	{
@@ -84,7 +86,7 @@
 	void take(const struct dec_cmd &cmd);
 	void config(bool baseline, const char *without);
 	void list(bool leaving);
-	void request(int pipeline, int account, int64_t wait_ms);
+	void request(int pipeline, int account, int64_t wait_ms, size_t repeat = 0);
 	void result(size_t nth, int how);
 	void allow(size_t nth);
 	void first_byte(size_t nth);
@@ -174,7 +176,8 @@
 	handle(ev);
 }
 
-void world::request(int pipeline, int account, int64_t wait_ms)
+// repeat: the ticket of the last request but so many minus one; 0: a fresh one.
+void world::request(int pipeline, int account, int64_t wait_ms, size_t repeat)
 {
 	struct dec_event ev = {DEC_EV_REQUEST, {}};
 	struct dec_ev_request &r = ev.u.request;
@@ -189,6 +192,11 @@
 	r.now_wall_ms = 1000;
 	r.has_ticket = pipeline == 1;
 	tkt_issue(d->tickets, 1, r.now_wall_ms, &r.ticket);
+	if (repeat > 0 && r.has_ticket && repeat <= tickets.size())
+		r.ticket = tickets[tickets.size() - repeat];
+	if (r.has_ticket)
+		tickets.push_back(r.ticket);
+	deadlines[r.id] = now_ms + (wait_ms ? wait_ms : 400);
 	orders[r.id] = pipeline == 1;
 	finals[r.id] = 0;
 	handle(ev);
@@ -248,7 +256,8 @@
 	struct dec_event ev = {DEC_EV_TICK, {}};
 
 	if (kind < 5) {
-		request(arg % 2, arg / 2 % 2, arg % 7 == 0 ? 30 : 0);
+		request(arg % 2, arg / 2 % 2, arg % 7 == 0 ? 30 : 0,
+			static_cast<size_t>(arg / 4 % 4));
 	} else if (kind < 12) {
 		allow(static_cast<size_t>(arg % 4));
 	} else if (kind < 16) {
@@ -258,6 +267,9 @@
 	} else if (kind < 22) {
 		now_ms += arg % 60;
 		handle(ev);
+		// also one that joined a running ticket has its answer by its own deadline
+		for (const auto &[id, at_ms] : deadlines)
+			RC_ASSERT(finals[id] == 1 || now_ms < at_ms);
 	} else if (kind == 22) {
 		ev.type = DEC_EV_CALLER_GONE;
 		ev.u.req = next_id > 1 ? static_cast<uint64_t>(arg) % next_id : 0;
@@ -317,5 +329,6 @@
 
 int main()
 {
+	setenv("RC_PARAMS", "seed=20261203", 0);
 	return answers_once() ? 0 : 1;
 }
