Take a request from the table before its caller can have the answer

Cause of the failure of bad_input_harms_nobody:6 (held_bytes() 1): the caller was woken first and the request left the node's table after, so a dump asked right after the answer could still count the one byte of the health check's body. It is memory held for a moment, no leak: the reference went a few instructions later. Ruled out: the oversize body of case 6, which never reaches the table's count.

Change: a caller's request leaves the table first. That of another node stays until its reply is on its way, since a planned stop waits for the table there.

--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -122,6 +122,11 @@
 	bool call_back = false;
 
 	ctr_add(outcome_counter(outcome), 1);
+	hrq_ref(hrq);
+	/* what a caller can have the answer of is held no more; a stop waits for callers, but for
+	 * those of other nodes only while their requests stand in the table */
+	if (!hrq->on_done)
+		nod_remove_req(n, hrq->id);
 	pthread_mutex_lock(&hrq->lock);
 	if (hrq->state != HRQ_DONE)
 		hrq->outcome = outcome;
@@ -136,7 +141,9 @@
 	pthread_mutex_unlock(&hrq->lock);
 	if (call_back)
 		hrq->on_done(hrq, hrq->on_done_arg);
-	nod_remove_req(n, hrq->id);
+	if (hrq->on_done)
+		nod_remove_req(n, hrq->id);
+	hrq_unref(hrq);
 }
 
 static void run_finish(struct nod *n, struct hrq *hrq)
