--- /dev/null
+++ b/tests/proc_share.c
@@ -0,0 +1,129 @@
+/* The limit of an account over a fleet of real processes, judged by what its callers saw. */
+#include "fleet.h"
+
+#include "base/clk.h"
+#include "decide/shr.h"
+
+#include <check.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TEST_TIMEOUT_S 180
+#define NODES 7
+#define FLOODED 3
+#define FLOODERS_PER_NODE 4
+#define DRIVERS 2
+#define LIMIT_PER_S 50 /* of coop-quarterly in the example document */
+#define SETTLE_MS 12000
+#define FLOOD_MS 8000
+#define DRIVER_PAUSE_MS 50
+#define LOOKUP "/v1/services/weighbridge/lookup"
+
+static struct fleet *fleet;
+
+static struct {
+	gint stop;
+	gint admitted; /* of the flood: not refused by its limit */
+	gint limited;
+	gint bad_refusals; /* without Retry-After, or not not_run */
+	gint driver_sent;
+	gint driver_complete;
+} seen;
+
+static gpointer flood(gpointer arg)
+{
+	static const struct fleet_request request = {
+		.path = LOOKUP, .body = "flood", .key = "report-key"};
+	struct hcl *http = hcl_new(NULL);
+
+	while (!g_atomic_int_get(&seen.stop)) {
+		struct fleet_answer answer;
+
+		fleet_send_by(fleet, http, GPOINTER_TO_UINT(arg), &request, &answer);
+		bool limited = answer.body && strstr(answer.body, "rate_limited");
+		g_atomic_int_inc(limited ? &seen.limited : &seen.admitted);
+		if (limited && (strcmp(answer.outcome, "not_run") != 0 || !answer.retry_after))
+			g_atomic_int_inc(&seen.bad_refusals);
+		fleet_answer_clear(&answer);
+		clk_sleep_ms(10);
+	}
+	hcl_free(http);
+	return NULL;
+}
+
+static gpointer drive(gpointer arg)
+{
+	static const struct fleet_request request = {.path = LOOKUP, .body = "driver"};
+	struct hcl *http = hcl_new(NULL);
+
+	while (!g_atomic_int_get(&seen.stop)) {
+		struct fleet_answer answer;
+
+		fleet_send_by(fleet, http, GPOINTER_TO_UINT(arg), &request, &answer);
+		g_atomic_int_inc(&seen.driver_sent);
+		if (strcmp(answer.outcome, "complete") == 0)
+			g_atomic_int_inc(&seen.driver_complete);
+		fleet_answer_clear(&answer);
+		clk_sleep_ms(DRIVER_PAUSE_MS);
+	}
+	hcl_free(http);
+	return NULL;
+}
+
+static int64_t run_load(int64_t ms)
+{
+	GThread *threads[FLOODED * FLOODERS_PER_NODE + DRIVERS];
+	int64_t start_ms = clk_now_ms();
+	uint32_t n = 0;
+
+	memset(&seen, 0, sizeof(seen));
+	for (uint32_t i = 0; i < FLOODED * FLOODERS_PER_NODE; i++)
+		threads[n++] = g_thread_new("flood", flood, GUINT_TO_POINTER(i % FLOODED));
+	for (uint32_t i = 0; i < DRIVERS; i++)
+		threads[n++] = g_thread_new("driver", drive, GUINT_TO_POINTER(i));
+	clk_sleep_ms(ms);
+	g_atomic_int_set(&seen.stop, 1);
+	while (n > 0)
+		g_thread_join(threads[--n]);
+	return clk_now_ms() - start_ms;
+}
+
+START_TEST(flood_stays_within_its_limit)
+{
+	int64_t passed_ms;
+	int most;
+
+	fleet = fleet_new("association.yaml", NODES);
+	fleet_upstream(fleet, "*", "{\"cold_limit\":64,\"warm_limit\":64}");
+	/* leases begin to flow; the fleet and its upstreams warm up */
+	run_load(SETTLE_MS);
+	passed_ms = run_load(FLOOD_MS);
+	most = (int)(LIMIT_PER_S * (passed_ms + SHR_BURST_MS) / CLK_MS_PER_S) + NODES;
+	printf("admitted %d of at most %d in %d ms, limited %d, drivers %d of %d\n", seen.admitted,
+	       most, (int)passed_ms, seen.limited, seen.driver_complete, seen.driver_sent);
+	ck_assert_int_le(seen.admitted, most);
+	ck_assert_int_gt(seen.limited, 0);
+	ck_assert_int_eq(seen.bad_refusals, 0);
+	/* what the floors of the four idle nodes keep is the only loss by design */
+	ck_assert_int_ge(seen.admitted, (int)(LIMIT_PER_S * passed_ms / CLK_MS_PER_S / 2));
+	ck_assert_int_ge(seen.driver_complete * 100, seen.driver_sent * 99);
+	fleet_free(fleet);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("share");
+	TCase *tcase = tcase_create("share");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_test(tcase, flood_stays_within_its_limit);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
