--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -4,6 +4,7 @@
 #include "base/clk.h"
 #include "base/ctr.h"
 #include "base/log.h"
+#include "node/dmd.h"
 #include "node/fwd.h"
 
 #define RUN_POOL_QUEUED 4096
@@ -128,6 +129,11 @@
 
 	ctr_add(outcome_counter(outcome), 1);
 	hrq_set_over(hrq);
+	hrq_ref(hrq);
+	/* what a caller can have the answer of is held no more; a stop waits for callers, but for
+	 * those of other nodes only while their requests stand in the table */
+	if (!hrq->on_done)
+		nod_remove_req(n, hrq->id);
 	pthread_mutex_lock(&hrq->lock);
 	if (hrq->state != HRQ_DONE)
 		hrq->outcome = outcome;
@@ -142,7 +148,9 @@
 	pthread_mutex_unlock(&hrq->lock);
 	if (call_back)
 		hrq->on_done(hrq, hrq->on_done_arg);
-	nod_remove_req(n, hrq->id);
+	if (hrq->on_done)
+		nod_remove_req(n, hrq->id);
+	hrq_unref(hrq);
 }
 
 static void run_finish(struct nod *n, struct hrq *hrq)
@@ -236,6 +244,7 @@
 	case DEC_CMD_POLL:
 	case DEC_CMD_PROBE:
 	case DEC_CMD_ASK_LIST:
+	case DEC_CMD_DEMAND:
 		break;
 	}
 }
@@ -253,6 +262,9 @@
 	case DEC_CMD_ASK_LIST:
 		msg_ask_list(n, cmd);
 		return true;
+	case DEC_CMD_DEMAND:
+		dmd_send(n, cmd);
+		return true;
 	default:
 		return false;
 	}
