--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # A front for CMake. `make demo` and `make check` install what they lack and do everything.
-.PHONY: all deps build demo check format lint proto clean storm
+.PHONY: all deps build demo experiment plots check format lint proto clean storm
 
 SEED ?= 1
 
@@ -15,6 +15,15 @@
 demo: build
 	@tools/demo.sh
 
+# Policy against baseline; CSV files go to docs/measurements.
+experiment: build
+	@EXTRA_PACKAGES=jq tools/install.sh
+	@tools/experiment.sh
+
+plots:
+	@EXTRA_PACKAGES=gnuplot-nox tools/install.sh
+	@tools/plots.sh
+
 check: deps
 	@tools/check.sh
 
--- a/packages/cli/include/cli/load.h
+++ b/packages/cli/include/cli/load.h
@@ -45,13 +45,17 @@
 	char request[80];
 	uint32_t answer_tag; /* in every token of the answer; 0: it has none */
 	bool mixed;	     /* its tokens have different tags */
+	int64_t due_us;	     /* after the begin of the load */
+	int64_t took_us;     /* from its planned time */
+	int64_t first_us;    /* from its planned time to the first byte */
 };
 
 struct load_options {
 	const char *node;     /* any address, to begin with */
 	const char *platform; /* of the emulator, for cost and judging; NULL: none */
 	const char *csv;
-	double rate; /* requests a second */
+	const char *records; /* file of a row for each request; NULL: none */
+	double rate;	     /* requests a second */
 	double seconds;
 	int64_t deadline_ms;
 	int64_t threads;
@@ -71,6 +75,7 @@
 	GPtrArray *addresses; /* of char * */
 	GPtrArray *records;   /* of struct load_record */
 	struct rnd rnd;
+	int64_t began_us; /* set before the first request */
 	int64_t done;
 	int64_t out_ms; /* when the data centre was taken out; 0: not yet */
 	int64_t back_ms;
--- a/packages/cli/load.c
+++ b/packages/cli/load.c
@@ -19,7 +19,7 @@
 #define LOAD_QUEUED_MAX 100000
 #define LOAD_TTL_MS 1000 /* when the answer names none */
 
-enum { KEY_OUT = 1000, KEY_CSV };
+enum { KEY_OUT = 1000, KEY_CSV, KEY_RECORDS };
 
 static const struct argp_option options[] = {
 	{"rate", 'r', "N", 0, "Requests a second, 50 by default", 0},
@@ -32,6 +32,7 @@
 	{"platform", 'p', "HOST:PORT", 0, "Emulator, for cost and the judgement of promises", 0},
 	{"out", KEY_OUT, "DC,FROM,UNTIL", 0, "Take a data centre out between these seconds", 0},
 	{"csv", KEY_CSV, "FILE", 0, "Write a row by part of the mix", 0},
+	{"records", KEY_RECORDS, "FILE", 0, "Write a row for each request", 0},
 	{"json", 'j', NULL, 0, "Print the result as JSON", 0},
 	{0},
 };
@@ -121,6 +122,9 @@
 	case KEY_CSV:
 		o->csv = arg;
 		break;
+	case KEY_RECORDS:
+		o->records = arg;
+		break;
 	case 'j':
 		o->json = true;
 		break;
@@ -271,6 +275,7 @@
 	struct rnd rnd = {.state = o->seed};
 	double at_s = 0;
 
+	load->began_us = began_us;
 	for (int64_t number = 0; at_s < o->seconds; number++) {
 		int64_t due_us = began_us + (int64_t)(at_s * CLK_MS_PER_S * CLK_US_PER_MS);
 		do_chores(load, &chores);
--- a/packages/cli/load_rpt.c
+++ b/packages/cli/load_rpt.c
@@ -292,6 +292,24 @@
 	fclose(out);
 }
 
+static void write_records(const struct load *load)
+{
+	static const char *const outcomes[LOAD_OUTCOMES] = {"complete", "not_run", "unknown",
+							    "unreachable"};
+	FILE *out = fopen(load->options.records, "w");
+
+	if (!out)
+		return;
+	fputs("due_ms,class,path,outcome,took_ms,first_ms\n", out);
+	for (guint i = 0; i < load->records->len; i++) {
+		const struct load_record *r = g_ptr_array_index(load->records, i);
+		fprintf(out, "%.1f,%s,%s,%s,%.1f,%.1f\n", (double)r->due_us / CLK_US_PER_MS,
+			r->entry->class_name, r->entry->path, outcomes[r->outcome],
+			(double)r->took_us / CLK_US_PER_MS, (double)r->first_us / CLK_US_PER_MS);
+	}
+	fclose(out);
+}
+
 static bool add_judgement(struct load *load, json_t *result, struct verdict *v)
 {
 	const char *platform = load->options.platform;
@@ -324,6 +342,8 @@
 	judged = !load->options.platform || add_judgement(load, result, &v);
 	if (load->options.csv)
 		write_csv(load);
+	if (load->options.records)
+		write_records(load);
 	if (load->options.json)
 		json_dumpf(result, stdout, JSON_INDENT(1));
 	else
--- a/packages/cli/load_run.c
+++ b/packages/cli/load_run.c
@@ -153,6 +153,9 @@
 	bool in_time = ok && took_us <= load->options.deadline_ms * CLK_US_PER_MS;
 	bool away;
 
+	record->due_us = job->due_us - load->began_us;
+	record->took_us = took_us;
+	record->first_us = first_us - job->due_us;
 	pthread_mutex_lock(&load->lock);
 	away = was_away(load, job->due_us);
 	entry->sent++;
--- a/tests/proc_cli.c
+++ b/tests/proc_cli.c
@@ -2,9 +2,11 @@
 #include "fleet.h"
 
 #include <check.h>
+#include <glib/gstdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #define TEST_TIMEOUT_S 120
 
@@ -133,6 +135,36 @@
 }
 END_TEST
 
+/* A row for each request, with its outcome. */
+START_TEST(records_each_request)
+{
+	char *path = g_strdup_printf("%s/records-%d.csv", g_get_tmp_dir(), (int)getpid());
+	char *command = g_strdup_printf("load -s 7 -r 10 -t 1 --records %s "
+					"-e 1,drivers,driver-key,/v1/pipelines/advise,20 CALLER",
+					path);
+	char *out = NULL;
+	char *text = NULL;
+	char **lines;
+	guint n_lines;
+
+	ck_assert_int_eq(run(command, &out), 0);
+	ck_assert(g_file_get_contents(path, &text, NULL, NULL));
+	g_unlink(path);
+	lines = g_strsplit(g_strchomp(text), "\n", -1);
+	n_lines = g_strv_length(lines);
+	ck_assert_str_eq(lines[0], "due_ms,class,path,outcome,took_ms,first_ms");
+	ck_assert_uint_gt(n_lines, 1);
+	for (guint i = 1; i < n_lines; i++)
+		ck_assert_msg(strstr(lines[i], ",drivers,/v1/pipelines/advise,complete,"), "%s",
+			      lines[i]);
+	g_strfreev(lines);
+	g_free(text);
+	g_free(out);
+	g_free(command);
+	g_free(path);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cli");
@@ -145,6 +177,7 @@
 	tcase_add_checked_fixture(tcase, set_up, tear_down);
 	tcase_add_test(tcase, commands);
 	tcase_add_test(tcase, judge_sees_a_double);
+	tcase_add_test(tcase, records_each_request);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -1,9 +1,11 @@
 #!/usr/bin/env bash
-# Installs the packages that building and testing need, when any is missing.
+# Installs the packages that building and testing need, and those of EXTRA_PACKAGES, when any is
+# missing.
 set -eu
 packages="build-essential cmake ninja-build pkg-config clang clang-format clang-tidy cppcheck libclang-rt-14-dev
 libglib2.0-dev libjansson-dev libyaml-dev liburcu-dev libzmq3-dev libmicrohttpd-dev
-libneon27-gnutls-dev libprotobuf-c-dev libxxhash-dev libgsl-dev check librapidcheck-dev"
+libneon27-gnutls-dev libprotobuf-c-dev libxxhash-dev libgsl-dev check librapidcheck-dev
+${EXTRA_PACKAGES:-}"
 missing=""
 for package in $packages; do
 	dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' ||
--- /dev/null
+++ b/tools/plots.sh
@@ -0,0 +1,89 @@
+#!/usr/bin/env bash
+# Draws the figures of docs/measurements as SVG in docs/plots: medians, with the spread as bars.
+# TERMINAL and SUFFIX give another format, as in TERMINAL="png size 800,480" SUFFIX=png.
+set -eu
+cd "$(dirname "$0")/.."
+from=${FROM:-docs/measurements}
+to=${TO:-docs/plots}
+suffix=${SUFFIX:-svg}
+terminal=${TERMINAL:-svg size 800,480 background rgb 'white'}
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+mkdir -p "$to"
+
+# Rows "x median lowest highest" of rows "x value".
+spread() {
+	sort -k1,1g -k2,2g | awk '
+		function flush() { if (n) print x, n % 2 ? a[(n + 1) / 2] : (a[n / 2] + a[n / 2 + 1]) / 2, a[1], a[n] }
+		$1 != x { flush(); n = 0; x = $1 }
+		{ a[++n] = $2 }
+		END { flush() }'
+}
+
+# By name of the column; an expression of columns is written in terms of v["name"].
+select_rows() { # POLICY EXPRESSION
+	awk -F, -v p="$1" 'NR == 1 { for (i = 1; i <= NF; i++) at[$i] = i; next }
+		$at["policy"] == p && $at["out"] == "none" {
+			for (k in at) v[k] = $at[k]
+			print v["factor"], '"$2"' }' "$from/policy.csv" | spread
+}
+
+plot_file() { # NAME TITLE X Y CURVES
+	gnuplot <<-GNUPLOT
+		set terminal $terminal
+		set output "$to/$1.$suffix"
+		set title "$2"
+		set xlabel "$3"
+		set ylabel "$4"
+		set key outside right
+		set grid
+		set yrange [0:*]
+		set bars small
+		plot $5
+	GNUPLOT
+}
+
+curve() { # FILE TITLE COLOUR DASH
+	printf '"%s" using 1:2:3:4 with yerrorbars notitle lc rgb "%s" pt 7 ps 0.4, ' "$1" "$3"
+	printf '"%s" using 1:2 with lines title "%s" lc rgb "%s" dt %s lw 2, ' "$1" "$2" "$3" "$4"
+}
+
+declare -A colours=([drivers]='#1b7837' [members]='#2166ac' [reports]='#b35806')
+declare -A dashes=([adaptive]=1 [baseline]=2)
+attainment=""
+for policy in adaptive baseline; do
+	for class in drivers members reports; do
+		file="$dir/$policy-$class"
+		select_rows "$policy" "v[\"${class}_pct\"]" >"$file"
+		attainment+=$(curve "$file" "$class, $policy" "${colours[$class]}" "${dashes[$policy]}")
+	done
+	select_rows "$policy" 'v["goodput"]' >"$dir/$policy-goodput"
+	select_rows "$policy" 'v["answers"] ? v["paid_bytes"] / v["answers"] / 1000 : 0' >"$dir/$policy-paid"
+done
+pair() { # KIND
+	curve "$dir/adaptive-$1" adaptive '#1b7837' 1
+	curve "$dir/baseline-$1" baseline '#b35806' 2
+}
+plot_file attainment "Complete within the deadline" "load, times capacity" "% of requests" "${attainment%, }"
+curves=$(pair goodput)
+plot_file goodput "Pipelines complete within the deadline" "load, times capacity" "a second" "${curves%, }"
+curves=$(pair paid)
+plot_file paid "Bytes over paid links" "load, times capacity" "kB for each complete answer" "${curves%, }"
+
+# Seeds are added up; each second of the departure has too few requests of a class for a spread.
+factor=$(awk -F, 'NR == 2 { print $2 }' "$from/departure.csv")
+curves=""
+for policy in adaptive baseline; do
+	for class in drivers members reports; do
+		file="$dir/$policy-$class-away"
+		awk -F, -v p="$policy" -v f="$factor" -v c="$class" '
+			$1 == p && $2 == f && $5 == c { n[$4] += $6; hit[$4] += $7 }
+			END { for (s in n) print s + 0.5, 100 * hit[s] / n[s] }' "$from/departure.csv" |
+			sort -g >"$file"
+		curves+="\"$file\" with lines title \"$class, $policy\" lc rgb \"${colours[$class]}\" dt ${dashes[$policy]} lw 2, "
+	done
+done
+read -r out back < <(awk -F, 'NR > 1 && $4 != "none" { print int($5 / 4), int($5 * 5 / 8); exit }' \
+	"$from/policy.csv")
+plot_file departure "A data centre leaves at $out s and returns cold at $back s, load $factor" \
+	"s after the begin" "% complete within the deadline" "${curves%, }"
