Count gaps between the blocks of a stream; measure one node with many streams

Cause: between-token time, memory and processor time of a node under streams were unmeasured. Test: proc_cli, 3 of 3 with sanitizers.

--- a/packages/cli/include/cli/load.h
+++ b/packages/cli/include/cli/load.h
@@ -35,6 +35,7 @@
 	int64_t in_deadline_away; /* of these, complete within the deadline */
 	gsl_histogram *whole_us;  /* of complete ones, from their planned time */
 	gsl_histogram *first_us;  /* to the first byte of a stream */
+	gsl_histogram *gap_us;	  /* between the blocks of a stream */
 };
 
 /* What the judge needs of one request that was answered. */
--- a/packages/cli/load.c
+++ b/packages/cli/load.c
@@ -291,6 +291,7 @@
 	for (unsigned i = 0; i < load->n_entries; i++) {
 		gsl_histogram_free(load->entries[i].whole_us);
 		gsl_histogram_free(load->entries[i].first_us);
+		gsl_histogram_free(load->entries[i].gap_us);
 	}
 	g_ptr_array_unref(load->addresses);
 	g_ptr_array_unref(load->records);
@@ -316,6 +317,7 @@
 	for (unsigned i = 0; i < load->n_entries; i++) {
 		load->entries[i].whole_us = make_histogram();
 		load->entries[i].first_us = make_histogram();
+		load->entries[i].gap_us = make_histogram();
 	}
 	if (refresh(load) > 0) {
 		pool = wkp_new((uint32_t)load->options.threads, LOAD_QUEUED_MAX);
--- a/packages/cli/load_rpt.c
+++ b/packages/cli/load_rpt.c
@@ -59,18 +59,21 @@
 
 static json_t *entry_json(const struct load_entry *e)
 {
-	return json_pack(
-		"{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:f, s:f, s:f, s:f, s:f, s:f}",
-		"class", e->class_name, "path", e->path, "sent", (json_int_t)e->sent, "complete",
-		(json_int_t)e->outcomes[LOAD_COMPLETE], "not_run",
-		(json_int_t)e->outcomes[LOAD_NOT_RUN], "unknown",
-		(json_int_t)e->outcomes[LOAD_UNKNOWN], "unreachable",
-		(json_int_t)e->outcomes[LOAD_UNREACHABLE], "in_deadline_pct",
-		percent(e->in_deadline, e->sent), "sent_away", (json_int_t)e->sent_away,
-		"in_deadline_away_pct", percent(e->in_deadline_away, e->sent_away), "p50_ms",
-		quantile_ms(e->whole_us, 0.5), "p95_ms", quantile_ms(e->whole_us, 0.95), "p99_ms",
-		quantile_ms(e->whole_us, 0.99), "first_p50_ms", quantile_ms(e->first_us, 0.5),
-		"first_p99_ms", quantile_ms(e->first_us, 0.99));
+	return json_pack("{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:f, s:f, s:f, s:f, s:f, "
+			 "s:f, s:f, s:f, s:I}",
+			 "class", e->class_name, "path", e->path, "sent", (json_int_t)e->sent,
+			 "complete", (json_int_t)e->outcomes[LOAD_COMPLETE], "not_run",
+			 (json_int_t)e->outcomes[LOAD_NOT_RUN], "unknown",
+			 (json_int_t)e->outcomes[LOAD_UNKNOWN], "unreachable",
+			 (json_int_t)e->outcomes[LOAD_UNREACHABLE], "in_deadline_pct",
+			 percent(e->in_deadline, e->sent), "sent_away", (json_int_t)e->sent_away,
+			 "in_deadline_away_pct", percent(e->in_deadline_away, e->sent_away),
+			 "p50_ms", quantile_ms(e->whole_us, 0.5), "p95_ms",
+			 quantile_ms(e->whole_us, 0.95), "p99_ms", quantile_ms(e->whole_us, 0.99),
+			 "first_p50_ms", quantile_ms(e->first_us, 0.5), "first_p99_ms",
+			 quantile_ms(e->first_us, 0.99), "first_p95_ms",
+			 quantile_ms(e->first_us, 0.95), "gap_p95_ms", quantile_ms(e->gap_us, 0.95),
+			 "gaps", (json_int_t)gsl_histogram_sum(e->gap_us));
 }
 
 static void add(json_t *sums, const char *name, const char *key, double value)
--- a/packages/cli/load_run.c
+++ b/packages/cli/load_run.c
@@ -14,14 +14,21 @@
 struct reader {
 	GByteArray *bytes;
 	int64_t first_us;
+	int64_t last_us;
+	GArray *gaps_us; /* of int64_t, between blocks */
 };
 
 static bool take_block(void *arg, const char *data, size_t len)
 {
 	struct reader *reader = arg;
+	int64_t now_us = clk_now_us();
+	int64_t gap_us = now_us - reader->last_us;
 
 	if (reader->bytes->len == 0)
-		reader->first_us = clk_now_us();
+		reader->first_us = now_us;
+	else
+		g_array_append_val(reader->gaps_us, gap_us);
+	reader->last_us = now_us;
 	g_byte_array_append(reader->bytes, (const guint8 *)data, (guint)len);
 	return true;
 }
@@ -69,6 +76,7 @@
 
 	g_snprintf(deadline, sizeof(deadline), "%" G_GINT64_FORMAT, job->load->options.deadline_ms);
 	g_byte_array_set_size(reader->bytes, 0);
+	g_array_set_size(reader->gaps_us, 0);
 	whole = ask(job->load->http, &a, answer);
 	return ask_exit_code(answer, whole);
 }
@@ -144,7 +152,19 @@
 	       (load->back_ms == 0 || due_ms < load->back_ms);
 }
 
-static void count(struct load_job *job, struct load_record *record, int64_t first_us)
+/* load->lock held. */
+static void count_times(struct load_job *job, const struct reader *reader, int64_t took_us)
+{
+	struct load_entry *entry = job->entry;
+
+	gsl_histogram_increment(entry->whole_us, (double)took_us);
+	gsl_histogram_increment(entry->first_us, (double)(reader->first_us - job->due_us));
+	for (guint i = 0; i < reader->gaps_us->len; i++)
+		gsl_histogram_increment(entry->gap_us,
+					(double)g_array_index(reader->gaps_us, int64_t, i));
+}
+
+static void count(struct load_job *job, struct load_record *record, const struct reader *reader)
 {
 	struct load_entry *entry = job->entry;
 	struct load *load = job->load;
@@ -155,7 +175,7 @@
 
 	record->due_us = job->due_us - load->began_us;
 	record->took_us = took_us;
-	record->first_us = first_us - job->due_us;
+	record->first_us = reader->first_us - job->due_us;
 	pthread_mutex_lock(&load->lock);
 	away = was_away(load, job->due_us);
 	entry->sent++;
@@ -163,10 +183,8 @@
 	entry->in_deadline += in_time;
 	entry->sent_away += away;
 	entry->in_deadline_away += away && in_time;
-	if (ok) {
-		gsl_histogram_increment(entry->whole_us, (double)took_us);
-		gsl_histogram_increment(entry->first_us, (double)(first_us - job->due_us));
-	}
+	if (ok)
+		count_times(job, reader, took_us);
 	g_ptr_array_add(load->records, record);
 	load->done++;
 	pthread_mutex_unlock(&load->lock);
@@ -176,14 +194,19 @@
 {
 	struct load_job *job = arg;
 	struct load_record *record = g_new0(struct load_record, 1);
-	struct reader reader = {.bytes = g_byte_array_new(), .first_us = job->due_us};
+	struct reader reader = {
+		.bytes = g_byte_array_new(),
+		.first_us = job->due_us,
+		.gaps_us = g_array_new(FALSE, FALSE, sizeof(int64_t)),
+	};
 	char *body = make_body(job);
 
 	record->entry = job->entry;
 	record->tag = (uint32_t)XXH64(body, strlen(body), 0);
 	record->outcome = outcome_of(send_request(job, body, &reader, record->request));
 	read_tags(reader.bytes, record);
-	count(job, record, reader.first_us);
+	count(job, record, &reader);
+	g_array_unref(reader.gaps_us);
 	g_byte_array_unref(reader.bytes);
 	g_free(body);
 	g_free(job);
--- a/tests/proc_cli.c
+++ b/tests/proc_cli.c
@@ -83,6 +83,8 @@
 	 0, "doubled"},
 	{"load -p PLATFORM -r 5 -t 1 -e 1,none,bad-key,/v1/pipelines/advise,20 CALLER", 1,
 	 "unserved"},
+	{"load -r 5 -t 1 -j -e 1,drivers,driver-key,/v1/pipelines/advise,20 CALLER", 0,
+	 "\"gap_p95_ms\""},
 	{"load -r 5 CALLER", 64, ""},
 	{"load -e 1,drivers,driver-key,/v1/pipelines/advise,20 127.0.0.1:1", 3, ""},
 	{"drain -k bad ADMIN", 3, ""},
--- /dev/null
+++ b/tools/node_streams.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# One node and STREAMS answers that stream at a time: processor time, resident memory, first token
+# and gaps between the blocks of a stream, as the caller sees them.
+set -eu
+cd "$(dirname "$0")/.."
+bin=${BUILD:-build}
+streams=${STREAMS:-200}
+seconds=${SECONDS_OF_LOAD:-12}
+tokens=75
+seed=${SEED:-1}
+dir=$(mktemp -d)
+pids=()
+# shellcheck source=tools/fleet.sh
+. tools/fleet.sh
+trap finish EXIT
+
+memory_kb() { awk '/VmRSS/ { print $2 }' "/proc/$1/status"; }
+ticks() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
+load() { # RATE SECONDS
+	"$bin/currantscale" load --json --threads 600 --rate "$1" --seconds "$2" --seed "$seed" \
+		--entry 1,drivers,driver-key,/v1/pipelines/advise,200 "$node"
+}
+
+sed -e '/name: chat, kind: engine/s/warm_limit: 16/warm_limit: 40/' examples/association.yaml \
+	>"$dir/document.yaml"
+start_emulator "$dir/document.yaml" "$seed"
+put "$platform" "/control/upstreams/*" '{"service_ms":8,"tokens":10,"token_ms":10,"warm_after":5}'
+start_node 1 bratislava
+daemon=${pids[1]}
+node=$(field "$dir/node-1.out" caller)
+idle_kb=$(memory_kb "$daemon")
+sleep 2
+load 30 6 >/dev/null 2>&1 || true
+# A place of an engine's forty stretches a token by up to two; an answer then takes 3 s.
+put "$platform" "/control/upstreams/*" "{\"tokens\":$tokens,\"token_ms\":25}"
+load "$((streams / 3))" "$seconds" >"$dir/load.json" 2>/dev/null &
+running=$!
+sleep "$((seconds / 2))"
+begin=$(ticks "$daemon")
+for i in 1 2 3 4; do
+	sleep 1
+	memory=$(memory_kb "$daemon")
+	exec 3<>"/dev/tcp/${platform%:*}/${platform#*:}"
+	printf 'GET /control/state HTTP/1.1\r\nHost: emulator\r\nConnection: close\r\n\r\n' >&3
+	open=$(sed '1,/^\r$/d' <&3 | jq '[.upstreams[] | select(.service == "chat") | .running] | add')
+	exec 3>&-
+	echo "second $i: $open streams open, $memory kB resident (idle $idle_kb kB)"
+done
+used=$(($(ticks "$daemon") - begin))
+wait "$running" || true
+echo "processor time of the node: $((used * 1000 / $(getconf CLK_TCK) / 4)) ms a second"
+echo "load average: $(cut -d' ' -f1 /proc/loadavg)"
+jq -r --argjson t "$tokens" --argjson s "$seconds" '.classes[0] |
+	"sent \(.sent), complete \(.complete), not_run \(.not_run), unknown \(.unknown)\n" +
+	"tokens a second: \(.complete * $t / $s | floor)\n" +
+	"first token p50 \(.first_p50_ms | floor) ms, p95 \(.first_p95_ms | floor) ms; " +
+	"gap p95 \(.gap_p95_ms | floor) ms of \(.gaps) gaps"' "$dir/load.json"
