Let emulated upstreams ignore priorities; draw a panel for each policy

Cause: the emulator serves waiting requests by the priority that the node names, so the baseline, which sheds nothing, keeps its valuable callers by the upstreams' order alone, and a run can't tell the two apart. Change: control ignore_rank; experiment takes CONTROLS.

--- a/packages/emul/emu_ctl.c
+++ b/packages/emul/emu_ctl.c
@@ -33,7 +33,7 @@
 	KEY(fail_pct),	      KEY(refuse),	   KEY(down),	       KEY(straggle_pct),
 	KEY(straggle_ms),     KEY(lie_warm),	   KEY(report_lag_ms), KEY(drop_after_read),
 	KEY(cut_after_bytes), KEY(odd_chunks),	   KEY(wrong_request), KEY(warm_after),
-	KEY(warm_after_ms),   KEY(cold_limit),	   KEY(warm_limit),
+	KEY(warm_after_ms),   KEY(cold_limit),	   KEY(warm_limit),    KEY(ignore_rank),
 };
 
 static int64_t *value_at(struct emu_set *set, const struct key *key)
--- a/packages/emul/emu_int.h
+++ b/packages/emul/emu_int.h
@@ -32,6 +32,7 @@
 	int64_t cold_limit;	 /* concurrent requests that it bears while cold */
 	int64_t warm_limit;	 /* and warm; more wait for a slot */
 	int64_t warm_after_ms;	 /* time that ends it as well; 0: only completions do */
+	int64_t ignore_rank;	 /* serves in order of arrival */
 };
 
 enum emu_end {
--- a/packages/emul/emu_run.c
+++ b/packages/emul/emu_run.c
@@ -94,6 +94,13 @@
 	return run;
 }
 
+static bool goes_before(const struct emu_run *a, const struct emu_run *b)
+{
+	if (a->rank != b->rank && !a->up->set.ignore_rank)
+		return a->rank < b->rank;
+	return a->order < b->order;
+}
+
 /* No waiting run goes before this one. */
 static bool is_next(const struct emu_run *run)
 {
@@ -101,8 +108,7 @@
 		const struct emu_run *other = at->data;
 		if (other->active || other->incarnation != run->up->incarnation)
 			continue;
-		if (other->rank < run->rank ||
-		    (other->rank == run->rank && other->order < run->order))
+		if (goes_before(other, run))
 			return false;
 	}
 	return true;
--- a/tests/unit_emul.c
+++ b/tests/unit_emul.c
@@ -371,6 +371,79 @@
 }
 END_TEST
 
+struct ranked {
+	const char *address;
+	const char *request;
+	const char *rank;
+};
+
+static void *run_ranked(void *arg)
+{
+	const struct ranked *ranked = arg;
+	const struct hcl_call call = {
+		.method = "POST",
+		.address = ranked->address,
+		.path = "/v1/run/run",
+		.body = "x",
+		.body_len = 1,
+		.timeout_ms = CALL_MS,
+		.headers = {{"Currantscale-Request", ranked->request},
+			    {"Currantscale-Attempt", "0"},
+			    {"Currantscale-Priority", ranked->rank}},
+		.n_headers = 3,
+	};
+	struct hcl_answer answer;
+
+	hcl_do(http, &call, &answer, NULL);
+	hcl_answer_clear(&answer);
+	return NULL;
+}
+
+static int64_t end_of(json_t *log, const char *request)
+{
+	json_t *entry;
+	size_t i;
+
+	json_array_foreach(log, i, entry)
+	{
+		if (strcmp(text_of(entry, "request"), request) == 0)
+			return json_integer_value(json_object_get(entry, "end_ms"));
+	}
+	ck_abort_msg("%s is not in the log", request);
+}
+
+static const struct {
+	const char *control;
+	bool high_first;
+} orders[] = {
+	{"{\"warm_limit\":1,\"warm_after\":0,\"service_ms\":300}", true},
+	{"{\"warm_limit\":1,\"warm_after\":0,\"service_ms\":300,\"ignore_rank\":1}", false},
+};
+
+/* "low" waits before "high" comes. */
+START_TEST(order_of_waiting)
+{
+	char *address = address_of("encoder-1");
+	const struct ranked ranked[] = {
+		{address, "first", "0"}, {address, "low", "2"}, {address, "high", "0"}};
+	pthread_t threads[G_N_ELEMENTS(ranked)];
+	json_t *log;
+
+	control("encoder-1", orders[_i].control);
+	for (size_t i = 0; i < G_N_ELEMENTS(ranked); i++) {
+		pthread_create(&threads[i], NULL, run_ranked, (void *)&ranked[i]);
+		while (state_of("encoder-1", "arrivals") <= (int64_t)i)
+			clk_sleep_ms(1);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(ranked); i++)
+		pthread_join(threads[i], NULL);
+	log = get_json("/control/log");
+	ck_assert_int_eq(end_of(log, "high") < end_of(log, "low"), orders[_i].high_first);
+	json_decref(log);
+	g_free(address);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("emul");
@@ -384,6 +457,7 @@
 	tcase_add_loop_test(tcase, fault, 0, G_N_ELEMENTS(faults));
 	tcase_add_test(tcase, down_closes_connections);
 	tcase_add_test(tcase, unknown_controls_are_refused);
+	tcase_add_loop_test(tcase, order_of_waiting, 0, G_N_ELEMENTS(orders));
 	tcase_add_loop_test(tcase, running_stream_ends, 0, G_N_ELEMENTS(breaks));
 	tcase_add_test(tcase, restart_is_cold_again);
 	tcase_add_test(tcase, bookings_are_numbered_and_not_deduplicated);
--- a/tools/experiment.sh
+++ b/tools/experiment.sh
@@ -17,6 +17,7 @@
 lead_s=${LEAD_SECONDS:-4} # at the same rate, not counted: queues fill up to the deadline
 away_s=${DEPARTURE_SECONDS:-24}
 deadline_ms=4000
+controls=${CONTROLS:-} # more controls of every upstream, as in ,"ignore_rank":1
 dir=$(mktemp -d)
 pids=()
 # shellcheck source=tools/fleet.sh
@@ -107,7 +108,7 @@
 		>"$dir/document.yaml"
 	start_emulator "$dir/document.yaml" "$2"
 	put "$platform" "/control/upstreams/*" '{"service_ms":8,"service_ms_p99":40,"tokens":30,
-		"token_ms":30,"warm_after":5,"warm_after_ms":4000}'
+		"token_ms":30,"warm_after":5,"warm_after_ms":4000'"$controls}"
 	for i in 1 2 3; do put "$platform" "/control/upstreams/weighbridge-$i" '{"warm_after":1}'; done
 	start_nodes
 	warm_up
--- a/tools/node_streams.sh
+++ b/tools/node_streams.sh
@@ -24,15 +24,14 @@
 sed -e '/name: chat, kind: engine/s/warm_limit: 16/warm_limit: 40/' examples/association.yaml \
 	>"$dir/document.yaml"
 start_emulator "$dir/document.yaml" "$seed"
-put "$platform" "/control/upstreams/*" '{"service_ms":8,"tokens":10,"token_ms":10,"warm_after":5}'
+# A place of an engine's forty stretches a token by up to two; an answer then takes 3 s.
+put "$platform" "/control/upstreams/*" \
+	"{\"service_ms\":8,\"tokens\":$tokens,\"token_ms\":25,\"warm_after_ms\":1000}"
 start_node 1 bratislava
 daemon=${pids[1]}
 node=$(field "$dir/node-1.out" caller)
 idle_kb=$(memory_kb "$daemon")
-sleep 2
-load 30 6 >/dev/null 2>&1 || true
-# A place of an engine's forty stretches a token by up to two; an answer then takes 3 s.
-put "$platform" "/control/upstreams/*" "{\"tokens\":$tokens,\"token_ms\":25}"
+load "$((streams / 3))" 14 >/dev/null 2>&1 || true # windows grow by completions
 load "$((streams / 3))" "$seconds" >"$dir/load.json" 2>/dev/null &
 running=$!
 sleep "$((seconds / 2))"
--- a/tools/plots.sh
+++ b/tools/plots.sh
@@ -6,7 +6,7 @@
 from=${FROM:-docs/measurements}
 to=${TO:-docs/plots}
 suffix=${SUFFIX:-svg}
-terminal=${TERMINAL:-svg size 800,480 background rgb 'white'}
+terminal=${TERMINAL:-svg size 900,480 background rgb 'white'}
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 mkdir -p "$to"
@@ -35,55 +35,68 @@
 		set title "$2"
 		set xlabel "$3"
 		set ylabel "$4"
-		set key outside right
+		set key bottom right
 		set grid
 		set yrange [0:*]
-		set bars small
 		plot $5
 	GNUPLOT
 }
 
-curve() { # FILE TITLE COLOUR DASH
-	printf '"%s" using 1:2:3:4 with yerrorbars notitle lc rgb "%s" pt 7 ps 0.4, ' "$1" "$3"
-	printf '"%s" using 1:2 with lines title "%s" lc rgb "%s" dt %s lw 2, ' "$1" "$2" "$3" "$4"
+# A panel for each policy: curves at 100 % would hide each other.
+panels() { # NAME TITLE X Y CURVES_OF_ADAPTIVE CURVES_OF_BASELINE
+	gnuplot <<-GNUPLOT
+		set terminal $terminal
+		set output "$to/$1.$suffix"
+		set multiplot layout 1,2 title "$2"
+		set xlabel "$3"
+		set ylabel "$4"
+		set key bottom left
+		set grid
+		set yrange [0:105]
+		set title "adaptive"
+		plot $5
+		set title "baseline"
+		plot $6
+		unset multiplot
+	GNUPLOT
+}
+
+curve() { # FILE TITLE COLOUR WIDTH POINT
+	printf '"%s" using 1:2:3:4 with yerrorbars notitle lc rgb "%s" pt %s, ' "$1" "$3" "$5"
+	printf '"%s" using 1:2 with linespoints title "%s" lc rgb "%s" lw %s pt %s, ' "$1" "$2" "$3" "$4" "$5"
 }
 
 declare -A colours=([drivers]='#1b7837' [members]='#2166ac' [reports]='#b35806')
-declare -A dashes=([adaptive]=1 [baseline]=2)
-attainment=""
+declare -A widths=([drivers]=5 [members]=2 [reports]=2)
+declare -A points=([drivers]=7 [members]=4 [reports]=9)
+declare -A attainment=() away=()
+factor=$(awk -F, 'NR == 2 { print $2 }' "$from/departure.csv")
 for policy in adaptive baseline; do
 	for class in drivers members reports; do
 		file="$dir/$policy-$class"
 		select_rows "$policy" "v[\"${class}_pct\"]" >"$file"
-		attainment+=$(curve "$file" "$class, $policy" "${colours[$class]}" "${dashes[$policy]}")
+		attainment[$policy]+=$(curve "$file" "$class" "${colours[$class]}" "${widths[$class]}" "${points[$class]}")
+		# Seeds are added up: a second has too few requests of a class for a spread.
+		awk -F, -v p="$policy" -v f="$factor" -v c="$class" '
+			$1 == p && $2 == f && $5 == c { n[$4] += $6; hit[$4] += $7 }
+			END { for (s in n) print s + 0.5, 100 * hit[s] / n[s] }' "$from/departure.csv" |
+			sort -g >"$file-away"
+		away[$policy]+="\"$file-away\" with linespoints title \"$class\" lc rgb \"${colours[$class]}\" lw ${widths[$class]} pt ${points[$class]}, "
 	done
 	select_rows "$policy" 'v["goodput"]' >"$dir/$policy-goodput"
 	select_rows "$policy" 'v["answers"] ? v["paid_bytes"] / v["answers"] / 1000 : 0' >"$dir/$policy-paid"
 done
+panels attainment "Complete within the deadline" "load, times capacity" "% of requests" \
+	"${attainment[adaptive]%, }" "${attainment[baseline]%, }"
 pair() { # KIND
-	curve "$dir/adaptive-$1" adaptive '#1b7837' 1
-	curve "$dir/baseline-$1" baseline '#b35806' 2
+	curve "$dir/adaptive-$1" adaptive '#1b7837' 2 7
+	curve "$dir/baseline-$1" baseline '#b35806' 2 9
 }
-plot_file attainment "Complete within the deadline" "load, times capacity" "% of requests" "${attainment%, }"
 curves=$(pair goodput)
 plot_file goodput "Pipelines complete within the deadline" "load, times capacity" "a second" "${curves%, }"
 curves=$(pair paid)
 plot_file paid "Bytes over paid links" "load, times capacity" "kB for each complete answer" "${curves%, }"
-
-# Seeds are added up; each second of the departure has too few requests of a class for a spread.
-factor=$(awk -F, 'NR == 2 { print $2 }' "$from/departure.csv")
-curves=""
-for policy in adaptive baseline; do
-	for class in drivers members reports; do
-		file="$dir/$policy-$class-away"
-		awk -F, -v p="$policy" -v f="$factor" -v c="$class" '
-			$1 == p && $2 == f && $5 == c { n[$4] += $6; hit[$4] += $7 }
-			END { for (s in n) print s + 0.5, 100 * hit[s] / n[s] }' "$from/departure.csv" |
-			sort -g >"$file"
-		curves+="\"$file\" with lines title \"$class, $policy\" lc rgb \"${colours[$class]}\" dt ${dashes[$policy]} lw 2, "
-	done
-done
 read -r out back < <(awk -F, 'NR > 1 && $4 != "none" { print int($5 / 4), int($5 * 5 / 8); exit }' \
 	"$from/policy.csv")
-plot_file departure "A data centre leaves at $out s and returns cold at $back s, load $factor" \
-	"s after the begin" "% complete within the deadline" "${curves%, }"
+panels departure "A data centre leaves at $out s and returns cold at $back s; load $factor times capacity" \
+	"s after the begin" "% complete within the deadline" "${away[adaptive]%, }" "${away[baseline]%, }"
