--- a/packages/cli/load_rpt.c
+++ b/packages/cli/load_rpt.c
@@ -59,18 +59,21 @@
 
 static json_t *entry_json(const struct load_entry *e)
 {
-	return json_pack(
-		"{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:f, s:f, s:f, s:f, s:f, s:f}",
-		"class", e->class_name, "path", e->path, "sent", (json_int_t)e->sent, "complete",
-		(json_int_t)e->outcomes[LOAD_COMPLETE], "not_run",
-		(json_int_t)e->outcomes[LOAD_NOT_RUN], "unknown",
-		(json_int_t)e->outcomes[LOAD_UNKNOWN], "unreachable",
-		(json_int_t)e->outcomes[LOAD_UNREACHABLE], "in_deadline_pct",
-		percent(e->in_deadline, e->sent), "sent_away", (json_int_t)e->sent_away,
-		"in_deadline_away_pct", percent(e->in_deadline_away, e->sent_away), "p50_ms",
-		quantile_ms(e->whole_us, 0.5), "p95_ms", quantile_ms(e->whole_us, 0.95), "p99_ms",
-		quantile_ms(e->whole_us, 0.99), "first_p50_ms", quantile_ms(e->first_us, 0.5),
-		"first_p99_ms", quantile_ms(e->first_us, 0.99));
+	return json_pack("{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:f, s:f, s:f, s:f, s:f, "
+			 "s:f, s:f, s:f, s:I}",
+			 "class", e->class_name, "path", e->path, "sent", (json_int_t)e->sent,
+			 "complete", (json_int_t)e->outcomes[LOAD_COMPLETE], "not_run",
+			 (json_int_t)e->outcomes[LOAD_NOT_RUN], "unknown",
+			 (json_int_t)e->outcomes[LOAD_UNKNOWN], "unreachable",
+			 (json_int_t)e->outcomes[LOAD_UNREACHABLE], "in_deadline_pct",
+			 percent(e->in_deadline, e->sent), "sent_away", (json_int_t)e->sent_away,
+			 "in_deadline_away_pct", percent(e->in_deadline_away, e->sent_away),
+			 "p50_ms", quantile_ms(e->whole_us, 0.5), "p95_ms",
+			 quantile_ms(e->whole_us, 0.95), "p99_ms", quantile_ms(e->whole_us, 0.99),
+			 "first_p50_ms", quantile_ms(e->first_us, 0.5), "first_p99_ms",
+			 quantile_ms(e->first_us, 0.99), "first_p95_ms",
+			 quantile_ms(e->first_us, 0.95), "gap_p95_ms", quantile_ms(e->gap_us, 0.95),
+			 "gaps", (json_int_t)gsl_histogram_sum(e->gap_us));
 }
 
 static void add(json_t *sums, const char *name, const char *key, double value)
@@ -292,6 +295,24 @@
 	fclose(out);
 }
 
+static void write_records(const struct load *load)
+{
+	static const char *const outcomes[LOAD_OUTCOMES] = {"complete", "not_run", "unknown",
+							    "unreachable"};
+	FILE *out = fopen(load->options.records, "w");
+
+	if (!out)
+		return;
+	fputs("due_ms,class,path,outcome,took_ms,first_ms\n", out);
+	for (guint i = 0; i < load->records->len; i++) {
+		const struct load_record *r = g_ptr_array_index(load->records, i);
+		fprintf(out, "%.1f,%s,%s,%s,%.1f,%.1f\n", (double)r->due_us / CLK_US_PER_MS,
+			r->entry->class_name, r->entry->path, outcomes[r->outcome],
+			(double)r->took_us / CLK_US_PER_MS, (double)r->first_us / CLK_US_PER_MS);
+	}
+	fclose(out);
+}
+
 static bool add_judgement(struct load *load, json_t *result, struct verdict *v)
 {
 	const char *platform = load->options.platform;
@@ -324,6 +345,8 @@
 	judged = !load->options.platform || add_judgement(load, result, &v);
 	if (load->options.csv)
 		write_csv(load);
+	if (load->options.records)
+		write_records(load);
 	if (load->options.json)
 		json_dumpf(result, stdout, JSON_INDENT(1));
 	else
