--- a/packages/base/include/base/ctr.h
+++ b/packages/base/include/base/ctr.h
@@ -31,6 +31,7 @@
 	X(CTR_CONFIG_CONFLICTS, "config_conflicts_total", "equal revisions with unequal content")  \
 	X(CTR_TICKETS_ISSUED, "tickets_issued_total", "tickets issued")                            \
 	X(CTR_FORWARDS, "forwards_total", "requests forwarded to the owner of their ticket")       \
+	X(CTR_HANDED, "handed_over_total", "stages handed to a node that holds a slot")            \
 	X(CTR_ORDERS, "engine_orders_total", "orders given to engines")                            \
 	X(CTR_CLOCK_GAPS, "clock_gaps_total", "pauses of the process that were noticed")
 
--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -221,6 +221,7 @@
 	req->deadline_at_ms = now_ms + wait_ms;
 	req->body_bytes = ev->body_bytes;
 	req->prefix_hash = ev->prefix_hash;
+	req->handed = ev->handed;
 	req->has_ticket = ev->has_ticket;
 	req->ticket = ev->ticket;
 	req->hedge_at_ms = BB_NEVER;
--- a/packages/decide/dec_int.h
+++ b/packages/decide/dec_int.h
@@ -4,6 +4,8 @@
 
 #include "decide/dec.h"
 
+#define DEC_HANDED UINT32_MAX /* stands for the upstream of an attempt at another node */
+
 /* An attempt that an upstream has not ended yet; it outlives its request. */
 struct dec_flight {
 	uint64_t req;
@@ -35,6 +37,12 @@
 bool dec_send_attempt(struct dec *d, struct req *req, bool hedge, int64_t now_ms,
 		      struct dec_out *out);
 
+/*
+ * Hands an attempt of the current stage to a node that holds a slot, when this one has none of any
+ * upstream of the service; false when it doesn't.
+ */
+bool dec_hand_over(struct dec *d, struct req *req, int64_t now_ms, struct dec_out *out);
+
 /* Ends a request's outstanding attempts but one (REQ_ATTEMPTS_MAX: all) and tells upstreams. */
 void dec_cancel_attempts(struct dec *d, struct req *req, uint32_t keep, int64_t now_ms,
 			 struct dec_out *out);
--- a/packages/decide/dec_queue.c
+++ b/packages/decide/dec_queue.c
@@ -64,7 +64,7 @@
 	const struct req_stage *stage = &req->stages[req->stage];
 	int64_t wait_ms;
 
-	if (!dec_send_attempt(d, req, false, now_ms, out))
+	if (!dec_send_attempt(d, req, false, now_ms, out) && !dec_hand_over(d, req, now_ms, out))
 		return false;
 	dequeue(req);
 	if (req->n_attempts == 1)
--- a/packages/decide/dec_send.c
+++ b/packages/decide/dec_send.c
@@ -140,6 +140,12 @@
 	if (!flight || !req || req->stage != stage || attempt >= req->n_attempts ||
 	    req->attempts[attempt].state != REQ_ATTEMPT_SENT || now_ms >= req->deadline_at_ms)
 		return false;
+	if (flight->upstream == DEC_HANDED) {
+		/* the other node asks all else */
+		flight->withheld = false;
+		req->attempts[attempt].may_have_run = true;
+		return true;
+	}
 	/* a slot may have been lost since the decision */
 	up = bb_upstream(&d->bb, flight->upstream);
 	if (elg_check(&d->bb, up, now_ms) != ELG_OK ||
@@ -170,6 +176,8 @@
 		attempt->state = REQ_ATTEMPT_ENDED;
 		flight = dec_find_flight(d, req->id, req->stage, i);
 		flight->cancelled = !is_slow(flight, now_ms);
+		if (flight->upstream == DEC_HANDED)
+			continue; /* it ends there by its deadline */
 		struct dec_cmd *cmd = dec_push(out, DEC_CMD_CANCEL, req->id);
 		cmd->stage = req->stage;
 		cmd->attempt = i;
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -34,6 +34,10 @@
 	bool healthy = ev->code == ERR_NONE;
 	const struct slt_end end = {.healthy = healthy, .latency_us = ev->latency_us};
 
+	if (flight->upstream == DEC_HANDED) {
+		flight->service->handed--;
+		return;
+	}
 	bb_count(up, flight->service, flight->rank, -1);
 	if (ev->sent && may_run_on(ev->code))
 		slt_doubt(&d->bb, up, now_ms);
--- a/packages/decide/include/decide/bb.h
+++ b/packages/decide/include/decide/bb.h
@@ -25,6 +25,7 @@
 #define BB_COLD_SLOTS_MAX 16 /* a larger cold limit counts as this */
 
 struct bb_service;
+struct slt_map;
 
 /* An upstream. Its id is never reused, also when the configuration drops and brings it back. */
 struct bb_upstream {
@@ -102,6 +103,7 @@
 	GPtrArray **by_dc; /* upstreams by data centre, n_dcs arrays, owned */
 	uint32_t n_dcs;
 	int32_t in_flight;
+	int32_t handed; /* attempts that run at other nodes */
 	struct bb_use uses[BB_RANKS];
 	int32_t capacity;   /* requests that this node may have at it, as last seen */
 	uint32_t refreshed; /* upstreams up to here were looked at for capacity */
@@ -152,6 +154,7 @@
 	int64_t woken_ms;	  /* last pause noticed; BB_NEVER: none */
 	uint64_t pauses;	  /* noticed so far */
 
+	struct slt_map *map;	 /* owned; NULL before the first list */
 	int64_t recompute_at_ms; /* when shares change without a new list; BB_NEVER: never */
 	int64_t probe_at_ms;	 /* when to send the next digest */
 	int64_t ask_list_at_ms;	 /* not before */
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -47,6 +47,7 @@
 	bool has_ticket;
 	struct tkt_id ticket;
 	bool forwarded;	     /* by another node: not handed on again */
+	bool handed;	     /* one stage, by a node without a slot: not handed on again */
 	int64_t now_wall_ms; /* for the ticket's expiry */
 };
 
@@ -95,6 +96,7 @@
 	DEC_CMD_REFUSE,	  /* answer with an error; final */
 	DEC_CMD_REPLAY,	  /* answer with a stored body */
 	DEC_CMD_FORWARD,  /* hand the request to the owner of its ticket */
+	DEC_CMD_HAND,	  /* hand an attempt of a stage to the node vm at address */
 	DEC_CMD_POLL,	  /* read an upstream's load report */
 	DEC_CMD_PROBE,	  /* send a digest to the node vm at address */
 	DEC_CMD_ASK_LIST, /* ask the node vm at address for its VM list */
@@ -109,7 +111,7 @@
 	char address[BB_ADDRESS_BYTES];
 	char service[BB_NAME_BYTES];
 	char call[BB_NAME_BYTES];
-	char vm[BB_NAME_BYTES]; /* FORWARD, PROBE, ASK_LIST */
+	char vm[BB_NAME_BYTES]; /* FORWARD, HAND, PROBE, ASK_LIST */
 	struct tkt_id ticket;	/* FORWARD */
 	bool idempotent;
 	bool stream;
--- a/packages/decide/include/decide/req.h
+++ b/packages/decide/include/decide/req.h
@@ -50,6 +50,7 @@
 	bool has_ticket;
 	struct tkt_id ticket;
 	bool stream_open;	/* bytes of the last stage already went to the caller */
+	bool handed;		/* a stage for another node: not handed on */
 	bool ran;		/* an attempt of an earlier stage ran */
 	GSequenceIter *waiting; /* place in its service's queue, NULL when not waiting */
 	GSequenceIter *wake;	/* place in the queue of times; NULL until the first one */
--- a/packages/decide/include/decide/slt.h
+++ b/packages/decide/include/decide/slt.h
@@ -36,8 +36,11 @@
 extern const struct slt_ops slt_shares;	    /* an equal share of the cold limit, at least one */
 extern const struct slt_ops slt_unlimited;  /* baseline: the warm limit for every node */
 
-/* VM id of the holder of slot k among the listed nodes; NULL when none is listed. */
-const char *slt_holder(const struct bb *bb, const struct bb_upstream *up, uint32_t k);
+/* Holder of slot k among the listed nodes; NULL when none is listed. */
+const struct bb_node *slt_holder(const struct bb *bb, const struct bb_upstream *up, uint32_t k);
+
+/* NULL is allowed. */
+void slt_map_free(struct slt_map *map);
 
 /*
  * Works out which slots, shares and load reports fall to this node. To be called after each
--- a/packages/decide/slt_map.c
+++ b/packages/decide/slt_map.c
@@ -17,10 +17,11 @@
 	int dc; /* index into the data centres, -1: not configured */
 };
 
-struct map {
+struct slt_map {
 	const struct bb *bb;
 	int64_t share_until_ms; /* when the first node's share ends; BB_NEVER: never */
 	GArray *all;		/* struct member of listed nodes that are not leaving */
+	uint32_t n_dcs;
 	GArray **by_dc;	 /* the same, by the data centre whose upstreams they are nearest to */
 	GArray *sharing; /* hashes of all nodes that may still use a share */
 	uint64_t self;
@@ -75,7 +76,7 @@
 	return before;
 }
 
-static GArray *pick_near(const struct map *map, int dc)
+static GArray *pick_near(const struct slt_map *map, int dc)
 {
 	const struct cfg_places *places = &map->bb->cfg->places;
 	GArray *in_dc = g_array_new(FALSE, FALSE, sizeof(struct member));
@@ -102,7 +103,7 @@
 }
 
 /* A node that left the list may use its share until its hold-off is over. */
-static bool may_share(struct map *map, const struct bb_node *node, int64_t now_ms)
+static bool may_share(struct slt_map *map, const struct bb_node *node, int64_t now_ms)
 {
 	int64_t ends_ms;
 
@@ -116,7 +117,7 @@
 	return true;
 }
 
-static void add_node(struct map *map, struct bb_node *node, int64_t now_ms)
+static void add_node(struct slt_map *map, struct bb_node *node, int64_t now_ms)
 {
 	const struct member member = {
 		.node = node,
@@ -130,8 +131,9 @@
 		g_array_append_val(map->all, member);
 }
 
-static void init_map(struct map *map, const struct bb *bb, int64_t now_ms)
+static struct slt_map *make_map(const struct bb *bb, int64_t now_ms)
 {
+	struct slt_map *map = g_new0(struct slt_map, 1);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -143,21 +145,26 @@
 	g_hash_table_iter_init(&iter, bb->nodes);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		add_node(map, value, now_ms);
-	map->by_dc = g_new0(GArray *, bb->cfg->places.n_data_centres);
-	for (uint32_t dc = 0; dc < bb->cfg->places.n_data_centres; dc++)
+	map->n_dcs = bb->cfg->places.n_data_centres;
+	map->by_dc = g_new0(GArray *, map->n_dcs);
+	for (uint32_t dc = 0; dc < map->n_dcs; dc++)
 		map->by_dc[dc] = pick_near(map, (int)dc);
+	return map;
 }
 
-static void clear_map(struct map *map)
+void slt_map_free(struct slt_map *map)
 {
-	for (uint32_t dc = 0; dc < map->bb->cfg->places.n_data_centres; dc++)
+	if (!map)
+		return;
+	for (uint32_t dc = 0; dc < map->n_dcs; dc++)
 		g_array_unref(map->by_dc[dc]);
 	g_free(map->by_dc);
 	g_array_unref(map->all);
 	g_array_unref(map->sharing);
+	g_free(map);
 }
 
-static bool has_self(const struct map *map, const GArray *members)
+static bool has_self(const struct slt_map *map, const GArray *members)
 {
 	for (guint i = 0; i < members->len; i++) {
 		if (g_array_index(members, struct member, i).hash == map->self)
@@ -166,7 +173,7 @@
 	return false;
 }
 
-static void set_slots(const struct map *map, struct bb_upstream *up, uint64_t hash, bool near,
+static void set_slots(const struct slt_map *map, struct bb_upstream *up, uint64_t hash, bool near,
 		      int64_t now_ms)
 {
 	const GArray *members = map->by_dc[up->dc];
@@ -184,7 +191,7 @@
 }
 
 /* With fewer nodes than the limit each has an equal share; else slots, most of them near. */
-static int32_t warm_share(const struct map *map, const struct bb_upstream *up, uint64_t hash,
+static int32_t warm_share(const struct slt_map *map, const struct bb_upstream *up, uint64_t hash,
 			  bool near)
 {
 	uint32_t limit = (uint32_t)up->service->warm_limit;
@@ -205,7 +212,7 @@
 	return held;
 }
 
-static bool is_poller(const struct map *map, const struct bb_upstream *up, uint64_t hash)
+static bool is_poller(const struct slt_map *map, const struct bb_upstream *up, uint64_t hash)
 {
 	const GArray *members = map->by_dc[up->dc];
 	uint64_t own = score(hash, DRAW_POLL, 0, map->self);
@@ -253,7 +260,7 @@
 	shuffle(bb, bb->near);
 }
 
-static void set_upstream(const struct map *map, struct bb_upstream *up, int64_t now_ms)
+static void set_upstream(const struct slt_map *map, struct bb_upstream *up, int64_t now_ms)
 {
 	uint64_t hash = hash_name(up->name);
 	bool near = has_self(map, map->by_dc[up->dc]);
@@ -273,42 +280,40 @@
 
 void slt_recompute(struct bb *bb, int64_t now_ms)
 {
-	struct map map;
-
 	if (!bb->cfg || !bb->list)
 		return;
-	init_map(&map, bb, now_ms);
-	bb->recompute_at_ms = map.share_until_ms;
+	slt_map_free(bb->map);
+	bb->map = make_map(bb, now_ms);
+	bb->recompute_at_ms = bb->map->share_until_ms;
 	set_peers(bb);
 	g_ptr_array_set_size(bb->polled, 0);
 	for (uint32_t i = 0; i < bb->upstreams->len; i++) {
 		struct bb_upstream *up = g_ptr_array_index(bb->upstreams, i);
 
-		if (up->in_config && map.all->len > 0)
-			set_upstream(&map, up, now_ms);
+		if (up->in_config && bb->map->all->len > 0)
+			set_upstream(bb->map, up, now_ms);
 		else
 			drop_slots(up);
 		if (up->polled)
 			g_ptr_array_add(bb->polled, up);
 	}
-	clear_map(&map);
 	bb->agreed_ms = BB_NEVER;
 	mem_update_agreed(bb, now_ms);
 }
 
-const char *slt_holder(const struct bb *bb, const struct bb_upstream *up, uint32_t k)
+const struct bb_node *slt_holder(const struct bb *bb, const struct bb_upstream *up, uint32_t k)
 {
-	struct map map;
-	const char *holder = NULL;
+	const GArray *members;
+	uint64_t hash;
 
-	init_map(&map, bb, bb->last_tick_ms);
-	const GArray *members = map.by_dc[up->dc];
-	uint64_t hash = members->len > 0 ? winner(members, hash_name(up->name), DRAW_SLOT, k) : 0;
+	if (!bb->map || !up->in_config || bb->map->by_dc[up->dc]->len == 0)
+		return NULL;
+	members = bb->map->by_dc[up->dc];
+	hash = winner(members, hash_name(up->name), DRAW_SLOT, k);
 	for (guint i = 0; i < members->len; i++) {
 		const struct member *member = &g_array_index(members, struct member, i);
 		if (member->hash == hash)
-			holder = member->node->vm;
+			return member->node;
 	}
-	clear_map(&map);
-	return holder;
+	return NULL;
 }
--- a/packages/node/include/node/nod.h
+++ b/packages/node/include/node/nod.h
@@ -1,9 +1,9 @@
 /*
  * The node: joins the decisions to the listeners, the workers, the platform and the other nodes.
  *
- * Lock order, outermost first: the lock of mcf.c, nod.lock (decisions), fwd.lock, nod.table_lock
- * (requests), hrq.lock. rel.lock is taken with none of them held and held over none of them.
- * Commands of the decisions are carried out with nod.lock dropped.
+ * Lock order, outermost first: the lock of mcf.c, nod.lock (decisions), fwd.lock, hnd.lock,
+ * nod.table_lock (requests), hrq.lock. rel.lock is taken with none of them held and held over none
+ * of them. Commands of the decisions are carried out with nod.lock dropped.
  */
 #ifndef NODE_NOD_H
 #define NODE_NOD_H
@@ -41,6 +41,7 @@
 	struct ord *orders;
 	struct mcf *config; /* acceptance and spread of the configuration */
 	struct fwd *fwd;
+	struct hnd *hnd;
 	struct rel *rel;
 	gint callers;  /* atomic: exchanges with callers that have begun and not ended */
 	gint draining; /* atomic: a planned stop has begun */
--- a/packages/node/msg.c
+++ b/packages/node/msg.c
@@ -2,6 +2,7 @@
 #include "base/clk.h"
 #include "node/dig.h"
 #include "node/fwd.h"
+#include "node/hnd.h"
 #include "node/nod.h"
 #include "node/rel.h"
 
@@ -94,6 +95,12 @@
 	case PEER__MESSAGE__KIND_LIST_REPLY:
 		take_list(n, message->list_reply);
 		break;
+	case PEER__MESSAGE__KIND_STAGE_ASK:
+		hnd_take_ask(n->hnd, message);
+		break;
+	case PEER__MESSAGE__KIND_STAGE_REPLY:
+		hnd_take_reply(n->hnd, message);
+		break;
 	default:
 		break;
 	}
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -6,6 +6,7 @@
 #include "base/rnd.h"
 
 #include "node/fwd.h"
+#include "node/hnd.h"
 #include "node/rel.h"
 
 #include <urcu-bp.h>
@@ -133,6 +134,7 @@
 	n->config = mcf_new(n);
 	n->side = wkp_new(NOD_SIDE_THREADS, NOD_SIDE_QUEUED);
 	n->fwd = fwd_new(n);
+	n->hnd = hnd_new(n);
 	n->rel = rel_new(n);
 	if (!msg_start(n, error) || !ent_start(n, error) || !adn_start(n, error)) {
 		nod_free(n);
@@ -142,6 +144,7 @@
 	ord_start(n);
 	plt_start(n);
 	fwd_start(n->fwd);
+	hnd_start(n->hnd);
 	tmr_every(n->timers, set->tick_ms, tick, n);
 	return n;
 }
@@ -214,6 +217,7 @@
 	wkp_free(n->side);
 	g_hash_table_destroy(n->pools);
 	rel_free(n->rel);
+	hnd_free(n->hnd);
 	fwd_free(n->fwd);
 	hcl_free(n->http);
 	g_hash_table_destroy(n->reqs);
--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -5,6 +5,7 @@
 #include "base/ctr.h"
 #include "base/log.h"
 #include "node/fwd.h"
+#include "node/hnd.h"
 
 #define RUN_POOL_QUEUED 4096
 
@@ -219,6 +220,9 @@
 	case DEC_CMD_FORWARD:
 		fwd_request(n->fwd, hrq, cmd);
 		break;
+	case DEC_CMD_HAND:
+		hnd_ask(n->hnd, hrq, cmd);
+		break;
 	case DEC_CMD_POLL:
 	case DEC_CMD_PROBE:
 	case DEC_CMD_ASK_LIST:
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -27,6 +27,8 @@
 typedef struct Peer__SectionReply Peer__SectionReply;
 typedef struct Peer__Forward Peer__Forward;
 typedef struct Peer__ForwardReply Peer__ForwardReply;
+typedef struct Peer__StageAsk Peer__StageAsk;
+typedef struct Peer__StageReply Peer__StageReply;
 typedef struct Peer__Offer Peer__Offer;
 typedef struct Peer__OfferAck Peer__OfferAck;
 typedef struct Peer__Owner Peer__Owner;
@@ -287,6 +289,53 @@
     , 0, 0, 0, 0, {0,NULL}, 0 }
 
 
+/*
+ * An idempotent stage for a node that holds a slot of one of its service's upstreams.
+ */
+struct  Peer__StageAsk
+{
+  ProtobufCMessage base;
+  /*
+   * of the sender, comes back in the reply
+   */
+  uint64_t id;
+  char *service;
+  char *call;
+  char *account;
+  /*
+   * left of the deadline
+   */
+  int64_t wait_ms;
+  ProtobufCBinaryData body;
+};
+#define PEER__STAGE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__stage_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+
+
+struct  Peer__StageReply
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * enum err_code
+   */
+  int32_t code;
+  /*
+   * enum err_outcome
+   */
+  int32_t outcome;
+  ProtobufCBinaryData body;
+  /*
+   * it waits or runs there; the answer follows
+   */
+  protobuf_c_boolean taken;
+};
+#define PEER__STAGE_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__stage_reply__descriptor) \
+    , 0, 0, 0, {0,NULL}, 0 }
+
+
 /*
  * Asks a node whether it would own tickets; nothing is released by it.
  */
@@ -413,7 +462,9 @@
   PEER__MESSAGE__KIND_OWNER = 32,
   PEER__MESSAGE__KIND_VIEW = 40,
   PEER__MESSAGE__KIND_LIST_ASK = 41,
-  PEER__MESSAGE__KIND_LIST_REPLY = 42
+  PEER__MESSAGE__KIND_LIST_REPLY = 42,
+  PEER__MESSAGE__KIND_STAGE_ASK = 43,
+  PEER__MESSAGE__KIND_STAGE_REPLY = 44
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -448,6 +499,8 @@
     Peer__View *view;
     Peer__ListAsk *list_ask;
     Peer__ListReply *list_reply;
+    Peer__StageAsk *stage_ask;
+    Peer__StageReply *stage_reply;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -683,6 +736,44 @@
 void   peer__forward_reply__free_unpacked
                      (Peer__ForwardReply *message,
                       ProtobufCAllocator *allocator);
+/* Peer__StageAsk methods */
+void   peer__stage_ask__init
+                     (Peer__StageAsk         *message);
+size_t peer__stage_ask__get_packed_size
+                     (const Peer__StageAsk   *message);
+size_t peer__stage_ask__pack
+                     (const Peer__StageAsk   *message,
+                      uint8_t             *out);
+size_t peer__stage_ask__pack_to_buffer
+                     (const Peer__StageAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__StageAsk *
+       peer__stage_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__stage_ask__free_unpacked
+                     (Peer__StageAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__StageReply methods */
+void   peer__stage_reply__init
+                     (Peer__StageReply         *message);
+size_t peer__stage_reply__get_packed_size
+                     (const Peer__StageReply   *message);
+size_t peer__stage_reply__pack
+                     (const Peer__StageReply   *message,
+                      uint8_t             *out);
+size_t peer__stage_reply__pack_to_buffer
+                     (const Peer__StageReply   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__StageReply *
+       peer__stage_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__stage_reply__free_unpacked
+                     (Peer__StageReply *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Offer methods */
 void   peer__offer__init
                      (Peer__Offer         *message);
@@ -892,6 +983,12 @@
 typedef void (*Peer__ForwardReply_Closure)
                  (const Peer__ForwardReply *message,
                   void *closure_data);
+typedef void (*Peer__StageAsk_Closure)
+                 (const Peer__StageAsk *message,
+                  void *closure_data);
+typedef void (*Peer__StageReply_Closure)
+                 (const Peer__StageReply *message,
+                  void *closure_data);
 typedef void (*Peer__Offer_Closure)
                  (const Peer__Offer *message,
                   void *closure_data);
@@ -937,6 +1034,8 @@
 extern const ProtobufCMessageDescriptor peer__section_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__forward__descriptor;
 extern const ProtobufCMessageDescriptor peer__forward_reply__descriptor;
+extern const ProtobufCMessageDescriptor peer__stage_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__stage_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__offer__descriptor;
 extern const ProtobufCMessageDescriptor peer__offer_ack__descriptor;
 extern const ProtobufCMessageDescriptor peer__owner__descriptor;
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -547,6 +547,96 @@
   assert(message->base.descriptor == &peer__forward_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__stage_ask__init
+                     (Peer__StageAsk         *message)
+{
+  static const Peer__StageAsk init_value = PEER__STAGE_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__stage_ask__get_packed_size
+                     (const Peer__StageAsk *message)
+{
+  assert(message->base.descriptor == &peer__stage_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__stage_ask__pack
+                     (const Peer__StageAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__stage_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__stage_ask__pack_to_buffer
+                     (const Peer__StageAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__stage_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__StageAsk *
+       peer__stage_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__StageAsk *)
+     protobuf_c_message_unpack (&peer__stage_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__stage_ask__free_unpacked
+                     (Peer__StageAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__stage_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__stage_reply__init
+                     (Peer__StageReply         *message)
+{
+  static const Peer__StageReply init_value = PEER__STAGE_REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__stage_reply__get_packed_size
+                     (const Peer__StageReply *message)
+{
+  assert(message->base.descriptor == &peer__stage_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__stage_reply__pack
+                     (const Peer__StageReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__stage_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__stage_reply__pack_to_buffer
+                     (const Peer__StageReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__stage_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__StageReply *
+       peer__stage_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__StageReply *)
+     protobuf_c_message_unpack (&peer__stage_reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__stage_reply__free_unpacked
+                     (Peer__StageReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__stage_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__offer__init
                      (Peer__Offer         *message)
 {
@@ -1967,6 +2057,199 @@
   (ProtobufCMessageInit) peer__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__stage_ask__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageAsk, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageAsk, call),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "account",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageAsk, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageAsk, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageAsk, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__stage_ask__field_indices_by_name[] = {
+  3,   /* field[3] = account */
+  5,   /* field[5] = body */
+  2,   /* field[2] = call */
+  0,   /* field[0] = id */
+  1,   /* field[1] = service */
+  4,   /* field[4] = wait_ms */
+};
+static const ProtobufCIntRange peer__stage_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer__stage_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.StageAsk",
+  "StageAsk",
+  "Peer__StageAsk",
+  "peer",
+  sizeof(Peer__StageAsk),
+  6,
+  peer__stage_ask__field_descriptors,
+  peer__stage_ask__field_indices_by_name,
+  1,  peer__stage_ask__number_ranges,
+  (ProtobufCMessageInit) peer__stage_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__stage_reply__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageReply, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageReply, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageReply, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageReply, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "taken",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageReply, taken),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__stage_reply__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  1,   /* field[1] = code */
+  0,   /* field[0] = id */
+  2,   /* field[2] = outcome */
+  4,   /* field[4] = taken */
+};
+static const ProtobufCIntRange peer__stage_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__stage_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.StageReply",
+  "StageReply",
+  "Peer__StageReply",
+  "peer",
+  sizeof(Peer__StageReply),
+  5,
+  peer__stage_reply__field_descriptors,
+  peer__stage_reply__field_indices_by_name,
+  1,  peer__stage_reply__number_ranges,
+  (ProtobufCMessageInit) peer__stage_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__offer__field_descriptors[1] =
 {
   {
@@ -2401,7 +2684,7 @@
   (ProtobufCMessageInit) peer__account_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[20] =
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[22] =
 {
   {
     "from_vm",
@@ -2643,6 +2926,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stage_ask",
+    43,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, stage_ask),
+    &peer__stage_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stage_reply",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, stage_reply),
+    &peer__stage_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
   13,   /* field[13] = demand */
@@ -2661,6 +2968,8 @@
   7,   /* field[7] = section_ask */
   8,   /* field[8] = section_reply */
   4,   /* field[4] = sent_wall_ms */
+  20,   /* field[20] = stage_ask */
+  21,   /* field[21] = stage_reply */
   3,   /* field[3] = to_incarnation */
   2,   /* field[2] = to_vm */
   5,   /* field[5] = ttl_ms */
@@ -2672,7 +2981,7 @@
   { 10, 6 },
   { 30, 14 },
   { 40, 17 },
-  { 0, 20 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -2682,7 +2991,7 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  20,
+  22,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
   4,  peer__message__number_ranges,
--- a/tests/proc_cold.c
+++ b/tests/proc_cold.c
@@ -135,6 +135,32 @@
 }
 END_TEST
 
+static bool all_nodes_answer(struct fleet *f, void *arg)
+{
+	const gint *before = arg;
+	bool all = true;
+
+	for (int i = 0; i < NODES; i++)
+		all = all && g_atomic_int_get(&load.complete[i]) > before[i];
+	return all;
+}
+
+/* Three slots among seven nodes: four or more have none. */
+START_TEST(nodes_without_a_slot_answer)
+{
+	gint before[NODES];
+
+	stay_cold();
+	start_load();
+	wait_for_work(HOLD_OFF_MS);
+	for (int i = 0; i < NODES; i++)
+		before[i] = g_atomic_int_get(&load.complete[i]);
+	fleet_wait(fleet, all_nodes_answer, before, HOLD_OFF_MS, "answers from every node");
+	stop_load();
+	assert_no_overrun();
+}
+END_TEST
+
 START_TEST(node_killed_and_replaced)
 {
 	stay_cold();
@@ -189,16 +215,6 @@
 	return warm;
 }
 
-static bool all_nodes_answer(struct fleet *f, void *arg)
-{
-	const gint *before = arg;
-	bool all = true;
-
-	for (int i = 0; i < NODES; i++)
-		all = all && g_atomic_int_get(&load.complete[i]) > before[i];
-	return all;
-}
-
 START_TEST(warms_up_and_serves_from_every_node)
 {
 	gint before[NODES];
@@ -224,6 +240,7 @@
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_checked_fixture(tcase, set_up, tear_down);
 	tcase_add_test(tcase, seven_nodes_at_once);
+	tcase_add_test(tcase, nodes_without_a_slot_answer);
 	tcase_add_test(tcase, node_killed_and_replaced);
 	tcase_add_test(tcase, node_frozen_and_woken);
 	tcase_add_test(tcase, warms_up_and_serves_from_every_node);
--- a/tests/unit_slots.c
+++ b/tests/unit_slots.c
@@ -100,7 +100,7 @@
 		for (int k = 0; k < up->n_slots; k++) {
 			bool held = up->slot_since_ms[k] != BB_NEVER;
 			slots += held;
-			ck_assert(held == (strcmp(slt_holder(&d->bb, up, (uint32_t)k),
+			ck_assert(held == (strcmp(slt_holder(&d->bb, up, (uint32_t)k)->vm,
 						  d->bb.self_vm) == 0));
 		}
 		share += up->warm_share;
