--- a/packages/decide/dec_hand.c
+++ b/packages/decide/dec_hand.c
@@ -5,8 +5,8 @@
 
 #include <string.h>
 
-#define HAND_PROBES 8	 /* upstreams looked at for an eligible one with a holder */
-#define HANDED_MAX 64	 /* attempts of a service at other nodes */
+#define HAND_PROBES 8 /* upstreams looked at for an eligible one with a holder */
+#define HANDED_MAX 64 /* attempts of a service at other nodes */
 
 /* The holder of a random slot of an eligible upstream; NULL when none was found. */
 static const struct bb_node *pick_holder(struct bb *bb, const struct bb_service *service,
--- a/packages/node/hnd.c
+++ b/packages/node/hnd.c
@@ -107,6 +107,8 @@
 	ask.service = (char *)cmd->service;
 	ask.call = (char *)cmd->call;
 	ask.account = hrq->account;
+	ask.request = hrq->text_id;
+	ask.attempt = cmd->attempt;
 	ask.wait_ms = cmd->timeout_ms;
 	ask.body.data = (uint8_t *)g_bytes_get_data(input, &len);
 	ask.body.len = len;
--- a/packages/node/hnd_in.c
+++ b/packages/node/hnd_in.c
@@ -15,8 +15,7 @@
 	uint64_t id;
 };
 
-static void send_reply(struct nod *n, const char *vm, uint64_t incarnation,
-		       Peer__StageReply *reply)
+static void send_reply(struct nod *n, const char *vm, uint64_t incarnation, Peer__StageReply *reply)
 {
 	Peer__Message message = PEER__MESSAGE__INIT;
 	char address[BB_ADDRESS_BYTES];
@@ -71,6 +70,9 @@
 	in->vm = g_strdup(message->from_vm);
 	in->incarnation = message->from_incarnation;
 	in->id = ask->id;
+	/* the caller's request, with attempts that no other node numbers so */
+	g_strlcpy(hrq->text_id, ask->request, sizeof(hrq->text_id));
+	hrq->first_attempt = (ask->attempt + 1) * REQ_ATTEMPTS_MAX;
 	hrq->state = HRQ_RUNNING;
 	hrq->input = g_bytes_new(ask->body.data, ask->body.len);
 	hrq->target = g_strdup_printf("/v1/services/%s/%s", ask->service, ask->call);
--- a/packages/node/include/node/hrq.h
+++ b/packages/node/include/node/hrq.h
@@ -31,6 +31,7 @@
 	gint refs;
 	uint64_t id;
 	char text_id[BB_NAME_BYTES * 2];
+	uint32_t first_attempt;	     /* number that upstreams are told of the first attempt */
 	pthread_mutex_t lock;	     /* guards all below */
 	pthread_cond_t room;	     /* the caller took bytes of a stream, or is gone */
 	struct MHD_Connection *conn; /* NULL: nobody waits (a forwarded request) */
--- a/packages/node/ups.c
+++ b/packages/node/ups.c
@@ -60,7 +60,7 @@
 static void fill_call(struct hcl_call *call, const struct ups_attempt *att, const char *path,
 		      char texts[3][24])
 {
-	g_snprintf(texts[0], 24, "%u", att->cmd.attempt);
+	g_snprintf(texts[0], 24, "%u", att->hrq->first_attempt + att->cmd.attempt);
 	g_snprintf(texts[1], 24, "%" G_GINT64_FORMAT, att->cmd.rank);
 	g_snprintf(texts[2], 24, "%" G_GINT64_FORMAT, att->cmd.timeout_ms);
 	call->method = "POST";
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -307,10 +307,18 @@
    */
   int64_t wait_ms;
   ProtobufCBinaryData body;
+  /*
+   * id of the caller's request, as upstreams are told it
+   */
+  char *request;
+  /*
+   * of the sender
+   */
+  uint32_t attempt;
 };
 #define PEER__STAGE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__stage_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Peer__StageReply
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -2057,7 +2057,7 @@
   (ProtobufCMessageInit) peer__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__stage_ask__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__stage_ask__field_descriptors[8] =
 {
   {
     "id",
@@ -2131,19 +2131,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageAsk, request),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StageAsk, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__stage_ask__field_indices_by_name[] = {
   3,   /* field[3] = account */
+  7,   /* field[7] = attempt */
   5,   /* field[5] = body */
   2,   /* field[2] = call */
   0,   /* field[0] = id */
+  6,   /* field[6] = request */
   1,   /* field[1] = service */
   4,   /* field[4] = wait_ms */
 };
 static const ProtobufCIntRange peer__stage_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer__stage_ask__descriptor =
 {
@@ -2153,7 +2179,7 @@
   "Peer__StageAsk",
   "peer",
   sizeof(Peer__StageAsk),
-  6,
+  8,
   peer__stage_ask__field_descriptors,
   peer__stage_ask__field_indices_by_name,
   1,  peer__stage_ask__number_ranges,
--- a/tests/proc_cold.c
+++ b/tests/proc_cold.c
@@ -21,13 +21,26 @@
 static struct load {
 	gint stop;
 	gint complete[NODES];
+	const char *deadline_ms; /* NULL: none */
+	GMutex lock;
+	GPtrArray *not_run; /* ids of requests refused so, guarded by lock */
 	GThread *threads[NODES * CALLERS_PER_NODE];
 } load;
 
+static void note_refusal(const struct fleet_answer *answer)
+{
+	if (strcmp(answer->outcome, "not_run") != 0 || !answer->request)
+		return;
+	g_mutex_lock(&load.lock);
+	g_ptr_array_add(load.not_run, g_strdup(answer->request));
+	g_mutex_unlock(&load.lock);
+}
+
 static gpointer call_node(gpointer arg)
 {
-	static const struct fleet_request request = {.path = "/v1/services/weighbridge/lookup",
-						     .body = "x"};
+	const struct fleet_request request = {.path = "/v1/services/weighbridge/lookup",
+					      .body = "x",
+					      .deadline_ms = load.deadline_ms};
 	uint32_t node = GPOINTER_TO_UINT(arg);
 
 	while (!g_atomic_int_get(&load.stop)) {
@@ -38,18 +51,26 @@
 			g_atomic_int_inc(&load.complete[node]);
 		else
 			clk_sleep_ms(50);
+		note_refusal(&answer);
 		fleet_answer_clear(&answer);
 	}
 	return NULL;
 }
 
-static void start_load(void)
+static void start_load_with(const char *deadline_ms)
 {
 	memset(&load, 0, sizeof(load));
+	load.deadline_ms = deadline_ms;
+	load.not_run = g_ptr_array_new_with_free_func(g_free);
 	for (uint32_t i = 0; i < G_N_ELEMENTS(load.threads); i++)
 		load.threads[i] = g_thread_new("caller", call_node, GUINT_TO_POINTER(i % NODES));
 }
 
+static void start_load(void)
+{
+	start_load_with(NULL);
+}
+
 static void stop_load(void)
 {
 	g_atomic_int_set(&load.stop, 1);
@@ -161,6 +182,33 @@
 }
 END_TEST
 
+/* Holders freeze with stages of other nodes in hand; refusals are searched for to the end. */
+START_TEST(handed_stages_and_frozen_holders)
+{
+	gint before[NODES];
+	json_t *log;
+
+	stay_cold();
+	start_load_with("300");
+	wait_for_work(HOLD_OFF_MS);
+	for (int round = 0; round < 6; round++) {
+		fleet_signal_node(fleet, (uint32_t)round, SIGSTOP);
+		clk_sleep_ms(700);
+		fleet_signal_node(fleet, (uint32_t)round, SIGCONT);
+	}
+	for (int i = 0; i < NODES; i++)
+		before[i] = g_atomic_int_get(&load.complete[i]);
+	fleet_wait(fleet, all_nodes_answer, before, HOLD_OFF_MS, "answers from every node");
+	stop_load();
+	assert_no_overrun();
+	log = fleet_log(fleet);
+	ck_assert_uint_gt(load.not_run->len, 0);
+	for (guint i = 0; i < load.not_run->len; i++)
+		ck_assert_int_eq(fleet_count(log, NULL, NULL, load.not_run->pdata[i]), 0);
+	json_decref(log);
+}
+END_TEST
+
 START_TEST(node_killed_and_replaced)
 {
 	stay_cold();
@@ -241,6 +289,7 @@
 	tcase_add_checked_fixture(tcase, set_up, tear_down);
 	tcase_add_test(tcase, seven_nodes_at_once);
 	tcase_add_test(tcase, nodes_without_a_slot_answer);
+	tcase_add_test(tcase, handed_stages_and_frozen_holders);
 	tcase_add_test(tcase, node_killed_and_replaced);
 	tcase_add_test(tcase, node_frozen_and_woken);
 	tcase_add_test(tcase, warms_up_and_serves_from_every_node);
