--- a/tests/proc_cold.c
+++ b/tests/proc_cold.c
@@ -277,6 +277,26 @@
 }
 END_TEST
 
+#define NEWS_MS 3000 /* "a few seconds" */
+
+/* It stays cold from then on; what arrives above its limit before the news is counted and told. */
+START_TEST(upstream_turns_cold_unannounced)
+{
+	int64_t early;
+
+	start_load();
+	fleet_wait(fleet, are_warm, NULL, 2 * HOLD_OFF_MS, "warm upstreams");
+	clk_sleep_ms(3000);
+	fleet_upstream(fleet, "weighbridge-1", "{\"restart\":true,\"warm_after\":1000000000}");
+	clk_sleep_ms(NEWS_MS);
+	early = count_of("weighbridge-1", "cold_overruns");
+	clk_sleep_ms(NEWS_MS);
+	stop_load();
+	g_print("arrivals above the cold limit before the news: %d\n", (int)early);
+	ck_assert_int_eq(count_of("weighbridge-1", "cold_overruns"), early);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cold");
@@ -293,6 +313,7 @@
 	tcase_add_test(tcase, node_killed_and_replaced);
 	tcase_add_test(tcase, node_frozen_and_woken);
 	tcase_add_test(tcase, warms_up_and_serves_from_every_node);
+	tcase_add_test(tcase, upstream_turns_cold_unannounced);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
