--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -13,6 +13,7 @@
 	.route = &rte_score,
 	.admit = &adm_priority,
 	.retry = &rty_budget_ops,
+	.share = &shr_lease,
 };
 
 const struct dec_policy dec_baseline = {
@@ -20,6 +21,7 @@
 	.route = &rte_round_robin,
 	.admit = &adm_open,
 	.retry = &rty_none,
+	.share = &shr_equal,
 };
 
 static void free_cmd(gpointer data)
@@ -28,6 +30,7 @@
 
 	if (cmd->body)
 		g_bytes_unref(cmd->body);
+	g_free(cmd->demand);
 }
 
 void dec_out_init(struct dec_out *out)
@@ -62,6 +65,8 @@
 		g_sequence_remove(req->waiting);
 	if (req->wake)
 		g_sequence_remove(req->wake);
+	if (req->held)
+		g_bytes_unref(req->held);
 	g_free(req);
 }
 
@@ -73,11 +78,13 @@
 	bb_init(&d->bb, vm, data_centre, incarnation, seed, now_ms);
 	d->policy = dec_adaptive;
 	d->tickets = tkt_new(vm, incarnation);
+	d->shares = shr_new(now_ms);
 	d->reqs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_req);
 	d->wakes = g_sequence_new(NULL);
 	d->flights = g_hash_table_new_full(dec_flight_hash, dec_flight_equal, g_free, NULL);
 	d->joins = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 (GDestroyNotify)g_array_unref);
+	d->join_wake_ms = INT64_MAX;
 	return d;
 }
 
@@ -88,6 +95,7 @@
 	g_hash_table_destroy(d->flights);
 	g_hash_table_destroy(d->joins);
 	tkt_free(d->tickets);
+	shr_free(d->shares);
 	bb_clear(&d->bb);
 	g_free(d);
 }
@@ -128,7 +136,7 @@
 	if (!joined)
 		return;
 	for (uint32_t i = 0; i < joined->len; i++)
-		push_answer(out, g_array_index(joined, uint64_t, i), answer);
+		push_answer(out, g_array_index(joined, struct dec_join, i).id, answer);
 	g_hash_table_remove(d->joins, &req->id);
 }
 
@@ -141,6 +149,29 @@
 	return ran;
 }
 
+/* True when nothing ran since the stored result that may not be run again. */
+static bool can_go_on(const struct req *req)
+{
+	bool ran = false;
+
+	for (uint32_t i = 0; i < req->n_attempts; i++)
+		ran = ran || req->attempts[i].may_have_run;
+	return req->held && (!ran || req->stages[req->stage].idempotent);
+}
+
+static uint32_t plan_of(const struct req *req)
+{
+	uint32_t plan = req->n_stages;
+
+	for (uint32_t i = 0; i < req->n_stages; i++) {
+		const struct req_stage *stage = &req->stages[i];
+		plan = plan * 31 + g_str_hash(stage->service->name);
+		plan = plan * 31 + g_str_hash(stage->call);
+		plan = plan * 31 + stage->idempotent;
+	}
+	return plan;
+}
+
 void dec_refuse(struct dec *d, struct req *req, int code, int64_t retry_after_ms, int64_t now_ms,
 		struct dec_out *out)
 {
@@ -148,8 +179,14 @@
 
 	if (may_have_run(req))
 		answer.outcome = ERR_OUTCOME_UNKNOWN;
+	if (can_go_on(req)) {
+		answer.code = ERR_PARTLY_DONE;
+		answer.body = req->held;
+		answer.next_stage = req->held_stage;
+		answer.plan = plan_of(req);
+	}
 	dec_cancel_attempts(d, req, REQ_ATTEMPTS_MAX, now_ms, out);
-	push_refusal(out, req->id, code, answer.outcome, retry_after_ms);
+	push_refusal(out, req->id, answer.code, answer.outcome, retry_after_ms);
 	end_ticket(d, req, &answer, out);
 	g_hash_table_remove(d->reqs, &req->id);
 }
@@ -221,6 +258,7 @@
 	req->deadline_at_ms = now_ms + wait_ms;
 	req->body_bytes = ev->body_bytes;
 	req->prefix_hash = ev->prefix_hash;
+	req->handed = ev->handed;
 	req->has_ticket = ev->has_ticket;
 	req->ticket = ev->ticket;
 	req->hedge_at_ms = BB_NEVER;
@@ -236,19 +274,73 @@
 	return false;
 }
 
-static void join(struct dec *d, uint64_t running, uint64_t id)
+static void join(struct dec *d, uint64_t running, const struct dec_join *join)
 {
 	GArray *joined = g_hash_table_lookup(d->joins, &running);
 
 	if (!joined) {
-		joined = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+		joined = g_array_new(FALSE, FALSE, sizeof(struct dec_join));
 		g_hash_table_insert(d->joins, g_memdup2(&running, sizeof(running)), joined);
 	}
-	g_array_append_val(joined, id);
+	g_array_append_vals(joined, join, 1);
+	d->join_wake_ms = MIN(d->join_wake_ms, join->deadline_at_ms);
+}
+
+/* Gives up those whose time is over: what they joined may still run to its end. */
+static void expire_joined(struct dec *d, GArray *joined, int64_t now_ms, struct dec_out *out)
+{
+	for (guint i = joined->len; i-- > 0;) {
+		const struct dec_join waits = g_array_index(joined, struct dec_join, i);
+
+		if (now_ms < waits.deadline_at_ms) {
+			d->join_wake_ms = MIN(d->join_wake_ms, waits.deadline_at_ms);
+			continue;
+		}
+		g_array_remove_index_fast(joined, i);
+		push_refusal(out, waits.id, ERR_DEADLINE_EXPIRED, ERR_OUTCOME_UNKNOWN, 0);
+	}
+}
+
+static void tick_joins(struct dec *d, int64_t now_ms, struct dec_out *out)
+{
+	GHashTableIter iter;
+	gpointer joined;
+
+	if (now_ms < d->join_wake_ms)
+		return;
+	d->join_wake_ms = INT64_MAX;
+	g_hash_table_iter_init(&iter, d->joins);
+	while (g_hash_table_iter_next(&iter, NULL, &joined)) {
+		expire_joined(d, joined, now_ms, out);
+		if (((GArray *)joined)->len == 0)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* True when a repeat goes on from the result that is stored with its ticket. */
+static bool go_on(struct dec *d, struct req *req, struct dec_out *out)
+{
+	const struct tkt_answer *answer = tkt_answer(d->tickets, &req->ticket);
+	uint32_t stage = answer->next_stage;
+	struct dec_cmd *cmd;
+
+	if (stage == 0 || answer->plan != plan_of(req))
+		return false;
+	req->held = tkt_reopen(d->tickets, &req->ticket, req->id);
+	if (!req->held)
+		return false;
+	req->held_stage = stage;
+	req->stage = stage;
+	req->ran = true;
+	req->body_bytes = g_bytes_get_size(req->held);
+	cmd = dec_push(out, DEC_CMD_INPUT, req->id);
+	cmd->stage = stage;
+	cmd->body = g_bytes_ref(req->held);
+	return true;
 }
 
 /* True when the request may run here; else it has been answered, joined or forwarded. */
-static bool claim_ticket(struct dec *d, const struct req *req, int64_t now_ms,
+static bool claim_ticket(struct dec *d, struct req *req, int64_t now_ms,
 			 const struct dec_ev_request *ev, struct dec_out *out)
 {
 	uint64_t running = 0;
@@ -258,9 +350,13 @@
 	case TKT_RUN:
 		return true;
 	case TKT_JOIN:
-		join(d, running, ev->id);
+		join(d, running, &(struct dec_join){ev->id, req->deadline_at_ms});
 		break;
 	case TKT_REPLAY:
+		if (go_on(d, req, out))
+			return true;
+		push_answer(out, ev->id, tkt_answer(d->tickets, &ev->ticket));
+		break;
 	case TKT_NOT_RUN:
 		push_answer(out, ev->id, tkt_answer(d->tickets, &ev->ticket));
 		break;
@@ -281,6 +377,19 @@
 	return false;
 }
 
+/* The account's limit over the fleet. */
+static struct adm_verdict take_share(struct dec *d, const struct req *req,
+				     const struct dec_ev_request *ev, int64_t now_ms)
+{
+	const struct cfg *cfg = ev->cfg ? ev->cfg : d->bb.cfg;
+	struct adm_verdict verdict = {.code = ERR_NONE};
+
+	if (!shr_take(d->shares, &d->bb, &cfg->accounts.items[req->account], now_ms,
+		      &verdict.retry_after_ms))
+		verdict.code = ERR_RATE_LIMITED;
+	return verdict;
+}
+
 static bool is_full(const struct dec *d)
 {
 	return g_hash_table_size(d->reqs) > d->bb.cfg->capacity.max_in_flight;
@@ -313,6 +422,9 @@
 		return;
 	}
 	struct adm_verdict verdict = d->policy.admit->arrive(&d->bb, req, now_ms);
+	/* a request that is refused anyway costs its account nothing */
+	if (verdict.code == ERR_NONE)
+		verdict = take_share(d, req, ev, now_ms);
 	if (verdict.code != ERR_NONE)
 		dec_refuse(d, req, verdict.code, verdict.retry_after_ms, now_ms, out);
 	else if (is_full(d) && !dec_shed(d, req, now_ms, out))
@@ -348,8 +460,10 @@
 
 static void handle_list(struct dec *d, int64_t now_ms, const struct dec_event *ev)
 {
-	if (bb_set_list(&d->bb, ev->u.list, ev->at_ms ? ev->at_ms : now_ms, now_ms))
-		slt_recompute(&d->bb, now_ms);
+	if (!bb_set_list(&d->bb, ev->u.list, ev->at_ms ? ev->at_ms : now_ms, now_ms))
+		return;
+	slt_recompute(&d->bb, now_ms);
+	shr_recompute(d->shares, &d->bb, now_ms);
 }
 
 static void push_to_node(struct dec_out *out, enum dec_cmd_type type, const struct bb_node *node)
@@ -370,6 +484,52 @@
 		push_to_node(out, DEC_CMD_ASK_LIST, from);
 }
 
+static void push_demand(struct dec *d, const struct shr_message *message, struct dec_out *out)
+{
+	const struct bb_node *node = bb_node(&d->bb, message->vm);
+
+	if (!node)
+		return;
+	push_to_node(out, DEC_CMD_DEMAND, node);
+	g_array_index(out->cmds, struct dec_cmd, out->cmds->len - 1).demand =
+		g_memdup2(message, sizeof(*message));
+}
+
+static void handle_demand(struct dec *d, int64_t now_ms, const struct shr_message *message,
+			  struct dec_out *out)
+{
+	struct shr_message reply;
+
+	if (message->reply)
+		shr_borrow(d->shares, &d->bb, message, now_ms);
+	else if (shr_lend(d->shares, &d->bb, message, now_ms, &reply))
+		push_demand(d, &reply, out);
+}
+
+/* The keeper of a part is among those who borrow from it. */
+static void lend_to_self(struct dec *d, int64_t now_ms, struct shr_message *ask)
+{
+	struct shr_message reply;
+
+	ask->incarnation = d->bb.incarnation;
+	if (shr_lend(d->shares, &d->bb, ask, now_ms, &reply))
+		shr_borrow(d->shares, &d->bb, &reply, now_ms);
+}
+
+static void tick_shares(struct dec *d, int64_t now_ms, struct dec_out *out)
+{
+	struct shr_message ask;
+
+	shr_settle(d->shares, &d->bb, now_ms);
+	shr_sweep(d->shares, now_ms);
+	while (shr_ask(d->shares, &d->bb, now_ms, &ask)) {
+		if (strcmp(ask.vm, d->bb.self_vm) == 0)
+			lend_to_self(d, now_ms, &ask);
+		else
+			push_demand(d, &ask, out);
+	}
+}
+
 static void tick_membership(struct dec *d, int64_t now_ms, struct dec_out *out)
 {
 	struct bb_upstream *up;
@@ -401,6 +561,7 @@
 	const struct adm_ops *before = d->policy.admit;
 
 	d->policy = d->bb.cfg->routing.policy == CFG_POLICY_BASELINE ? dec_baseline : dec_adaptive;
+	shr_set_ops(d->shares, d->policy.share);
 	if (d->policy.admit != before)
 		dec_sort_queues(d);
 }
@@ -428,6 +589,7 @@
 		bb_set_config(&d->bb, ev->u.cfg, ev->at_ms ? ev->at_ms : now_ms);
 		set_policy(d);
 		slt_recompute(&d->bb, now_ms);
+		shr_recompute(d->shares, &d->bb, now_ms);
 		break;
 	case DEC_EV_CONFIG_SAME:
 		d->bb.cfg_confirmed_ms = MAX(d->bb.cfg_confirmed_ms, ev->at_ms);
@@ -438,13 +600,18 @@
 	case DEC_EV_DIGEST:
 		handle_digest(d, now_ms, ev->u.digest, out);
 		break;
+	case DEC_EV_DEMAND:
+		handle_demand(d, now_ms, ev->u.demand, out);
+		break;
 	case DEC_EV_LIST_CONFIRMED:
 		bb_confirm_list(&d->bb, ev->u.asked_ms);
 		break;
 	case DEC_EV_TICK:
 		d->bb.last_tick_ms = now_ms;
 		tick_membership(d, now_ms, out);
+		tick_shares(d, now_ms, out);
 		dec_tick_requests(d, now_ms, out);
+		tick_joins(d, now_ms, out);
 		break;
 	case DEC_EV_DRAIN:
 		d->bb.draining = true;
--- a/packages/node/run.c
+++ b/packages/node/run.c
@@ -4,7 +4,9 @@
 #include "base/clk.h"
 #include "base/ctr.h"
 #include "base/log.h"
+#include "node/dmd.h"
 #include "node/fwd.h"
+#include "node/hnd.h"
 
 #define RUN_POOL_QUEUED 4096
 
@@ -61,6 +63,8 @@
 		ctr_add(CTR_HEDGES, 1);
 	else if (cmd->attempt > 0)
 		ctr_add(CTR_RETRIES, 1);
+	if (cmd->resume)
+		hrq_resume_stream(hrq, cmd->stage, cmd->attempt);
 	struct wkp *pool = pool_of(n, cmd->service);
 	if (!pool || !wkp_submit(pool, ups_send, att)) {
 		free_attempt(att);
@@ -79,18 +83,22 @@
 /* The accepted result becomes the next stage's input, or the answer. */
 static void run_accept(struct hrq *hrq, const struct dec_cmd *cmd)
 {
+	GBytes *result = NULL;
+
 	pthread_mutex_lock(&hrq->lock);
 	struct hrq_attempt *record = hrq_attempt(hrq, cmd->stage, cmd->attempt);
 	if (record == hrq->streamed) {
 		hrq->stream_end = true;
 		hrq_wake(hrq);
 	} else {
-		if (hrq->input)
-			g_bytes_unref(hrq->input);
-		hrq->input = g_bytes_new(record->out->data, record->out->len);
+		result = g_bytes_new(record->out->data, record->out->len);
 		g_byte_array_set_size(record->out, 0);
 	}
 	pthread_mutex_unlock(&hrq->lock);
+	if (!result)
+		return;
+	hrq_set_input(hrq, cmd->stage + 1, result);
+	g_bytes_unref(result);
 }
 
 static void run_stream(struct hrq *hrq, const struct dec_cmd *cmd)
@@ -121,6 +129,12 @@
 	bool call_back = false;
 
 	ctr_add(outcome_counter(outcome), 1);
+	hrq_set_over(hrq);
+	hrq_ref(hrq);
+	/* what a caller can have the answer of is held no more; a stop waits for callers, but for
+	 * those of other nodes only while their requests stand in the table */
+	if (!hrq->on_done)
+		nod_remove_req(n, hrq->id);
 	pthread_mutex_lock(&hrq->lock);
 	if (hrq->state != HRQ_DONE)
 		hrq->outcome = outcome;
@@ -135,7 +149,9 @@
 	pthread_mutex_unlock(&hrq->lock);
 	if (call_back)
 		hrq->on_done(hrq, hrq->on_done_arg);
-	nod_remove_req(n, hrq->id);
+	if (hrq->on_done)
+		nod_remove_req(n, hrq->id);
+	hrq_unref(hrq);
 }
 
 static void run_finish(struct nod *n, struct hrq *hrq)
@@ -176,8 +192,11 @@
 {
 	char ticket[TKT_TEXT_BYTES] = "";
 
-	/* a ticket that was refused is used up; so may be one of unknown fate */
-	if (code == ERR_TICKET_REQUIRED || hrq->given_ticket[0])
+	/*
+	 * A ticket that was refused is used up; so may be one of unknown fate. One that is partly
+	 * done is to be sent again, and with another one it would run a second time.
+	 */
+	if (code == ERR_TICKET_REQUIRED || (hrq->given_ticket[0] && code != ERR_PARTLY_DONE))
 		run_fresh_ticket(n, ticket);
 	pthread_mutex_lock(&hrq->lock);
 	g_strlcpy(hrq->ticket, ticket, sizeof(hrq->ticket));
@@ -198,6 +217,10 @@
 	case DEC_CMD_CANCEL:
 		run_cancel(n, hrq, cmd);
 		break;
+	case DEC_CMD_INPUT:
+		ctr_add(CTR_CARRIED_ON, 1);
+		hrq_set_input(hrq, cmd->stage, cmd->body);
+		break;
 	case DEC_CMD_ACCEPT:
 		run_accept(hrq, cmd);
 		break;
@@ -219,9 +242,13 @@
 	case DEC_CMD_FORWARD:
 		fwd_request(n->fwd, hrq, cmd);
 		break;
+	case DEC_CMD_HAND:
+		hnd_ask(n->hnd, hrq, cmd);
+		break;
 	case DEC_CMD_POLL:
 	case DEC_CMD_PROBE:
 	case DEC_CMD_ASK_LIST:
+	case DEC_CMD_DEMAND:
 		break;
 	}
 }
@@ -239,6 +266,9 @@
 	case DEC_CMD_ASK_LIST:
 		msg_ask_list(n, cmd);
 		return true;
+	case DEC_CMD_DEMAND:
+		dmd_send(n, cmd);
+		return true;
 	default:
 		return false;
 	}
