--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # A front for CMake. `make demo` and `make check` install what they lack and do everything.
-.PHONY: all deps build demo check format lint proto clean
+.PHONY: all deps build demo experiment plots check format lint proto clean storm
 
 SEED ?= 1
 
@@ -15,6 +15,15 @@
 demo: build
 	@tools/demo.sh
 
+# Policy against baseline; CSV files go to docs/measurements.
+experiment: build
+	@EXTRA_PACKAGES=jq tools/install.sh
+	@tools/experiment.sh
+
+plots:
+	@EXTRA_PACKAGES=gnuplot-nox tools/install.sh
+	@tools/plots.sh
+
 check: deps
 	@tools/check.sh
 
@@ -30,3 +39,8 @@
 
 clean:
 	rm -rf build build-*
+
+# Random faults, two at a time: make storm SEED=n MINUTES=m
+MINUTES ?= 1
+storm: build
+	@STORM_SEED=$(SEED) STORM_SECONDS=$$(( $(MINUTES) * 60 )) build/tests/proc_storm
--- a/packages/decide/dec_int.h
+++ b/packages/decide/dec_int.h
@@ -17,9 +17,16 @@
 	uint32_t rank;	  /* place in bb_service.uses */
 	int64_t sent_at_ms;
 	bool cancelled; /* its failure says nothing of the upstream */
+	bool resumed;	/* made a part of the answer only */
 	bool withheld;	/* dec_may_send() forbade it */
 };
 
+/* A request that waits for the answer of a running one with its ticket. */
+struct dec_join {
+	uint64_t id;
+	int64_t deadline_at_ms;
+};
+
 guint dec_flight_hash(gconstpointer key);
 gboolean dec_flight_equal(gconstpointer a, gconstpointer b);
 
