Hand stages of a node without a slot to a holder

Cause: while all upstreams of a service are cold, a node that holds no slot kept its requests in the queue until the deadline could not be met. Ruled out: refusing at once, which refuses most of what comes while a fleet starts. A handed stage costs its account nothing a second time.

--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -422,8 +422,8 @@
 		return;
 	}
 	struct adm_verdict verdict = d->policy.admit->arrive(&d->bb, req, now_ms);
-	/* a request that is refused anyway costs its account nothing */
-	if (verdict.code == ERR_NONE)
+	/* a request that is refused anyway costs its account nothing; a handed one has paid */
+	if (verdict.code == ERR_NONE && !ev->handed)
 		verdict = take_share(d, req, ev, now_ms);
 	if (verdict.code != ERR_NONE)
 		dec_refuse(d, req, verdict.code, verdict.retry_after_ms, now_ms, out);
--- a/tests/unit_slots.c
+++ b/tests/unit_slots.c
@@ -226,6 +226,60 @@
 }
 END_TEST
 
+static bool holds_any(const struct dec *d)
+{
+	return bb_upstream(&d->bb, 0)->slot_since_ms[0] != BB_NEVER ||
+	       bb_upstream(&d->bb, 1)->slot_since_ms[0] != BB_NEVER;
+}
+
+/* The node that a request is handed to; g_free() it. */
+static char *handed_to(struct dec *d, uint64_t id, bool handed)
+{
+	const struct dec_event ev = {
+		.type = DEC_EV_REQUEST,
+		.u.request = {.id = id, .pipeline = -1, .call = "run", .handed = handed},
+	};
+	struct dec_out out;
+	char *vm = NULL;
+
+	dec_out_init(&out);
+	dec_handle(d, START_MS + 1000, &ev, &out); /* the account has earned some */
+	for (guint i = 0; i < out.cmds->len; i++) {
+		const struct dec_cmd *cmd = &g_array_index(out.cmds, struct dec_cmd, i);
+		if (cmd->type == DEC_CMD_HAND)
+			vm = g_strdup(cmd->vm);
+	}
+	dec_out_free(&out);
+	return vm;
+}
+
+/* Once, to a holder, by a node that holds none. */
+START_TEST(hands_over_without_a_slot)
+{
+	struct cfg *cfg = make_cfg(1, 8);
+	int handing = 0;
+
+	for (int i = 0; i < 7; i++) {
+		struct dec *d = make_node(i, 7, cfg);
+		char *vm = handed_to(d, 1, false);
+
+		ck_assert_ptr_null(handed_to(d, 2, true));
+		if (!holds_any(d)) {
+			handing++;
+			ck_assert_ptr_nonnull(vm);
+			ck_assert(strcmp(vm, slt_holder(&d->bb, bb_upstream(&d->bb, 0), 0)->vm) ==
+					  0 ||
+				  strcmp(vm, slt_holder(&d->bb, bb_upstream(&d->bb, 1), 0)->vm) ==
+					  0);
+		}
+		g_free(vm);
+		dec_free(d);
+	}
+	ck_assert_int_ge(handing, 5);
+	cfg_unref(cfg);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("slots");
@@ -238,6 +292,7 @@
 	tcase_add_loop_test(tcase, opens_a_slot, 0, G_N_ELEMENTS(openings));
 	tcase_add_loop_test(tcase, loses_a_slot, 0, G_N_ELEMENTS(losses));
 	tcase_add_test(tcase, warm_news_count_for_a_second);
+	tcase_add_test(tcase, hands_over_without_a_slot);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
