Measure reserves at small widths; keep the queue's order alone

Cause looked for: 30 % of a width of 3 keeps no slot. The bench takes engines and their width as arguments.

--- a/tests/bench_policy.c
+++ b/tests/bench_policy.c
@@ -1,7 +1,7 @@
 /*
  * Policy against baseline under a fake clock: one node's decisions before a plain queueing
  * stand-in of its upstreams (first come, first served, warm_limit servers each).
- * Usage: bench_policy [seeds] [seconds]
+ * Usage: bench_policy [seeds] [seconds] [engines warm_limit]
  */
 #include "policy_doc.h"
 
@@ -17,15 +17,18 @@
 #define STAGES 4
 #define CLASSES 3
 #define DEADLINE_MS 1500
-#define WARM_LIMIT 8
-#define ENGINES 9
+#define WARM_LIMIT_DEFAULT 8
+#define ENGINES_DEFAULT 9
 #define POOL_UPSTREAMS 3
 #define BODY_BYTES 200000
-#define CAPACITY_PER_S (ENGINES * WARM_LIMIT / 0.3) /* of the engines, the narrowest stage */
+#define ENGINE_S 0.3
 #define STRAGGLER_FACTOR 10
 
 static const double mean_ms[STAGES] = {10, 20, 30, 300};
 static const double class_share[CLASSES] = {0.1, 0.3, 0.6};
+static uint32_t engines = ENGINES_DEFAULT;
+static uint32_t warm_limit = WARM_LIMIT_DEFAULT;
+
 static const double loads[] = {0.7, 1.0, 1.5, 3.0};
 
 enum fault { FAULT_NONE, FAULT_STRAGGLER, FAULT_OUT, FAULTS };
@@ -134,7 +137,7 @@
 		plan(sim, sim->now_us, EV_DONE, job);
 		return;
 	}
-	if (server->busy < WARM_LIMIT)
+	if (server->busy < warm_limit)
 		begin(sim, job);
 	else
 		g_queue_push_tail(&server->waits, job);
@@ -281,6 +284,12 @@
 	}
 }
 
+/* Of the engines, the narrowest stage. */
+static double capacity_per_s(void)
+{
+	return engines * warm_limit / ENGINE_S;
+}
+
 static struct figures run(const char *policy, double load, enum fault fault, uint64_t seed,
 			  int64_t seconds)
 {
@@ -289,8 +298,8 @@
 		.data_centres = 3,
 		.services = STAGES,
 		.upstreams = POOL_UPSTREAMS,
-		.engines = ENGINES,
-		.warm_limit = WARM_LIMIT,
+		.engines = engines,
+		.warm_limit = warm_limit,
 		.pipelines = 1,
 		.accounts = 3,
 		.deadline_ms = DEADLINE_MS,
@@ -316,7 +325,7 @@
 	dec_out_init(&sim.out);
 	plan(&sim, 0, EV_TICK, NULL);
 	plan(&sim, 0, EV_ARRIVAL, NULL);
-	run_events(&sim, &doc, load * CAPACITY_PER_S, seconds * 1000000);
+	run_events(&sim, &doc, load * capacity_per_s(), seconds * 1000000);
 	for (int i = 0; i < CLASSES; i++) {
 		f.attained[i] = 100.0 * (double)sim.in_time[i] / (double)sim.arrivals[i];
 		done += sim.in_time[i];
@@ -369,6 +378,10 @@
 	size_t seeds = argc > 1 ? (size_t)atoi(argv[1]) : 5;
 	int64_t seconds = argc > 2 ? atoi(argv[2]) : 30;
 
+	if (argc > 4) {
+		engines = (uint32_t)atoi(argv[3]);
+		warm_limit = (uint32_t)atoi(argv[4]);
+	}
 	seeds = MIN(MAX(seeds, 1), SEEDS_MAX);
 	printf("| fault | load | policy | class 0 in time %% | class 1 | class 2 | goodput /s | "
 	       "attempts per stage | paid MB per 1000 answers | ms to a refusal |\n"
