Refuse a restart that is not a boolean

Cause: {"restart": 1} was answered 200 and did nothing, so the experiment's data centre returned warm. Seen: 0 cold overruns of a baseline that has no ramp. Test: unit_emul/unknown_controls_are_refused; 21 of 21 with sanitizers.

--- a/packages/emul/emu_ctl.c
+++ b/packages/emul/emu_ctl.c
@@ -77,7 +77,9 @@
 	set = up->set;
 	json_object_foreach(json, name, value)
 	{
-		if (strcmp(name, "restart") != 0)
+		if (strcmp(name, "restart") == 0)
+			ok = ok && json_is_boolean(value);
+		else
 			ok = ok && set_key(&set, name, value);
 	}
 	if (ok)
--- a/tests/unit_emul.c
+++ b/tests/unit_emul.c
@@ -185,6 +185,7 @@
 {
 	ck_assert_int_eq(control("encoder-1", "{\"sevice_ms\":1}"), 400);
 	ck_assert_int_eq(control("encoder-1", "{\"service_ms\":\"1\"}"), 400);
+	ck_assert_int_eq(control("encoder-1", "{\"restart\":1}"), 400);
 	ck_assert_int_eq(control("none", "{}"), 404);
 	ck_assert_int_eq(control("*", "{\"service_ms\":7}"), 200);
 	ck_assert_int_eq(state_of("chat-9", "service_ms"), 7);
--- a/tools/experiment.sh
+++ b/tools/experiment.sh
@@ -55,7 +55,7 @@
 	local name
 	sleep "$1"
 	for name in encoder-2 retriever-2 reranker-2 chat-4 chat-5 chat-6 weighbridge-2; do
-		put "$platform" "/control/upstreams/$name" '{"restart":1}'
+		put "$platform" "/control/upstreams/$name" '{"restart":true}'
 	done
 }
 
--- a/tools/plots.sh
+++ b/tools/plots.sh
@@ -6,7 +6,7 @@
 from=${FROM:-docs/measurements}
 to=${TO:-docs/plots}
 suffix=${SUFFIX:-svg}
-terminal=${TERMINAL:-svg size 900,480 background rgb 'white'}
+terminal=${TERMINAL:-svg size 900,480 background \"white\"}
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 mkdir -p "$to"
@@ -35,7 +35,7 @@
 		set title "$2"
 		set xlabel "$3"
 		set ylabel "$4"
-		set key bottom right
+		set key top left
 		set grid
 		set yrange [0:*]
 		plot $5
