--- a/tools/node_streams.sh
+++ b/tools/node_streams.sh
@@ -31,6 +31,10 @@
 daemon=${pids[1]}
 node=$(field "$dir/node-1.out" caller)
 idle_kb=$(memory_kb "$daemon")
+for _ in $(seq 100); do
+	"$bin/currantscale" addresses "$node" 2>/dev/null | grep -q node-1 && break
+	sleep 0.1
+done
 load "$((streams / 3))" 14 >/dev/null 2>&1 || true # windows grow by completions
 load "$((streams / 3))" "$seconds" >"$dir/load.json" 2>/dev/null &
 running=$!
