--- a/packages/base/include/base/ctr.h
+++ b/packages/base/include/base/ctr.h
@@ -19,6 +19,7 @@
 	X(CTR_RETRIES, "upstream_retries_total", "attempts after a failed one")                    \
 	X(CTR_HEDGES, "upstream_hedges_total", "hedged attempts")                                  \
 	X(CTR_LATE_RESULTS, "late_results_total", "results dropped as late or second")             \
+	X(CTR_CARRIED_ON, "carried_on_total", "repeats that went on from a stored stage result")   \
 	X(CTR_CROSS_BYTES, "cross_region_bytes_total", "bytes sent over links between regions")    \
 	X(CTR_PEER_TX_BYTES, "peer_sent_bytes_total", "bytes sent to other nodes")                 \
 	X(CTR_PEER_RX_BYTES, "peer_received_bytes_total", "bytes received from other nodes")       \
@@ -31,6 +32,7 @@
 	X(CTR_CONFIG_CONFLICTS, "config_conflicts_total", "equal revisions with unequal content")  \
 	X(CTR_TICKETS_ISSUED, "tickets_issued_total", "tickets issued")                            \
 	X(CTR_FORWARDS, "forwards_total", "requests forwarded to the owner of their ticket")       \
+	X(CTR_HANDED, "handed_over_total", "stages handed to a node that holds a slot")            \
 	X(CTR_ORDERS, "engine_orders_total", "orders given to engines")                            \
 	X(CTR_CLOCK_GAPS, "clock_gaps_total", "pauses of the process that were noticed")
 
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -34,13 +34,18 @@
 	bool healthy = ev->code == ERR_NONE;
 	const struct slt_end end = {.healthy = healthy, .latency_us = ev->latency_us};
 
+	if (flight->upstream == DEC_HANDED) {
+		flight->service->handed--;
+		return;
+	}
 	bb_count(up, flight->service, flight->rank, -1);
 	if (ev->sent && may_run_on(ev->code))
 		slt_doubt(&d->bb, up, now_ms);
-	if (!healthy && (flight->cancelled || flight->withheld || ev->code == ERR_OVERLOADED))
+	if (!healthy && (flight->cancelled || flight->withheld || ev->code == ERR_OVERLOADED ||
+			 ev->code == ERR_NO_RESUME))
 		return;
 	d->policy.slots->ended(&d->bb, up, &end, now_ms);
-	if (healthy)
+	if (healthy && !flight->resumed)
 		book_latency(up, flight->service, ev->latency_us, now_ms);
 	/* a refusal tells of load, and an ejection would only move that to the others */
 	if (ev->code != ERR_UPSTREAM_REFUSED)
@@ -79,6 +84,20 @@
 	return n;
 }
 
+/* What can't be run again is kept, so that the stages after it can be. */
+static void hold_result(struct req *req, GBytes *body)
+{
+	if (req->stages[req->stage].idempotent)
+		return;
+	if (req->held)
+		g_bytes_unref(req->held);
+	req->held = NULL;
+	if (!body || g_bytes_get_size(body) > TKT_HELD_BYTES_MAX)
+		return;
+	req->held = g_bytes_ref(body);
+	req->held_stage = req->stage + 1;
+}
+
 static void accept_result(struct dec *d, struct req *req, const struct dec_ev_attempt *ev,
 			  int64_t now_ms, struct dec_out *out)
 {
@@ -91,6 +110,7 @@
 		dec_finish(d, req, ev->body, out);
 		return;
 	}
+	hold_result(req, ev->body);
 	req->ran = true;
 	req->stage++;
 	req->n_attempts = 0;
@@ -99,10 +119,13 @@
 	dec_start_stage(d, req, now_ms, out);
 }
 
-/* A stage may run again when it is idempotent or the failed attempt was never sent. */
+/*
+ * A stage may run again when it is idempotent or the failed attempt was never sent. Of a stream
+ * that is open the next attempt makes what is missing.
+ */
 static bool may_run_again(const struct req *req, const struct dec_ev_attempt *ev)
 {
-	return !req->stream_open && (req->stages[req->stage].idempotent || !ev->sent);
+	return req->stages[req->stage].idempotent || !ev->sent;
 }
 
 static void handle_failure(struct dec *d, struct req *req, const struct dec_ev_attempt *ev,
@@ -111,6 +134,8 @@
 	struct rty_budget *budget = &req->stages[req->stage].service->budget;
 
 	req->last_code = ev->code;
+	if (req->stream_open)
+		req->passed_bytes += ev->bytes;
 	if (outstanding(req) > 0)
 		return;
 	if (may_run_again(req, ev) && now_ms < req->deadline_at_ms &&
--- a/packages/decide/include/decide/dec.h
+++ b/packages/decide/include/decide/dec.h
@@ -11,6 +11,7 @@
 #include "decide/req.h"
 #include "decide/rte.h"
 #include "decide/rty.h"
+#include "decide/shr.h"
 #include "decide/slt.h"
 #include "decide/tkt.h"
 
@@ -32,6 +33,7 @@
 	DEC_EV_CLOSE,	       /* planned stop: new work is refused from here on */
 	DEC_EV_CONFIG_SAME,    /* the configuration service holds nothing newer */
 	DEC_EV_DIGEST,	       /* what another node said of itself and of what it saw */
+	DEC_EV_DEMAND, /* another node asks for a part of an account's limit, or lends one */
 };
 
 struct dec_ev_request {
@@ -47,6 +49,7 @@
 	bool has_ticket;
 	struct tkt_id ticket;
 	bool forwarded;	     /* by another node: not handed on again */
+	bool handed;	     /* one stage, by a node without a slot: not handed on again */
 	int64_t now_wall_ms; /* for the ticket's expiry */
 };
 
@@ -57,8 +60,8 @@
 	int code;	    /* ERR_NONE: whole result */
 	bool sent;	    /* the first byte was written: it may have run */
 	int64_t latency_us; /* of the whole attempt */
-	uint64_t bytes;	    /* of the result */
-	GBytes *body;	    /* of a ticketed request's last stage, borrowed; else NULL */
+	uint64_t bytes;	    /* of the result; of a stream as far as it was taken */
+	GBytes *body;	    /* when the command said keep_body, borrowed; else NULL */
 };
 
 struct dec_ev_report {
@@ -81,6 +84,7 @@
 		struct cfg *cfg;  /* CONFIG; the event's reference stays the caller's */
 		struct vml *list; /* LIST; ownership passes */
 		const struct mem_digest *digest;
+		const struct shr_message *demand;
 		int64_t asked_ms; /* LIST_CONFIRMED: when the platform was asked */
 	} u;
 };
@@ -88,6 +92,7 @@
 enum dec_cmd_type {
 	DEC_CMD_SEND,	  /* send an attempt of a stage */
 	DEC_CMD_CANCEL,	  /* tell an upstream to drop an attempt */
+	DEC_CMD_INPUT,	  /* the stage's input is a result stored before */
 	DEC_CMD_ACCEPT,	  /* the attempt's result is the stage's */
 	DEC_CMD_DROP,	  /* the attempt's result is late or second */
 	DEC_CMD_STREAM,	  /* pass this attempt's bytes to the caller from now on */
@@ -95,9 +100,11 @@
 	DEC_CMD_REFUSE,	  /* answer with an error; final */
 	DEC_CMD_REPLAY,	  /* answer with a stored body */
 	DEC_CMD_FORWARD,  /* hand the request to the owner of its ticket */
+	DEC_CMD_HAND,	  /* hand an attempt of a stage to the node vm at address */
 	DEC_CMD_POLL,	  /* read an upstream's load report */
 	DEC_CMD_PROBE,	  /* send a digest to the node vm at address */
 	DEC_CMD_ASK_LIST, /* ask the node vm at address for its VM list */
+	DEC_CMD_DEMAND,	  /* send demand to the node vm at address */
 };
 
 struct dec_cmd {
@@ -109,18 +116,21 @@
 	char address[BB_ADDRESS_BYTES];
 	char service[BB_NAME_BYTES];
 	char call[BB_NAME_BYTES];
-	char vm[BB_NAME_BYTES]; /* FORWARD, PROBE, ASK_LIST */
+	char vm[BB_NAME_BYTES]; /* FORWARD, HAND, PROBE, ASK_LIST, DEMAND */
 	struct tkt_id ticket;	/* FORWARD */
 	bool idempotent;
 	bool stream;
+	bool resume;	 /* goes on with the stream that an earlier attempt began */
+	uint64_t offset; /* of the resume: bytes that were passed on already */
 	bool hedge;
 	bool keep_body; /* the result goes into the ticket table */
 	int64_t rank;
 	int64_t timeout_ms;
-	int code;		  /* REFUSE */
-	enum err_outcome outcome; /* REFUSE */
-	int64_t retry_after_ms;	  /* REFUSE; 0: none */
-	GBytes *body;		  /* REPLAY; owned by the command */
+	int code;		    /* REFUSE */
+	enum err_outcome outcome;   /* REFUSE */
+	int64_t retry_after_ms;	    /* REFUSE; 0: none */
+	GBytes *body;		    /* INPUT, REPLAY; owned by the command */
+	struct shr_message *demand; /* DEMAND; owned by the command */
 };
 
 /* Commands of one call; dec_out_clear() frees what they own. */
@@ -138,6 +148,7 @@
 	const struct rte_ops *route;
 	const struct adm_ops *admit;
 	const struct rty_ops *retry;
+	const struct shr_ops *share;
 };
 
 extern const struct dec_policy dec_adaptive;
@@ -147,12 +158,14 @@
 	struct bb bb;
 	struct dec_policy policy;
 	struct tkt_table *tickets;
-	bool closing;	     /* refuses new work of callers; that of other nodes goes on */
-	GHashTable *reqs;    /* id -> struct req, owned */
-	GSequence *wakes;    /* struct req, borrowed, by wake_at_ms */
-	int64_t peaks_at_ms; /* when the peaks of use last faded */
-	GHashTable *flights; /* set of struct dec_flight, owned: attempts not yet ended */
-	GHashTable *joins;   /* running id -> GArray of uint64_t ids that wait for its answer */
+	struct shr *shares;
+	bool closing;	      /* refuses new work of callers; that of other nodes goes on */
+	GHashTable *reqs;     /* id -> struct req, owned */
+	GSequence *wakes;     /* struct req, borrowed, by wake_at_ms */
+	int64_t peaks_at_ms;  /* when the peaks of use last faded */
+	GHashTable *flights;  /* set of struct dec_flight, owned: attempts not yet ended */
+	GHashTable *joins;    /* running id -> GArray of struct dec_join that wait for its answer */
+	int64_t join_wake_ms; /* when the first of them is given up; INT64_MAX: never */
 };
 
 struct dec *dec_new(const char *vm, const char *data_centre, uint64_t incarnation, uint64_t seed,
--- a/packages/node/msg.c
+++ b/packages/node/msg.c
@@ -1,7 +1,9 @@
 /* Messages with other nodes: what comes in becomes events, what the decisions order goes out. */
 #include "base/clk.h"
 #include "node/dig.h"
+#include "node/dmd.h"
 #include "node/fwd.h"
+#include "node/hnd.h"
 #include "node/nod.h"
 #include "node/rel.h"
 
@@ -88,12 +90,21 @@
 	case PEER__MESSAGE__KIND_VIEW:
 		take_view(n, message);
 		break;
+	case PEER__MESSAGE__KIND_DEMAND:
+		dmd_take(n, message);
+		break;
 	case PEER__MESSAGE__KIND_LIST_ASK:
 		answer_list(n, message);
 		break;
 	case PEER__MESSAGE__KIND_LIST_REPLY:
 		take_list(n, message->list_reply);
 		break;
+	case PEER__MESSAGE__KIND_STAGE_ASK:
+		hnd_take_ask(n->hnd, message);
+		break;
+	case PEER__MESSAGE__KIND_STAGE_REPLY:
+		hnd_take_reply(n->hnd, message);
+		break;
 	default:
 		break;
 	}
