--- a/packages/decide/dec.c
+++ b/packages/decide/dec.c
@@ -405,12 +405,13 @@
 		return;
 	}
 	req = make_req(d, now_ms, ev);
-	if (needs_ticket(req) && !req->has_ticket) {
+	/* the ticket of a handed stage stays with the node that hands it */
+	if (!ev->handed && needs_ticket(req) && !req->has_ticket) {
 		push_refusal(out, ev->id, ERR_TICKET_REQUIRED, ERR_OUTCOME_NOT_RUN, 0);
 		g_free(req);
 		return;
 	}
-	req->has_ticket = needs_ticket(req);
+	req->has_ticket = !ev->handed && needs_ticket(req);
 	if (req->has_ticket && !claim_ticket(d, req, now_ms, ev, out)) {
 		g_free(req);
 		return;
--- a/packages/decide/dec_hand.c
+++ b/packages/decide/dec_hand.c
@@ -1,4 +1,7 @@
-/* Hand-over: a node without a slot gives an idempotent stage to one that holds one. */
+/*
+ * Hand-over: a node without a slot gives a stage to one that holds one. A non-idempotent stage is
+ * handed at most once: only an answer that says that nothing ran lets it go elsewhere.
+ */
 #include "dec_int.h"
 
 #include "decide/elg.h"
@@ -6,11 +9,22 @@
 #include <string.h>
 
 #define HAND_PROBES 8 /* upstreams looked at for an eligible one with a holder */
-#define HANDED_MAX 64 /* attempts of a service at other nodes */
+#define HAND_TRIES (REQ_ATTEMPTS_MAX / 2) /* the other attempts are kept for upstreams */
+#define HAND_HEARD_MS 2000 /* a node not heard of since gets no non-idempotent stage */
+#define HANDED_MAX 64	   /* attempts of a service at other nodes */
+
+/* Losing a non-idempotent stage with its node costs an answer; losing another costs a retry. */
+static bool may_take(const struct bb_node *node, bool idempotent, int64_t now_ms)
+{
+	if (node->draining_until_ms > now_ms)
+		return false;
+	return idempotent ||
+	       (node->heard_at_ms != BB_NEVER && now_ms - node->heard_at_ms <= HAND_HEARD_MS);
+}
 
 /* The holder of a random slot of an eligible upstream; NULL when none was found. */
 static const struct bb_node *pick_holder(struct bb *bb, const struct bb_service *service,
-					 int64_t now_ms)
+					 bool idempotent, int64_t now_ms)
 {
 	const GPtrArray *ups = service->upstreams;
 
@@ -22,7 +36,8 @@
 		if (up->n_slots == 0 || elg_check(bb, up, now_ms) != ELG_OK)
 			continue;
 		holder = slt_holder(bb, up, (uint32_t)rnd_below(&bb->rnd, (uint64_t)up->n_slots));
-		if (holder && strcmp(holder->vm, bb->self_vm) != 0)
+		if (holder && strcmp(holder->vm, bb->self_vm) != 0 &&
+		    may_take(holder, idempotent, now_ms))
 			return holder;
 	}
 	return NULL;
@@ -40,8 +55,8 @@
 	g_strlcpy(cmd->address, holder->peer_address, sizeof(cmd->address));
 	g_strlcpy(cmd->service, stage->service->name, sizeof(cmd->service));
 	g_strlcpy(cmd->call, stage->call, sizeof(cmd->call));
-	cmd->idempotent = true;
-	cmd->keep_body = req->has_ticket && req->stage + 1 == req->n_stages;
+	cmd->idempotent = stage->idempotent;
+	cmd->keep_body = dec_keeps_body(req);
 	cmd->timeout_ms = req->deadline_at_ms - now_ms;
 }
 
@@ -60,16 +75,25 @@
 	g_hash_table_add(d->flights, g_memdup2(&flight, sizeof(flight)));
 }
 
+static bool may_hand(const struct dec *d, const struct req *req)
+{
+	const struct bb_service *service = req->stages[req->stage].service;
+
+	/* what was passed on of a stream can't be told to the other node */
+	if (req->handed || req->stream_open || req->n_attempts >= HAND_TRIES)
+		return false;
+	return service->capacity == 0 && service->handed < HANDED_MAX &&
+	       d->policy.slots == &slt_rendezvous;
+}
+
 bool dec_hand_over(struct dec *d, struct req *req, int64_t now_ms, struct dec_out *out)
 {
 	struct bb_service *service = req->stages[req->stage].service;
 	const struct bb_node *holder;
 
-	if (req->handed || !req->stages[req->stage].idempotent || service->capacity > 0 ||
-	    service->handed >= HANDED_MAX || req->n_attempts == REQ_ATTEMPTS_MAX ||
-	    d->policy.slots != &slt_rendezvous)
+	if (!may_hand(d, req))
 		return false;
-	holder = pick_holder(&d->bb, service, now_ms);
+	holder = pick_holder(&d->bb, service, req->stages[req->stage].idempotent, now_ms);
 	if (!holder)
 		return false;
 	req->attempts[req->n_attempts++] = (struct req_attempt){
--- a/packages/decide/dec_int.h
+++ b/packages/decide/dec_int.h
@@ -30,6 +30,9 @@
 guint dec_flight_hash(gconstpointer key);
 gboolean dec_flight_equal(gconstpointer a, gconstpointer b);
 
+/* True when the result of the current stage goes into the ticket table. */
+bool dec_keeps_body(const struct req *req);
+
 /* Appends a zeroed command of a type and returns it; valid until the next append. */
 struct dec_cmd *dec_push(struct dec_out *out, enum dec_cmd_type type, uint64_t req);
 
--- a/packages/decide/dec_queue.c
+++ b/packages/decide/dec_queue.c
@@ -83,6 +83,11 @@
 	/* whoever waits already goes first */
 	if (g_sequence_get_length(service->waiting) == 0 && try_send(d, req, now_ms, out))
 		return;
+	if (req->handed && service->capacity == 0) {
+		/* its node knows of others that may hold a slot */
+		dec_refuse(d, req, ERR_NO_UPSTREAM, adm_retry_after_ms(&d->bb, req), now_ms, out);
+		return;
+	}
 	enqueue(d, req, now_ms);
 	dec_run_queue(d, service, now_ms, out);
 }
--- a/packages/decide/dec_send.c
+++ b/packages/decide/dec_send.c
@@ -42,6 +42,12 @@
 		ask->tried[ask->n_tried++] = req->attempts[i].upstream;
 }
 
+bool dec_keeps_body(const struct req *req)
+{
+	return req->has_ticket &&
+	       (req->stage + 1 == req->n_stages || !req->stages[req->stage].idempotent);
+}
+
 static void push_send(struct req *req, const struct bb_upstream *up, int64_t now_ms,
 		      struct dec_out *out)
 {
@@ -60,7 +66,7 @@
 	cmd->resume = req->stream_open;
 	cmd->offset = req->passed_bytes;
 	cmd->hedge = req->attempts[req->n_attempts - 1].hedge;
-	cmd->keep_body = req->has_ticket && (req->stage + 1 == req->n_stages || !stage->idempotent);
+	cmd->keep_body = dec_keeps_body(req);
 	cmd->rank = req->rank;
 	cmd->timeout_ms = req->deadline_at_ms - now_ms;
 }
--- a/packages/decide/dec_stage.c
+++ b/packages/decide/dec_stage.c
@@ -128,6 +128,12 @@
 	return req->stages[req->stage].idempotent || !ev->sent;
 }
 
+/* A hand-over that another node refused put no load on any upstream: it costs no budget. */
+static bool is_free(const struct req *req, const struct dec_ev_attempt *ev)
+{
+	return !ev->sent && req->attempts[ev->attempt].upstream == DEC_HANDED;
+}
+
 static void handle_failure(struct dec *d, struct req *req, const struct dec_ev_attempt *ev,
 			   int64_t now_ms, struct dec_out *out)
 {
@@ -139,7 +145,8 @@
 	if (outstanding(req) > 0)
 		return;
 	if (may_run_again(req, ev) && now_ms < req->deadline_at_ms &&
-	    req->n_attempts < REQ_ATTEMPTS_MAX && d->policy.retry->may_retry(&d->bb, budget)) {
+	    req->n_attempts < REQ_ATTEMPTS_MAX &&
+	    (is_free(req, ev) || d->policy.retry->may_retry(&d->bb, budget))) {
 		dec_start_stage(d, req, now_ms, out);
 		return;
 	}
