--- a/packages/decide/dec_out.c
+++ b/packages/decide/dec_out.c
@@ -34,7 +34,6 @@
 	return &g_array_index(out->cmds, struct dec_cmd, out->cmds->len - 1);
 }
 
-
 void dec_push_to_node(struct dec_out *out, enum dec_cmd_type type, const struct bb_node *node)
 {
 	if (!node)
--- a/packages/decide/dec_share.c
+++ b/packages/decide/dec_share.c
@@ -5,7 +5,7 @@
 
 /* The account's limit over the fleet. */
 struct adm_verdict dec_take_share(struct dec *d, const struct req *req,
-				     const struct dec_ev_request *ev, int64_t now_ms)
+				  const struct dec_ev_request *ev, int64_t now_ms)
 {
 	const struct cfg *cfg = ev->cfg ? ev->cfg : d->bb.cfg;
 	struct adm_verdict verdict = {.code = ERR_NONE};
@@ -28,7 +28,7 @@
 }
 
 void dec_handle_demand(struct dec *d, int64_t now_ms, const struct shr_message *message,
-			  struct dec_out *out)
+		       struct dec_out *out)
 {
 	struct shr_message reply;
 
--- a/packages/decide/dec_ticket.c
+++ b/packages/decide/dec_ticket.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 void dec_push_refusal(struct dec_out *out, uint64_t req, int code, enum err_outcome outcome,
-			 int64_t retry_after_ms)
+		      int64_t retry_after_ms)
 {
 	struct dec_cmd *cmd = dec_push(out, DEC_CMD_REFUSE, req);
 
@@ -165,7 +165,7 @@
 
 /* True when the request may run here; else it has been answered, joined or forwarded. */
 bool dec_claim_ticket(struct dec *d, struct req *req, int64_t now_ms,
-			 const struct dec_ev_request *ev, struct dec_out *out)
+		      const struct dec_ev_request *ev, struct dec_out *out)
 {
 	uint64_t running = 0;
 	struct dec_cmd *cmd;
@@ -186,7 +186,8 @@
 		break;
 	case TKT_FORWARD:
 		if (ev->forwarded) {
-			dec_push_refusal(out, ev->id, ERR_OWNER_UNREACHABLE, ERR_OUTCOME_UNKNOWN, 0);
+			dec_push_refusal(out, ev->id, ERR_OWNER_UNREACHABLE, ERR_OUTCOME_UNKNOWN,
+					 0);
 			break;
 		}
 		cmd = dec_push(out, DEC_CMD_FORWARD, ev->id);
