--- a/packages/base/include/base/log.h
+++ b/packages/base/include/base/log.h
@@ -3,6 +3,7 @@
 #define BASE_LOG_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -25,6 +26,16 @@
  */
 void log_event(enum log_level level, const char *event, const char *format, ...);
 
+/*
+ * From now on lines go to standard output through a bounded queue and a thread that writes it:
+ * no caller ever waits for a reader of the log. Lines beyond the queue or beyond per_s a second
+ * are dropped, counted, and their count is logged.
+ */
+void log_start_queue(uint32_t per_s);
+
+/* Writes what is queued and ends the thread. */
+void log_stop_queue(void);
+
 #define log_debug(...) log_event(LOG_LEVEL_DEBUG, __VA_ARGS__)
 #define log_info(...) log_event(LOG_LEVEL_INFO, __VA_ARGS__)
 #define log_warn(...) log_event(LOG_LEVEL_WARN, __VA_ARGS__)
--- /dev/null
+++ b/packages/decide/chn_admit.c
@@ -0,0 +1,88 @@
+/*
+ * Admission of a whole chain against the state of all its pools: it is taken when it can be in
+ * time behind the chains that go before it, taken as late when it can still make its deadline
+ * behind all, and refused at once otherwise.
+ */
+#include "chn_int.h"
+
+#include <math.h>
+
+static uint32_t usable_upstreams(const struct pool *pool, int64_t now_ms)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < pool->upstreams->len; i++) {
+		const struct upstream *u = g_ptr_array_index(pool->upstreams, i);
+		if (u->usable && u->bad_until_ms <= now_ms && u->ratio < CHN_SLOW_RATIO)
+			n++;
+	}
+	return n;
+}
+
+/* Of the pool's time that one more piece takes, in full calls. */
+double chn_pool_unit_ms(const struct pool *pool, int64_t now_ms)
+{
+	uint32_t n = MAX(usable_upstreams(pool, now_ms), 1);
+
+	return (pool->doc.call_ms / MAX(pool->doc.batch_size, 1) + pool->doc.piece_ms) / n;
+}
+
+static uint32_t left_in_pool(const struct job *job, const struct pool *pool)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		const struct stage *s = &job->stages[i];
+		if (s->pool == pool)
+			n += s->n_pieces - s->n_done;
+	}
+	return n;
+}
+
+/* Pieces that have to be done in the pool before those of job, all chains or those in time. */
+static uint32_t pieces_ahead(const struct chn *c, const struct job *job, const struct pool *pool,
+			     bool all)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < c->order->len; i++) {
+		const struct job *other = g_ptr_array_index(c->order, i);
+		if (other == job || other->delivered)
+			continue;
+		if (!all && (other->late || other->aim_at_ms > job->aim_at_ms))
+			continue;
+		n += left_in_pool(other, pool);
+	}
+	return n;
+}
+
+/* The wait that the most loaded pool of the chain adds. */
+static int64_t wait_ms(const struct chn *c, const struct job *job, bool all, int64_t now_ms)
+{
+	double longest_ms = 0;
+
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		const struct stage *s = &job->stages[i];
+		if (!s->pool || s->n_pieces == s->n_done)
+			continue;
+		double ms = pieces_ahead(c, job, s->pool, all) * chn_pool_unit_ms(s->pool, now_ms);
+		longest_ms = fmax(longest_ms, ms);
+	}
+	return (int64_t)longest_ms;
+}
+
+const char *chn_admit(const struct chn *c, struct job *job, int64_t now_ms, int64_t *retry_ms)
+{
+	int64_t rest_ms = chn_job_rest_ms(job);
+	int64_t over_ms;
+
+	job->late = now_ms + wait_ms(c, job, false, now_ms) + rest_ms > job->aim_at_ms;
+	if (!job->late)
+		return NULL;
+	over_ms = now_ms + wait_ms(c, job, true, now_ms) + rest_ms + CHN_DEADLINE_MARGIN_MS -
+		  job->deadline_at_ms;
+	if (over_ms <= 0)
+		return NULL;
+	*retry_ms = CLAMP(over_ms, CHN_RETRY_MIN_MS, CHN_RETRY_MAX_MS);
+	return "the pools' queues are longer than its deadline";
+}
--- /dev/null
+++ b/packages/decide/chn_int.h
@@ -0,0 +1,135 @@
+/* State of the chains' owner, shared by the files of the module. */
+#ifndef DECIDE_CHN_INT_H
+#define DECIDE_CHN_INT_H
+
+#include "decide/chn.h"
+
+/* A pool's work of the stages after this one, in ms: ordering alone depends on it. */
+#define CHN_STAGE_SHARE_MS 600
+#define CHN_ROOM_SHARE 0.9     /* of the announced room that is planned with */
+#define CHN_OVERDUE_FACTOR 2   /* times the expected time, after which pieces go elsewhere */
+#define CHN_OVERDUE_MS 200     /* besides: transport and the upstream's own jitter */
+#define CHN_SLOW_RATIO 2.5     /* of the expected time: an upstream is slow */
+#define CHN_SLOW_PROBE_MS 3000 /* between two calls to a slow upstream */
+#define CHN_RATIO_GAIN 0.3     /* of the newest call in the mean ratio */
+#define CHN_FULL_PAUSE_MS 60   /* before an upstream that refused is asked again */
+#define CHN_BAD_PAUSE_MS 500   /* after a failure; doubles with each in a row */
+#define CHN_BAD_PAUSE_MAX_MS 4000
+#define CHN_TRIES_MAX 4		   /* failures of one piece before its chain is given up */
+#define CHN_DEADLINE_MARGIN_MS 250 /* of the deadline for the way back and the first token */
+#define CHN_RETRY_MIN_MS 250
+#define CHN_RETRY_MAX_MS 5000
+
+enum piece_state { PIECE_WAITING, PIECE_RUNNING, PIECE_DONE };
+
+struct piece {
+	enum piece_state state;
+	uint32_t tries;
+	uint64_t call; /* that it runs in */
+	char *handle;
+	struct upstream *maker; /* NULL once the upstream is gone */
+	bool freed;
+};
+
+struct stage {
+	struct pool *pool; /* NULL: not published yet */
+	char *service;
+	uint32_t after;
+	int64_t result_bytes;
+	struct piece *pieces;
+	uint32_t n_pieces;
+	uint32_t n_done;
+	bool open;     /* its pieces may start */
+	bool terminal; /* no other stage needs it */
+	uint32_t depth;
+};
+
+struct job {
+	uint64_t id;
+	char *asker;
+	char *attempt;
+	char *key;
+	char *data_centre;
+	char **regions;
+	struct stage *stages;
+	uint32_t n_stages;
+	int64_t aim_at_ms;
+	int64_t deadline_at_ms;
+	int32_t rank;
+	bool late;	/* it can't be in time any more */
+	bool delivered; /* its results were handed over; they are held until chn_end() */
+	int64_t delivered_ms;
+};
+
+struct call {
+	uint64_t id;
+	struct upstream *upstream;
+	int64_t sent_ms;
+	int64_t expect_ms;
+	bool abandoned; /* its pieces were given to others */
+	struct call_piece {
+		uint64_t job;
+		uint32_t stage;
+		uint32_t index;
+	} * pieces;
+	uint32_t n;
+	int64_t room_bytes;
+};
+
+struct upstream {
+	char *id;
+	char *address;
+	char *data_centre;
+	char *region;
+	struct pool *pool;
+	bool usable;
+	bool listed;
+	uint32_t calls; /* in progress */
+	int64_t bad_until_ms;
+	uint32_t fails; /* in a row */
+	double ratio;	/* measured time over expected time */
+	int64_t last_call_ms;
+	int64_t room_used;
+	GPtrArray *frees; /* handles to be given up */
+};
+
+struct pool {
+	char *service;
+	struct pub_pool doc;
+	GPtrArray *upstreams;
+};
+
+struct chn {
+	GHashTable *pools;     /* service -> struct pool */
+	GHashTable *upstreams; /* id -> struct upstream */
+	GHashTable *jobs;      /* id -> struct job */
+	GPtrArray *order;      /* jobs in the order of their coming */
+	GHashTable *calls;     /* id -> struct call */
+	uint64_t next_call;
+};
+
+/* chn_job.c */
+struct job *chn_job_new(struct chn *c, const struct chn_job_doc *doc);
+void chn_job_free(struct job *job);
+
+/* Opens the stages whose predecessors are done; true when all stages are done. */
+bool chn_job_advance(struct job *job);
+
+/* Shortest time, in ms, from now until the first token, with no wait in any queue. */
+int64_t chn_job_rest_ms(const struct job *job);
+
+/* When a stage has to start so that its chain is in time, with usual waits. */
+int64_t chn_job_due_ms(const struct job *job, const struct stage *stage);
+
+/* chn_admit.c: whether a chain is taken; sets job->late. NULL, or the reason of a refusal. */
+const char *chn_admit(const struct chn *c, struct job *job, int64_t now_ms, int64_t *retry_ms);
+double chn_pool_unit_ms(const struct pool *pool, int64_t now_ms);
+
+/* chn_call.c: gives pieces to idle upstreams of all pools. */
+void chn_dispatch(struct chn *c, int64_t now_ms, GArray *out);
+bool chn_upstream_is_idle(const struct upstream *u, int64_t now_ms);
+
+/* Gives up a result. */
+void chn_free_piece(struct stage *stage, struct piece *piece);
+
+#endif
--- /dev/null
+++ b/packages/decide/chn_job.c
@@ -0,0 +1,178 @@
+/* One chain: its stages, which of them may start, and how long the rest takes. */
+#include "chn_int.h"
+
+#include <string.h>
+
+static uint32_t depth_of(const struct job *job, uint32_t index, uint32_t guard)
+{
+	uint32_t depth = 0;
+
+	for (uint32_t i = 0; i < job->n_stages && guard > 0; i++) {
+		if (job->stages[index].after & (1U << i))
+			depth = MAX(depth, 1 + depth_of(job, i, guard - 1));
+	}
+	return depth;
+}
+
+static void set_shape(struct job *job)
+{
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		struct stage *s = &job->stages[i];
+		s->terminal = true;
+		s->depth = depth_of(job, i, job->n_stages);
+		for (uint32_t k = 0; k < job->n_stages; k++) {
+			if (job->stages[k].after & (1U << i))
+				s->terminal = false;
+		}
+	}
+}
+
+struct job *chn_job_new(struct chn *c, const struct chn_job_doc *doc)
+{
+	struct job *job = g_new0(struct job, 1);
+
+	job->id = doc->id;
+	job->asker = g_strdup(doc->asker);
+	job->attempt = g_strdup(doc->attempt);
+	job->key = g_strdup(doc->key);
+	job->data_centre = g_strdup(doc->data_centre);
+	job->regions = g_strdupv((char **)doc->regions);
+	job->aim_at_ms = doc->aim_at_ms;
+	job->deadline_at_ms = doc->deadline_at_ms;
+	job->rank = doc->rank;
+	job->n_stages = doc->n_stages;
+	job->stages = g_new0(struct stage, doc->n_stages + 1);
+	for (uint32_t i = 0; i < doc->n_stages; i++) {
+		struct stage *s = &job->stages[i];
+		s->service = g_strdup(doc->stages[i].service);
+		s->pool = g_hash_table_lookup(c->pools, s->service);
+		s->after = doc->stages[i].after;
+		s->result_bytes = doc->stages[i].result_bytes;
+		s->n_pieces = doc->stages[i].pieces;
+		s->pieces = g_new0(struct piece, s->n_pieces + 1);
+	}
+	set_shape(job);
+	return job;
+}
+
+void chn_job_free(struct job *job)
+{
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		for (uint32_t k = 0; k < job->stages[i].n_pieces; k++)
+			g_free(job->stages[i].pieces[k].handle);
+		g_free(job->stages[i].pieces);
+		g_free(job->stages[i].service);
+	}
+	g_free(job->stages);
+	g_free(job->asker);
+	g_free(job->attempt);
+	g_free(job->key);
+	g_free(job->data_centre);
+	g_strfreev(job->regions);
+	g_free(job);
+}
+
+static bool is_done(const struct stage *s)
+{
+	return s->n_done == s->n_pieces;
+}
+
+static bool has_inputs(const struct job *job, const struct stage *s)
+{
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		if ((s->after & (1U << i)) && !is_done(&job->stages[i]))
+			return false;
+	}
+	return true;
+}
+
+static uint32_t deepest(const struct job *job)
+{
+	uint32_t depth = 0;
+
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		if (job->stages[i].n_pieces > 0)
+			depth = MAX(depth, job->stages[i].depth);
+	}
+	return depth;
+}
+
+/*
+ * A side stage, whose results only the engine needs, starts beside the last stage of the longest
+ * path: earlier, its results would take room at their maker for the whole chain.
+ */
+static bool is_held_back(const struct job *job, const struct stage *s, uint32_t max_depth)
+{
+	if (!s->terminal || s->depth == max_depth)
+		return false;
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		const struct stage *other = &job->stages[i];
+		if (other->n_pieces > 0 && other->depth == max_depth && has_inputs(job, other))
+			return false;
+	}
+	return true;
+}
+
+bool chn_job_advance(struct job *job)
+{
+	uint32_t max_depth = deepest(job);
+	bool done = true;
+
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		struct stage *s = &job->stages[i];
+		done = done && is_done(s);
+		s->open = !is_done(s) && has_inputs(job, s) && !is_held_back(job, s, max_depth);
+	}
+	return done;
+}
+
+/* Of one stage without waiting: its own call. */
+static int64_t own_ms(const struct stage *s)
+{
+	const struct pub_pool *doc = s->pool ? &s->pool->doc : NULL;
+
+	if (is_done(s) || !doc)
+		return 0;
+	return (int64_t)(doc->call_ms + doc->piece_ms * MIN((int32_t)s->n_pieces, doc->batch_size));
+}
+
+static int64_t rest_from(const struct job *job, uint32_t index, uint32_t guard)
+{
+	int64_t longest_ms = 0;
+
+	for (uint32_t i = 0; i < job->n_stages && guard > 0; i++) {
+		if (job->stages[i].after & (1U << index))
+			longest_ms = MAX(longest_ms, rest_from(job, i, guard - 1));
+	}
+	return longest_ms + own_ms(&job->stages[index]);
+}
+
+int64_t chn_job_rest_ms(const struct job *job)
+{
+	int64_t rest_ms = 0;
+
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		if (!is_done(&job->stages[i]))
+			rest_ms = MAX(rest_ms, rest_from(job, i, job->n_stages));
+	}
+	return rest_ms + CHN_FIRST_TOKEN_MS;
+}
+
+static uint32_t stages_after(const struct job *job, uint32_t index, uint32_t guard)
+{
+	uint32_t longest = 0;
+
+	for (uint32_t i = 0; i < job->n_stages && guard > 0; i++) {
+		if ((job->stages[i].after & (1U << index)) && job->stages[i].n_pieces > 0)
+			longest = MAX(longest, 1 + stages_after(job, i, guard - 1));
+	}
+	return longest;
+}
+
+int64_t chn_job_due_ms(const struct job *job, const struct stage *stage)
+{
+	uint32_t index = (uint32_t)(stage - job->stages);
+	int64_t rest = 1 + (int64_t)stages_after(job, index, job->n_stages);
+
+	return job->aim_at_ms - CHN_FIRST_TOKEN_MS - rest * CHN_STAGE_SHARE_MS;
+}
--- /dev/null
+++ b/packages/decide/pvw.c
@@ -0,0 +1,237 @@
+#include "decide/pvw.h"
+
+#include <string.h>
+
+static void free_upstream(gpointer data)
+{
+	struct pvw_upstream *u = data;
+
+	pub_upstream_free(u->doc);
+	g_free(u);
+}
+
+struct pvw *pvw_new(void)
+{
+	struct pvw *v = g_new0(struct pvw, 1);
+
+	v->upstreams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_upstream);
+	v->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	v->out_seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return v;
+}
+
+void pvw_free(struct pvw *v)
+{
+	if (!v)
+		return;
+	g_hash_table_destroy(v->upstreams);
+	g_hash_table_destroy(v->out);
+	g_hash_table_destroy(v->out_seen);
+	pub_doc_unref(v->doc);
+	g_free(v);
+}
+
+bool pvw_take_doc(struct pvw *v, struct pub_doc *doc)
+{
+	if (v->doc && doc->version <= v->doc->version) {
+		pub_doc_unref(doc);
+		return false;
+	}
+	pub_doc_unref(v->doc);
+	v->doc = doc;
+	return true;
+}
+
+static double cold_ms_of(const struct pvw *v, const char *service)
+{
+	const struct pub_service *s = v->doc ? pub_service_of(v->doc, service) : NULL;
+
+	return s ? s->cold_ms : 0;
+}
+
+/* A start that we have not seen before counts as cold, whatever the entry says. */
+static int64_t cold_until(const struct pvw *v, const struct pub_upstream *doc, bool restarted,
+			  int64_t now_ms)
+{
+	int64_t left_ms = doc->cold_left_ms;
+
+	if (restarted)
+		left_ms = MAX(left_ms, (int64_t)cold_ms_of(v, doc->service));
+	return left_ms > 0 ? now_ms + left_ms : 0;
+}
+
+static bool differs(const struct pub_upstream *a, const struct pub_upstream *b)
+{
+	return a->leaving != b->leaving || a->born_ms != b->born_ms ||
+	       strcmp(a->address, b->address) != 0 || strcmp(a->service, b->service) != 0 ||
+	       strcmp(a->data_centre, b->data_centre) != 0 ||
+	       (a->cold_left_ms > 0) != (b->cold_left_ms > 0);
+}
+
+bool pvw_take_upstream(struct pvw *v, struct pub_upstream *doc, int64_t revision, int64_t now_ms)
+{
+	struct pvw_upstream *u = g_hash_table_lookup(v->upstreams, doc->id);
+	bool changed;
+
+	if (!u) {
+		u = g_new0(struct pvw_upstream, 1);
+		u->doc = doc;
+		u->revision = revision;
+		u->present = true;
+		/* entries of the first full read are as old as the source says */
+		u->cold_until_ms = cold_until(v, doc, v->complete, now_ms);
+		g_hash_table_insert(v->upstreams, u->doc->id, u);
+		return true;
+	}
+	u->present = true;
+	if (revision < u->revision) {
+		pub_upstream_free(doc);
+		return false;
+	}
+	changed = u->lapsed_ms > 0 || differs(u->doc, doc);
+	u->cold_until_ms =
+		MAX(u->cold_until_ms, cold_until(v, doc, doc->born_ms != u->doc->born_ms, now_ms));
+	/* one that leaves doesn't come back, but as a new start */
+	if (u->doc->leaving && doc->born_ms == u->doc->born_ms)
+		doc->leaving = true;
+	u->revision = revision;
+	u->lapsed_ms = 0;
+	g_hash_table_steal(v->upstreams, u->doc->id);
+	pub_upstream_free(u->doc);
+	u->doc = doc;
+	g_hash_table_insert(v->upstreams, u->doc->id, u);
+	return changed;
+}
+
+static bool is_doubted(const struct pvw *v, int64_t now_ms)
+{
+	return v->away_since_ms > 0 ||
+	       (v->returned_ms > 0 && now_ms - v->returned_ms < PVW_RETURN_MS);
+}
+
+bool pvw_drop_upstream(struct pvw *v, const char *id, int64_t revision, int64_t now_ms)
+{
+	struct pvw_upstream *u = g_hash_table_lookup(v->upstreams, id);
+
+	if (!u || revision < u->revision)
+		return false;
+	if (is_doubted(v, now_ms) && !u->doc->leaving) {
+		if (u->lapsed_ms == 0)
+			u->lapsed_ms = now_ms;
+		return false;
+	}
+	g_hash_table_remove(v->upstreams, id);
+	return true;
+}
+
+/* An upstream of a data centre that returns may have been restarted there. */
+static void set_cold(struct pvw *v, const char *data_centre, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, v->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pvw_upstream *u = value;
+		int64_t cold_ms = (int64_t)cold_ms_of(v, u->doc->service);
+		if (strcmp(u->doc->data_centre, data_centre) == 0 && cold_ms > 0)
+			u->cold_until_ms = MAX(u->cold_until_ms, now_ms + cold_ms);
+	}
+}
+
+bool pvw_set_out(struct pvw *v, const char *data_centre, bool out, int64_t now_ms)
+{
+	bool was_out = g_hash_table_contains(v->out, data_centre);
+
+	if (out) {
+		g_hash_table_add(v->out_seen, g_strdup(data_centre));
+		g_hash_table_add(v->out, g_strdup(data_centre));
+	} else if (was_out) {
+		g_hash_table_remove(v->out, data_centre);
+		set_cold(v, data_centre, now_ms);
+	}
+	return was_out != out;
+}
+
+void pvw_read_begin(struct pvw *v)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_remove_all(v->out_seen);
+	g_hash_table_iter_init(&iter, v->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct pvw_upstream *)value)->present = false;
+}
+
+static void drop_absent(struct pvw *v, int64_t revision, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	GPtrArray *absent = g_ptr_array_new_with_free_func(g_free);
+
+	g_hash_table_iter_init(&iter, v->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pvw_upstream *u = value;
+		if (!u->present)
+			g_ptr_array_add(absent, g_strdup(u->doc->id));
+	}
+	for (guint i = 0; i < absent->len; i++)
+		pvw_drop_upstream(v, g_ptr_array_index(absent, i), revision, now_ms);
+	g_ptr_array_unref(absent);
+}
+
+void pvw_read_end(struct pvw *v, int64_t revision, int64_t now_ms)
+{
+	GList *out = g_hash_table_get_keys(v->out);
+	GList *names = NULL;
+
+	drop_absent(v, revision, now_ms);
+	for (GList *at = out; at; at = at->next) {
+		if (!g_hash_table_contains(v->out_seen, at->data))
+			names = g_list_prepend(names, g_strdup(at->data));
+	}
+	for (GList *at = names; at; at = at->next)
+		pvw_set_out(v, at->data, false, now_ms);
+	g_list_free(out);
+	g_list_free_full(names, g_free);
+	v->complete = true;
+}
+
+void pvw_set_away(struct pvw *v, bool away, int64_t now_ms)
+{
+	if (away && v->away_since_ms == 0)
+		v->away_since_ms = now_ms;
+	if (!away && v->away_since_ms > 0) {
+		v->away_since_ms = 0;
+		v->returned_ms = now_ms;
+	}
+}
+
+bool pvw_tick(struct pvw *v, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	bool any = false;
+
+	if (is_doubted(v, now_ms))
+		return false;
+	g_hash_table_iter_init(&iter, v->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct pvw_upstream *)value)->lapsed_ms == 0)
+			continue;
+		g_hash_table_iter_remove(&iter);
+		any = true;
+	}
+	return any;
+}
+
+bool pvw_is_usable(const struct pvw *v, const struct pvw_upstream *u)
+{
+	return !u->doc->leaving && !g_hash_table_contains(v->out, u->doc->data_centre);
+}
+
+bool pvw_is_cold(const struct pvw_upstream *u, int64_t now_ms)
+{
+	return u->cold_until_ms > now_ms;
+}
--- /dev/null
+++ b/packages/http/htc.c
@@ -0,0 +1,519 @@
+#include "http/htc.h"
+
+#include "base/clk.h"
+#include "base/hcl.h"
+
+#include <http_parser.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HTC_READ_BYTES 16384
+#define HTC_HOST_BYTES 64
+#define HTC_IDLE_MS 4000       /* kept without use when the origin announces nothing */
+#define HTC_KEEP_MARGIN_MS 500 /* before the end of the time that the origin announced */
+#define HTC_FRESH_MS 700       /* idle for less, a connection serves calls that run once */
+#define HTC_UNACKED_MS 2000    /* bytes that nobody acknowledges: the peer is lost */
+
+enum conn_state { CONN_CONNECTING, CONN_IDLE, CONN_BUSY, CONN_CLOSING };
+
+struct conn {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_write_t write;
+	struct htc_origin *origin;
+	struct conn *next;
+	struct conn *prev;
+	enum conn_state state;
+	struct htc_call *call;
+	http_parser parser;
+	struct htc_head head;
+	GString *field;
+	GString *value;
+	bool in_value;
+	bool skipping; /* the answer that is being read belongs to no call of ours */
+	bool writing;
+	int64_t idle_since_ms;
+	int64_t keep_ms;
+};
+
+struct htc_call {
+	struct conn *conn;
+	struct htc_ops ops;
+	void *arg;
+	GString *bytes; /* of the request */
+	uv_timer_t connect_timer;
+	bool timer_open;
+	bool sent;
+	bool bodyless; /* a HEAD request: its answer has no body, whatever it announces */
+};
+
+struct htc_origin {
+	uv_loop_t *loop;
+	struct sockaddr_in at;
+	struct conn *conns;
+	uint32_t n_conns;
+	uint64_t opened;
+	bool freed;
+};
+
+/* One loop has one thread: all connections read into this buffer. */
+static char read_buffer[HTC_READ_BYTES];
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void free_call(struct htc_call *call)
+{
+	g_string_free(call->bytes, TRUE);
+	call->bytes = NULL;
+	if (!call->timer_open) {
+		g_free(call);
+		return;
+	}
+	call->connect_timer.data = call;
+	uv_timer_stop(&call->connect_timer);
+	uv_close((uv_handle_t *)&call->connect_timer, on_timer_closed);
+}
+
+static void on_conn_closed(uv_handle_t *handle)
+{
+	struct conn *c = handle->data;
+	struct htc_origin *o = c->origin;
+
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		o->conns = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	hdr_clear(&c->head.headers);
+	g_string_free(c->field, TRUE);
+	g_string_free(c->value, TRUE);
+	g_free(c);
+	if (--o->n_conns == 0 && o->freed)
+		g_free(o);
+}
+
+static void close_conn(struct conn *c)
+{
+	c->state = CONN_CLOSING;
+	if (!uv_is_closing((uv_handle_t *)&c->tcp))
+		uv_close((uv_handle_t *)&c->tcp, on_conn_closed);
+}
+
+/* Ends the call of a connection; the connection is closed or idle by then. */
+static void end_call(struct conn *c, enum htc_end end)
+{
+	struct htc_call *call = c->call;
+
+	if (!call)
+		return;
+	c->call = NULL;
+	call->conn = NULL;
+	call->ops.on_end(call->arg, end);
+	free_call(call);
+}
+
+static void fail(struct conn *c, enum htc_end end)
+{
+	if (c->call && !c->call->sent)
+		end = HTC_NOT_SENT;
+	close_conn(c);
+	end_call(c, end);
+}
+
+static void take_field(struct conn *c)
+{
+	if (c->field->len > 0)
+		hdr_add(&c->head.headers, c->field->str, c->value->str);
+	g_string_truncate(c->field, 0);
+	g_string_truncate(c->value, 0);
+}
+
+static int on_begin(http_parser *p)
+{
+	struct conn *c = p->data;
+
+	hdr_clear(&c->head.headers);
+	g_string_truncate(c->field, 0);
+	g_string_truncate(c->value, 0);
+	c->in_value = false;
+	c->skipping = false;
+	return c->call ? 0 : 1; /* an answer that nobody waits for */
+}
+
+static int on_field(http_parser *p, const char *at, size_t len)
+{
+	struct conn *c = p->data;
+
+	if (c->in_value)
+		take_field(c);
+	c->in_value = false;
+	g_string_append_len(c->field, at, (gssize)len);
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t len)
+{
+	struct conn *c = p->data;
+
+	c->in_value = true;
+	g_string_append_len(c->value, at, (gssize)len);
+	return 0;
+}
+
+/* "timeout=5, max=100" -> 5000 */
+static int64_t announced_ms(const struct hdr_list *headers)
+{
+	const char *text = hdr_get(headers, "Keep-Alive");
+	const char *at = text ? strstr(text, "timeout=") : NULL;
+	int64_t ms;
+
+	if (!at)
+		return HTC_IDLE_MS;
+	ms = (int64_t)strtol(at + strlen("timeout="), NULL, 10) * CLK_MS_PER_S - HTC_KEEP_MARGIN_MS;
+	return CLAMP(ms, 0, HTC_IDLE_MS);
+}
+
+static int on_head(http_parser *p)
+{
+	struct conn *c = p->data;
+	struct htc_call *call = c->call;
+
+	take_field(c);
+	c->head.status = p->status_code;
+	c->head.length_bytes =
+		(p->flags & F_CONTENTLENGTH) ? (int64_t)p->content_length : (int64_t)-1;
+	c->keep_ms = announced_ms(&c->head.headers);
+	if (p->status_code < 200) {
+		c->skipping = true;
+		return 0;
+	}
+	if (!call)
+		return -1;
+	c->skipping = !call->ops.on_head(call->arg, &c->head);
+	if (!c->call)
+		return -1; /* cancelled from within */
+	return call->bodyless ? 1 : 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t len)
+{
+	struct conn *c = p->data;
+
+	if (c->skipping || !c->call)
+		return 0;
+	c->call->ops.on_data(c->call->arg, at, len);
+	return c->call ? 0 : -1;
+}
+
+static int on_message(http_parser *p)
+{
+	struct conn *c = p->data;
+
+	if (!c->skipping)
+		http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_message,
+};
+
+static void go_idle(struct conn *c)
+{
+	c->state = CONN_IDLE;
+	c->idle_since_ms = clk_now_ms();
+	http_parser_init(&c->parser, HTTP_RESPONSE);
+	c->parser.data = c;
+}
+
+/* left: bytes behind the answer, which belong to no request */
+static void end_answer(struct conn *c, size_t left)
+{
+	bool keep = http_should_keep_alive(&c->parser) && left == 0 && !c->writing &&
+		    c->keep_ms > 0 && !c->origin->freed;
+
+	if (keep)
+		go_idle(c);
+	else
+		close_conn(c);
+	end_call(c, HTC_DONE);
+}
+
+static void on_eof(struct conn *c, ssize_t n)
+{
+	/* an answer without a length ends with an orderly close, not with a reset */
+	if (n == UV_EOF && c->call && c->call->sent && !c->skipping) {
+		http_parser_execute(&c->parser, &parser_settings, NULL, 0);
+		if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
+			close_conn(c);
+			end_call(c, HTC_DONE);
+			return;
+		}
+	}
+	fail(c, HTC_BROKEN);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t hint, uv_buf_t *buf)
+{
+	*buf = uv_buf_init(read_buffer, HTC_READ_BYTES);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct conn *c = stream->data;
+	enum http_errno fault;
+	size_t used;
+
+	if (n == 0 || c->state == CONN_CLOSING)
+		return;
+	if (n < 0) {
+		on_eof(c, n);
+		return;
+	}
+	if (c->state != CONN_BUSY) {
+		close_conn(c); /* bytes that nobody asked for */
+		return;
+	}
+	used = http_parser_execute(&c->parser, &parser_settings, buf->base, (size_t)n);
+	fault = HTTP_PARSER_ERRNO(&c->parser);
+	if (c->state == CONN_CLOSING)
+		return; /* cancelled from within a callback */
+	if (fault == HPE_PAUSED) {
+		http_parser_pause(&c->parser, 0);
+		end_answer(c, (size_t)n - used);
+	} else if (fault != HPE_OK || c->parser.upgrade) {
+		fail(c, HTC_MALFORMED);
+	}
+}
+
+static void on_written(uv_write_t *write, int status)
+{
+	struct conn *c = write->data;
+
+	c->writing = false;
+	if (status < 0 && c->state == CONN_BUSY)
+		fail(c, HTC_BROKEN);
+}
+
+static void send_call(struct conn *c)
+{
+	struct htc_call *call = c->call;
+	uv_buf_t buf = uv_buf_init(call->bytes->str, (unsigned)call->bytes->len);
+	int done;
+
+	c->state = CONN_BUSY;
+	http_parser_init(&c->parser, HTTP_RESPONSE);
+	c->parser.data = c;
+	call->sent = true;
+	done = uv_try_write((uv_stream_t *)&c->tcp, &buf, 1);
+	if (done == (int)call->bytes->len)
+		return;
+	if (done > 0)
+		buf = uv_buf_init(call->bytes->str + done, (unsigned)(call->bytes->len - done));
+	c->write.data = c;
+	c->writing = uv_write(&c->write, (uv_stream_t *)&c->tcp, &buf, 1, on_written) == 0;
+}
+
+static void on_connected(uv_connect_t *connect, int status)
+{
+	struct conn *c = connect->data;
+	int fd;
+
+	if (c->state == CONN_CLOSING)
+		return;
+	if (status < 0 || !c->call) {
+		fail(c, HTC_NOT_SENT);
+		return;
+	}
+	uv_timer_stop(&c->call->connect_timer);
+	uv_tcp_nodelay(&c->tcp, 1);
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0) {
+		const unsigned unacked_ms = HTC_UNACKED_MS;
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms, sizeof(unacked_ms));
+	}
+	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+	send_call(c);
+}
+
+static void on_connect_timeout(uv_timer_t *timer)
+{
+	struct htc_call *call = timer->data;
+
+	if (call->conn)
+		fail(call->conn, HTC_NOT_SENT);
+}
+
+static struct conn *open_conn(struct htc_origin *o, struct htc_call *call, int64_t timeout_ms)
+{
+	struct conn *c = g_new0(struct conn, 1);
+
+	c->origin = o;
+	c->field = g_string_new(NULL);
+	c->value = g_string_new(NULL);
+	c->keep_ms = HTC_IDLE_MS;
+	uv_tcp_init(o->loop, &c->tcp);
+	c->tcp.data = c;
+	c->connect.data = c;
+	c->next = o->conns;
+	if (o->conns)
+		o->conns->prev = c;
+	o->conns = c;
+	o->n_conns++;
+	o->opened++;
+	if (uv_tcp_connect(&c->connect, &c->tcp, (struct sockaddr *)&o->at, on_connected) != 0) {
+		close_conn(c);
+		return NULL;
+	}
+	uv_timer_init(o->loop, &call->connect_timer);
+	call->connect_timer.data = call;
+	call->timer_open = true;
+	uv_timer_start(&call->connect_timer, on_connect_timeout, (uint64_t)timeout_ms, 0);
+	return c;
+}
+
+/* The connection used last serves first, so that the others run out. */
+static struct conn *take_idle(struct htc_origin *o, bool once)
+{
+	int64_t now_ms = clk_now_ms();
+	struct conn *best = NULL;
+
+	for (struct conn *c = o->conns; c; c = c->next) {
+		if (c->state != CONN_IDLE || now_ms - c->idle_since_ms > c->keep_ms)
+			continue;
+		if (once && now_ms - c->idle_since_ms > HTC_FRESH_MS)
+			continue;
+		if (!best || c->idle_since_ms > best->idle_since_ms)
+			best = c;
+	}
+	return best;
+}
+
+static GString *write_request(const struct htc_request *request)
+{
+	GString *out = g_string_sized_new(512 + request->len);
+
+	g_string_append_printf(out, "%s %s HTTP/1.1\r\n", request->method, request->target);
+	hdr_write(request->headers, out);
+	if (request->len > 0 || strcmp(request->method, "POST") == 0 ||
+	    strcmp(request->method, "PUT") == 0)
+		g_string_append_printf(out, "Content-Length: %zu\r\n", request->len);
+	g_string_append(out, "\r\n");
+	g_string_append_len(out, request->body, (gssize)request->len);
+	return out;
+}
+
+struct htc_call *htc_start(struct htc_origin *o, const struct htc_request *request,
+			   const struct htc_ops *ops, void *arg)
+{
+	struct htc_call *call = g_new0(struct htc_call, 1);
+	struct conn *c = take_idle(o, request->once);
+
+	call->ops = *ops;
+	call->arg = arg;
+	call->bytes = write_request(request);
+	call->bodyless = strcmp(request->method, "HEAD") == 0;
+	if (c) {
+		call->conn = c;
+		c->call = call;
+		send_call(c);
+		return call;
+	}
+	c = open_conn(o, call, request->connect_timeout_ms);
+	if (!c) {
+		free_call(call);
+		return NULL;
+	}
+	call->conn = c;
+	c->call = call;
+	return call;
+}
+
+void htc_cancel(struct htc_call *call)
+{
+	if (!call)
+		return;
+	if (call->conn) {
+		call->conn->call = NULL;
+		close_conn(call->conn);
+	}
+	free_call(call);
+}
+
+void htc_pause(struct htc_call *call, bool paused)
+{
+	if (!call->conn || call->conn->state != CONN_BUSY)
+		return;
+	if (paused)
+		uv_read_stop((uv_stream_t *)&call->conn->tcp);
+	else
+		uv_read_start((uv_stream_t *)&call->conn->tcp, on_alloc, on_read);
+}
+
+bool htc_was_sent(const struct htc_call *call)
+{
+	return call->sent;
+}
+
+struct htc_origin *htc_origin_new(uv_loop_t *loop, const char *address)
+{
+	struct htc_origin *o = g_new0(struct htc_origin, 1);
+	char host[HTC_HOST_BYTES];
+	uint16_t port;
+
+	o->loop = loop;
+	if (!hcl_split_address(address, host, sizeof(host), &port) ||
+	    uv_ip4_addr(host, port, &o->at) != 0) {
+		g_free(o);
+		return NULL;
+	}
+	return o;
+}
+
+void htc_origin_free(struct htc_origin *o)
+{
+	struct conn *next;
+
+	if (!o)
+		return;
+	o->freed = true;
+	if (o->n_conns == 0) {
+		g_free(o);
+		return;
+	}
+	for (struct conn *c = o->conns; c; c = next) {
+		next = c->next;
+		if (c->state == CONN_IDLE)
+			close_conn(c);
+	}
+}
+
+void htc_sweep(struct htc_origin *o, int64_t now_ms)
+{
+	struct conn *next;
+
+	for (struct conn *c = o->conns; c; c = next) {
+		next = c->next;
+		if (c->state == CONN_IDLE && now_ms - c->idle_since_ms > c->keep_ms)
+			close_conn(c);
+	}
+}
+
+uint32_t htc_count(const struct htc_origin *o)
+{
+	return o->n_conns;
+}
+
+uint64_t htc_opened(const struct htc_origin *o)
+{
+	return o->opened;
+}
--- a/packages/node/main.c
+++ b/packages/node/main.c
@@ -2,11 +2,14 @@
 #include "base/log.h"
 #include "node/nod.h"
 #include "node/rel.h"
+#include "plf.h"
+#include "serve/srv.h"
 
 #include <argp.h>
 #include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
 #define EXIT_SETTINGS 2
 #define EXIT_START 3
@@ -63,6 +66,48 @@
 		hurry = sigtimedwait(signals, NULL, &poll) > 0 || hurry;
 }
 
+/* Adapters that a settings file may name. */
+static const struct adp_ops *const adapters[] = {&plf_ops};
+
+static const struct adp_ops *find_adapter(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(adapters); i++) {
+		if (strcmp(adapters[i]->name, name) == 0)
+			return adapters[i];
+	}
+	return NULL;
+}
+
+/* A node that serves through an adapter. */
+static int run_adapted(const char *path)
+{
+	enum log_level level = LOG_LEVEL_INFO;
+	const struct adp_ops *adapter;
+	GError *error = NULL;
+	struct sst *set = sst_load(path, &error);
+	struct srv *s;
+
+	adapter = set ? find_adapter(set->adapter) : NULL;
+	if (!adapter || (set->log_level && !log_parse_level(set->log_level, &level))) {
+		fprintf(stderr, "currantscaled: %s\n",
+			error ? error->message : "unknown adapter or log_level");
+		return EXIT_SETTINGS;
+	}
+	log_set_level(level);
+	log_set_name(set->vm);
+	signal(SIGPIPE, SIG_IGN);
+	log_start_queue((uint32_t)set->log_lines_per_s);
+	s = srv_new(set, path, adapter, &error);
+	if (!s) {
+		log_stop_queue();
+		fprintf(stderr, "currantscaled: %s\n", error->message);
+		return EXIT_START;
+	}
+	srv_run(s);
+	log_stop_queue();
+	return 0;
+}
+
 int main(int argc, char **argv)
 {
 	struct args args = {0};
@@ -76,6 +121,8 @@
 	mallopt(M_ARENA_MAX, ARENAS);
 	mallopt(M_TRIM_THRESHOLD, TRIM_BYTES);
 	argp_parse(&argp, argc, argv, 0, NULL, &args);
+	if (sst_is_for(args.settings))
+		return run_adapted(args.settings);
 	set = set_load(args.settings, &error);
 	if (!set || (set->log_level && !log_parse_level(set->log_level, &level))) {
 		fprintf(stderr, "currantscaled: %s\n", error ? error->message : "bad log_level");
--- a/packages/peer/include/peer/peer.h
+++ b/packages/peer/include/peer/peer.h
@@ -21,12 +21,23 @@
 	const char *source; /* IPv4 address to connect from; NULL: any */
 	peer_fn on_message;
 	void *arg;
+	/*
+	 * No thread is started: all calls come from the caller's loop, which calls peer_receive()
+	 * when the descriptor of peer_fd() is readable.
+	 */
+	bool threadless;
 };
 
 /* NULL with *error set. The caller frees with peer_free(). */
 struct peer *peer_new(const struct peer_options *options, GError **error);
 void peer_free(struct peer *p);
 
+/* Of a threadless service: readable when a message may have come. */
+int peer_fd(const struct peer *p);
+
+/* Takes all messages that have come. */
+void peer_receive(struct peer *p);
+
 /* host:port that is listened on; borrowed. */
 const char *peer_address(const struct peer *p);
 
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -38,11 +38,24 @@
 typedef struct Peer__ReleaseAck Peer__ReleaseAck;
 typedef struct Peer__Demand Peer__Demand;
 typedef struct Peer__AccountDemand Peer__AccountDemand;
+typedef struct Peer__Member Peer__Member;
+typedef struct Peer__Trouble Peer__Trouble;
+typedef struct Peer__Beat Peer__Beat;
+typedef struct Peer__ChainStage Peer__ChainStage;
+typedef struct Peer__ChainAsk Peer__ChainAsk;
+typedef struct Peer__ChainReply Peer__ChainReply;
+typedef struct Peer__ChainEnd Peer__ChainEnd;
 typedef struct Peer__Message Peer__Message;
 
 
 /* --- enums --- */
 
+typedef enum _Peer__ChainState {
+  PEER__CHAIN_STATE__CHAIN_TAKEN = 0,
+  PEER__CHAIN_STATE__CHAIN_READY = 1,
+  PEER__CHAIN_STATE__CHAIN_REFUSED = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__CHAIN_STATE)
+} Peer__ChainState;
 
 /* --- messages --- */
 
@@ -493,6 +506,136 @@
     , 0, 0, 0 }
 
 
+/*
+ * What a member of the fleet says of itself, passed on by gossip (decide/fle.h).
+ */
+struct  Peer__Member
+{
+  ProtobufCMessage base;
+  char *peer_address;
+  char *caller_address;
+  char *data_centre;
+  char *region;
+  uint64_t incarnation;
+  uint64_t beat;
+  protobuf_c_boolean ready;
+  protobuf_c_boolean leaving;
+};
+#define PEER__MEMBER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__member__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * An upstream that failed the sender lately.
+ */
+struct  Peer__Trouble
+{
+  ProtobufCMessage base;
+  char *upstream;
+  /*
+   * until the sender tries it again
+   */
+  uint32_t wait_ms;
+};
+#define PEER__TROUBLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__trouble__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Peer__Beat
+{
+  ProtobufCMessage base;
+  size_t n_members;
+  Peer__Member **members;
+  size_t n_troubles;
+  Peer__Trouble **troubles;
+};
+#define PEER__BEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__beat__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
+struct  Peer__ChainStage
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * bit i: needs the results of stage i
+   */
+  uint32_t after;
+  uint32_t pieces;
+  int64_t result_bytes;
+};
+#define PEER__CHAIN_STAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__chain_stage__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * A request's chain of stages, given to the node that owns the pools (decide/chn.h).
+ */
+struct  Peer__ChainAsk
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *attempt;
+  char *key;
+  size_t n_stages;
+  Peer__ChainStage **stages;
+  /*
+   * left until the first token is due
+   */
+  int64_t aim_ms;
+  /*
+   * left until the request is worthless
+   */
+  int64_t deadline_ms;
+  int32_t rank;
+  char *data_centre;
+  /*
+   * where it may be worked on; none: anywhere
+   */
+  size_t n_regions;
+  char **regions;
+};
+#define PEER__CHAIN_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__chain_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Peer__ChainReply
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  Peer__ChainState state;
+  size_t n_handles;
+  char **handles;
+  /*
+   * where most bytes of the results lie
+   */
+  char *data_centre;
+  int64_t retry_after_ms;
+  char *reason;
+};
+#define PEER__CHAIN_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__chain_reply__descriptor) \
+    , 0, PEER__CHAIN_STATE__CHAIN_TAKEN, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The asker no longer needs the results.
+ */
+struct  Peer__ChainEnd
+{
+  ProtobufCMessage base;
+  uint64_t id;
+};
+#define PEER__CHAIN_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__chain_end__descriptor) \
+    , 0 }
+
+
 typedef enum {
   PEER__MESSAGE__KIND__NOT_SET = 0,
   PEER__MESSAGE__KIND_DIGEST = 10,
@@ -511,7 +654,11 @@
   PEER__MESSAGE__KIND_LIST_ASK = 41,
   PEER__MESSAGE__KIND_LIST_REPLY = 42,
   PEER__MESSAGE__KIND_STAGE_ASK = 43,
-  PEER__MESSAGE__KIND_STAGE_REPLY = 44
+  PEER__MESSAGE__KIND_STAGE_REPLY = 44,
+  PEER__MESSAGE__KIND_BEAT = 50,
+  PEER__MESSAGE__KIND_CHAIN_ASK = 51,
+  PEER__MESSAGE__KIND_CHAIN_REPLY = 52,
+  PEER__MESSAGE__KIND_CHAIN_END = 53
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -549,6 +696,10 @@
     Peer__ListReply *list_reply;
     Peer__StageAsk *stage_ask;
     Peer__StageReply *stage_reply;
+    Peer__Beat *beat;
+    Peer__ChainAsk *chain_ask;
+    Peer__ChainReply *chain_reply;
+    Peer__ChainEnd *chain_end;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -993,6 +1144,139 @@
 void   peer__account_demand__free_unpacked
                      (Peer__AccountDemand *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Member methods */
+void   peer__member__init
+                     (Peer__Member         *message);
+size_t peer__member__get_packed_size
+                     (const Peer__Member   *message);
+size_t peer__member__pack
+                     (const Peer__Member   *message,
+                      uint8_t             *out);
+size_t peer__member__pack_to_buffer
+                     (const Peer__Member   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Member *
+       peer__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__member__free_unpacked
+                     (Peer__Member *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Trouble methods */
+void   peer__trouble__init
+                     (Peer__Trouble         *message);
+size_t peer__trouble__get_packed_size
+                     (const Peer__Trouble   *message);
+size_t peer__trouble__pack
+                     (const Peer__Trouble   *message,
+                      uint8_t             *out);
+size_t peer__trouble__pack_to_buffer
+                     (const Peer__Trouble   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Trouble *
+       peer__trouble__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__trouble__free_unpacked
+                     (Peer__Trouble *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Beat methods */
+void   peer__beat__init
+                     (Peer__Beat         *message);
+size_t peer__beat__get_packed_size
+                     (const Peer__Beat   *message);
+size_t peer__beat__pack
+                     (const Peer__Beat   *message,
+                      uint8_t             *out);
+size_t peer__beat__pack_to_buffer
+                     (const Peer__Beat   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Beat *
+       peer__beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__beat__free_unpacked
+                     (Peer__Beat *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ChainStage methods */
+void   peer__chain_stage__init
+                     (Peer__ChainStage         *message);
+size_t peer__chain_stage__get_packed_size
+                     (const Peer__ChainStage   *message);
+size_t peer__chain_stage__pack
+                     (const Peer__ChainStage   *message,
+                      uint8_t             *out);
+size_t peer__chain_stage__pack_to_buffer
+                     (const Peer__ChainStage   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ChainStage *
+       peer__chain_stage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__chain_stage__free_unpacked
+                     (Peer__ChainStage *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ChainAsk methods */
+void   peer__chain_ask__init
+                     (Peer__ChainAsk         *message);
+size_t peer__chain_ask__get_packed_size
+                     (const Peer__ChainAsk   *message);
+size_t peer__chain_ask__pack
+                     (const Peer__ChainAsk   *message,
+                      uint8_t             *out);
+size_t peer__chain_ask__pack_to_buffer
+                     (const Peer__ChainAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ChainAsk *
+       peer__chain_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__chain_ask__free_unpacked
+                     (Peer__ChainAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ChainReply methods */
+void   peer__chain_reply__init
+                     (Peer__ChainReply         *message);
+size_t peer__chain_reply__get_packed_size
+                     (const Peer__ChainReply   *message);
+size_t peer__chain_reply__pack
+                     (const Peer__ChainReply   *message,
+                      uint8_t             *out);
+size_t peer__chain_reply__pack_to_buffer
+                     (const Peer__ChainReply   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ChainReply *
+       peer__chain_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__chain_reply__free_unpacked
+                     (Peer__ChainReply *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ChainEnd methods */
+void   peer__chain_end__init
+                     (Peer__ChainEnd         *message);
+size_t peer__chain_end__get_packed_size
+                     (const Peer__ChainEnd   *message);
+size_t peer__chain_end__pack
+                     (const Peer__ChainEnd   *message,
+                      uint8_t             *out);
+size_t peer__chain_end__pack_to_buffer
+                     (const Peer__ChainEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ChainEnd *
+       peer__chain_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__chain_end__free_unpacked
+                     (Peer__ChainEnd *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Message methods */
 void   peer__message__init
                      (Peer__Message         *message);
@@ -1083,6 +1367,27 @@
 typedef void (*Peer__AccountDemand_Closure)
                  (const Peer__AccountDemand *message,
                   void *closure_data);
+typedef void (*Peer__Member_Closure)
+                 (const Peer__Member *message,
+                  void *closure_data);
+typedef void (*Peer__Trouble_Closure)
+                 (const Peer__Trouble *message,
+                  void *closure_data);
+typedef void (*Peer__Beat_Closure)
+                 (const Peer__Beat *message,
+                  void *closure_data);
+typedef void (*Peer__ChainStage_Closure)
+                 (const Peer__ChainStage *message,
+                  void *closure_data);
+typedef void (*Peer__ChainAsk_Closure)
+                 (const Peer__ChainAsk *message,
+                  void *closure_data);
+typedef void (*Peer__ChainReply_Closure)
+                 (const Peer__ChainReply *message,
+                  void *closure_data);
+typedef void (*Peer__ChainEnd_Closure)
+                 (const Peer__ChainEnd *message,
+                  void *closure_data);
 typedef void (*Peer__Message_Closure)
                  (const Peer__Message *message,
                   void *closure_data);
@@ -1092,6 +1397,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCEnumDescriptor    peer__chain_state__descriptor;
 extern const ProtobufCMessageDescriptor peer__section__descriptor;
 extern const ProtobufCMessageDescriptor peer__digest__descriptor;
 extern const ProtobufCMessageDescriptor peer__upstream__descriptor;
@@ -1115,6 +1421,13 @@
 extern const ProtobufCMessageDescriptor peer__release_ack__descriptor;
 extern const ProtobufCMessageDescriptor peer__demand__descriptor;
 extern const ProtobufCMessageDescriptor peer__account_demand__descriptor;
+extern const ProtobufCMessageDescriptor peer__member__descriptor;
+extern const ProtobufCMessageDescriptor peer__trouble__descriptor;
+extern const ProtobufCMessageDescriptor peer__beat__descriptor;
+extern const ProtobufCMessageDescriptor peer__chain_stage__descriptor;
+extern const ProtobufCMessageDescriptor peer__chain_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__chain_reply__descriptor;
+extern const ProtobufCMessageDescriptor peer__chain_end__descriptor;
 extern const ProtobufCMessageDescriptor peer__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -43,6 +43,7 @@
 	void *push;
 	GHashTable *links; /* address -> struct link; the peer thread's */
 	pthread_t thread;
+	bool threadless;
 };
 
 static void free_link(gpointer data)
@@ -141,6 +142,16 @@
 	return link;
 }
 
+static void send_payload(struct peer *p, const char *address, zmq_msg_t *payload)
+{
+	size_t bytes = zmq_msg_size(payload);
+
+	if (zmq_msg_send(payload, link_to(p, address)->socket, ZMQ_DONTWAIT) >= 0)
+		ctr_add(CTR_PEER_TX_BYTES, bytes);
+	else
+		zmq_msg_close(payload);
+}
+
 /* Takes address and payload from the queue; false when the service ends. */
 static bool forward_queued(struct peer *p)
 {
@@ -153,11 +164,7 @@
 	address[len] = '\0';
 	zmq_msg_init(&payload);
 	zmq_msg_recv(&payload, p->pull, 0);
-	size_t bytes = zmq_msg_size(&payload);
-	if (zmq_msg_send(&payload, link_to(p, address)->socket, ZMQ_DONTWAIT) >= 0)
-		ctr_add(CTR_PEER_TX_BYTES, bytes);
-	else
-		zmq_msg_close(&payload);
+	send_payload(p, address, &payload);
 	return true;
 }
 
@@ -272,6 +279,9 @@
 		return NULL;
 	}
 	p->links = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_link);
+	p->threadless = options->threadless;
+	if (p->threadless)
+		return p;
 	p->pull = zmq_socket(p->context, ZMQ_PULL);
 	zmq_bind(p->pull, PEER_QUEUE);
 	p->push = zmq_socket(p->context, ZMQ_PUSH);
@@ -285,6 +295,12 @@
 {
 	if (!p)
 		return;
+	if (p->threadless) {
+		g_hash_table_destroy(p->links);
+		zmq_close(p->router);
+		free_rest(p);
+		return;
+	}
 	pthread_mutex_lock(&p->push_lock);
 	zmq_send(p->push, "", 0, 0); /* an empty address ends the thread */
 	pthread_mutex_unlock(&p->push_lock);
@@ -293,6 +309,25 @@
 	free_rest(p);
 }
 
+int peer_fd(const struct peer *p)
+{
+	size_t len = sizeof(int);
+	int fd = -1;
+
+	zmq_getsockopt(p->router, ZMQ_FD, &fd, &len);
+	return fd;
+}
+
+void peer_receive(struct peer *p)
+{
+	size_t len = sizeof(int);
+	int events = 0;
+
+	/* the descriptor tells of changes alone, so all that has come is taken */
+	while (zmq_getsockopt(p->router, ZMQ_EVENTS, &events, &len) == 0 && (events & ZMQ_POLLIN))
+		receive(p);
+}
+
 const char *peer_address(const struct peer *p)
 {
 	return p->address;
@@ -310,6 +345,10 @@
 	message->sent_wall_ms = clk_wall_ms();
 	zmq_msg_init_size(&payload, peer__message__get_packed_size(message));
 	peer__message__pack(message, zmq_msg_data(&payload));
+	if (p->threadless) {
+		send_payload(p, address, &payload);
+		return;
+	}
 	pthread_mutex_lock(&p->push_lock);
 	/* never waits: the peer thread itself sends too, and would wait for itself */
 	if (zmq_send(p->push, address, strlen(address), ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0)
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -1042,6 +1042,321 @@
   assert(message->base.descriptor == &peer__account_demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__member__init
+                     (Peer__Member         *message)
+{
+  static const Peer__Member init_value = PEER__MEMBER__INIT;
+  *message = init_value;
+}
+size_t peer__member__get_packed_size
+                     (const Peer__Member *message)
+{
+  assert(message->base.descriptor == &peer__member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__member__pack
+                     (const Peer__Member *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__member__pack_to_buffer
+                     (const Peer__Member *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Member *
+       peer__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Member *)
+     protobuf_c_message_unpack (&peer__member__descriptor,
+                                allocator, len, data);
+}
+void   peer__member__free_unpacked
+                     (Peer__Member *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__trouble__init
+                     (Peer__Trouble         *message)
+{
+  static const Peer__Trouble init_value = PEER__TROUBLE__INIT;
+  *message = init_value;
+}
+size_t peer__trouble__get_packed_size
+                     (const Peer__Trouble *message)
+{
+  assert(message->base.descriptor == &peer__trouble__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__trouble__pack
+                     (const Peer__Trouble *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__trouble__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__trouble__pack_to_buffer
+                     (const Peer__Trouble *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__trouble__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Trouble *
+       peer__trouble__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Trouble *)
+     protobuf_c_message_unpack (&peer__trouble__descriptor,
+                                allocator, len, data);
+}
+void   peer__trouble__free_unpacked
+                     (Peer__Trouble *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__trouble__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__beat__init
+                     (Peer__Beat         *message)
+{
+  static const Peer__Beat init_value = PEER__BEAT__INIT;
+  *message = init_value;
+}
+size_t peer__beat__get_packed_size
+                     (const Peer__Beat *message)
+{
+  assert(message->base.descriptor == &peer__beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__beat__pack
+                     (const Peer__Beat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__beat__pack_to_buffer
+                     (const Peer__Beat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Beat *
+       peer__beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Beat *)
+     protobuf_c_message_unpack (&peer__beat__descriptor,
+                                allocator, len, data);
+}
+void   peer__beat__free_unpacked
+                     (Peer__Beat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__chain_stage__init
+                     (Peer__ChainStage         *message)
+{
+  static const Peer__ChainStage init_value = PEER__CHAIN_STAGE__INIT;
+  *message = init_value;
+}
+size_t peer__chain_stage__get_packed_size
+                     (const Peer__ChainStage *message)
+{
+  assert(message->base.descriptor == &peer__chain_stage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__chain_stage__pack
+                     (const Peer__ChainStage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__chain_stage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__chain_stage__pack_to_buffer
+                     (const Peer__ChainStage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__chain_stage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ChainStage *
+       peer__chain_stage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ChainStage *)
+     protobuf_c_message_unpack (&peer__chain_stage__descriptor,
+                                allocator, len, data);
+}
+void   peer__chain_stage__free_unpacked
+                     (Peer__ChainStage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__chain_stage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__chain_ask__init
+                     (Peer__ChainAsk         *message)
+{
+  static const Peer__ChainAsk init_value = PEER__CHAIN_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__chain_ask__get_packed_size
+                     (const Peer__ChainAsk *message)
+{
+  assert(message->base.descriptor == &peer__chain_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__chain_ask__pack
+                     (const Peer__ChainAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__chain_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__chain_ask__pack_to_buffer
+                     (const Peer__ChainAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__chain_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ChainAsk *
+       peer__chain_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ChainAsk *)
+     protobuf_c_message_unpack (&peer__chain_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__chain_ask__free_unpacked
+                     (Peer__ChainAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__chain_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__chain_reply__init
+                     (Peer__ChainReply         *message)
+{
+  static const Peer__ChainReply init_value = PEER__CHAIN_REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__chain_reply__get_packed_size
+                     (const Peer__ChainReply *message)
+{
+  assert(message->base.descriptor == &peer__chain_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__chain_reply__pack
+                     (const Peer__ChainReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__chain_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__chain_reply__pack_to_buffer
+                     (const Peer__ChainReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__chain_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ChainReply *
+       peer__chain_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ChainReply *)
+     protobuf_c_message_unpack (&peer__chain_reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__chain_reply__free_unpacked
+                     (Peer__ChainReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__chain_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__chain_end__init
+                     (Peer__ChainEnd         *message)
+{
+  static const Peer__ChainEnd init_value = PEER__CHAIN_END__INIT;
+  *message = init_value;
+}
+size_t peer__chain_end__get_packed_size
+                     (const Peer__ChainEnd *message)
+{
+  assert(message->base.descriptor == &peer__chain_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__chain_end__pack
+                     (const Peer__ChainEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__chain_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__chain_end__pack_to_buffer
+                     (const Peer__ChainEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__chain_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ChainEnd *
+       peer__chain_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ChainEnd *)
+     protobuf_c_message_unpack (&peer__chain_end__descriptor,
+                                allocator, len, data);
+}
+void   peer__chain_end__free_unpacked
+                     (Peer__ChainEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__chain_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__message__init
                      (Peer__Message         *message)
 {
@@ -2871,129 +3186,720 @@
   (ProtobufCMessageInit) peer__account_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[23] =
+static const ProtobufCFieldDescriptor peer__member__field_descriptors[8] =
 {
   {
-    "from_vm",
+    "peer_address",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__Message, from_vm),
+    offsetof(Peer__Member, peer_address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from_incarnation",
+    "caller_address",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__Message, from_incarnation),
-    NULL,
+    offsetof(Peer__Member, caller_address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to_vm",
+    "data_centre",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__Message, to_vm),
+    offsetof(Peer__Member, data_centre),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to_incarnation",
+    "region",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__Message, to_incarnation),
-    NULL,
+    offsetof(Peer__Member, region),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_wall_ms",
+    "incarnation",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__Message, sent_wall_ms),
+    offsetof(Peer__Member, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ttl_ms",
+    "beat",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__Message, ttl_ms),
+    offsetof(Peer__Member, beat),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "digest",
-    10,
+    "ready",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Message, kind_case),
-    offsetof(Peer__Message, digest),
-    &peer__digest__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, ready),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "section_ask",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Message, kind_case),
-    offsetof(Peer__Message, section_ask),
-    &peer__section_ask__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "section_reply",
-    12,
+    "leaving",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Message, kind_case),
-    offsetof(Peer__Message, section_reply),
-    &peer__section_reply__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, leaving),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "forward",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Message, kind_case),
-    offsetof(Peer__Message, forward),
-    &peer__forward__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
+};
+static const unsigned peer__member__field_indices_by_name[] = {
+  5,   /* field[5] = beat */
+  1,   /* field[1] = caller_address */
+  2,   /* field[2] = data_centre */
+  4,   /* field[4] = incarnation */
+  7,   /* field[7] = leaving */
+  0,   /* field[0] = peer_address */
+  6,   /* field[6] = ready */
+  3,   /* field[3] = region */
+};
+static const ProtobufCIntRange peer__member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor peer__member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Member",
+  "Member",
+  "Peer__Member",
+  "peer",
+  sizeof(Peer__Member),
+  8,
+  peer__member__field_descriptors,
+  peer__member__field_indices_by_name,
+  1,  peer__member__number_ranges,
+  (ProtobufCMessageInit) peer__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__trouble__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Trouble, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Trouble, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__trouble__field_indices_by_name[] = {
+  0,   /* field[0] = upstream */
+  1,   /* field[1] = wait_ms */
+};
+static const ProtobufCIntRange peer__trouble__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__trouble__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Trouble",
+  "Trouble",
+  "Peer__Trouble",
+  "peer",
+  sizeof(Peer__Trouble),
+  2,
+  peer__trouble__field_descriptors,
+  peer__trouble__field_indices_by_name,
+  1,  peer__trouble__number_ranges,
+  (ProtobufCMessageInit) peer__trouble__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__beat__field_descriptors[2] =
+{
+  {
+    "members",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Beat, n_members),
+    offsetof(Peer__Beat, members),
+    &peer__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "troubles",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Beat, n_troubles),
+    offsetof(Peer__Beat, troubles),
+    &peer__trouble__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__beat__field_indices_by_name[] = {
+  0,   /* field[0] = members */
+  1,   /* field[1] = troubles */
+};
+static const ProtobufCIntRange peer__beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Beat",
+  "Beat",
+  "Peer__Beat",
+  "peer",
+  sizeof(Peer__Beat),
+  2,
+  peer__beat__field_descriptors,
+  peer__beat__field_indices_by_name,
+  1,  peer__beat__number_ranges,
+  (ProtobufCMessageInit) peer__beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__chain_stage__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainStage, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainStage, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainStage, pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result_bytes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainStage, result_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__chain_stage__field_indices_by_name[] = {
+  1,   /* field[1] = after */
+  2,   /* field[2] = pieces */
+  3,   /* field[3] = result_bytes */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange peer__chain_stage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__chain_stage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ChainStage",
+  "ChainStage",
+  "Peer__ChainStage",
+  "peer",
+  sizeof(Peer__ChainStage),
+  4,
+  peer__chain_stage__field_descriptors,
+  peer__chain_stage__field_indices_by_name,
+  1,  peer__chain_stage__number_ranges,
+  (ProtobufCMessageInit) peer__chain_stage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__chain_ask__field_descriptors[9] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainAsk, attempt),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainAsk, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stages",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__ChainAsk, n_stages),
+    offsetof(Peer__ChainAsk, stages),
+    &peer__chain_stage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "aim_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainAsk, aim_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainAsk, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainAsk, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainAsk, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "regions",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__ChainAsk, n_regions),
+    offsetof(Peer__ChainAsk, regions),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__chain_ask__field_indices_by_name[] = {
+  4,   /* field[4] = aim_ms */
+  1,   /* field[1] = attempt */
+  7,   /* field[7] = data_centre */
+  5,   /* field[5] = deadline_ms */
+  0,   /* field[0] = id */
+  2,   /* field[2] = key */
+  6,   /* field[6] = rank */
+  8,   /* field[8] = regions */
+  3,   /* field[3] = stages */
+};
+static const ProtobufCIntRange peer__chain_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor peer__chain_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ChainAsk",
+  "ChainAsk",
+  "Peer__ChainAsk",
+  "peer",
+  sizeof(Peer__ChainAsk),
+  9,
+  peer__chain_ask__field_descriptors,
+  peer__chain_ask__field_indices_by_name,
+  1,  peer__chain_ask__number_ranges,
+  (ProtobufCMessageInit) peer__chain_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__chain_reply__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainReply, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainReply, state),
+    &peer__chain_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "handles",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__ChainReply, n_handles),
+    offsetof(Peer__ChainReply, handles),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainReply, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainReply, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainReply, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__chain_reply__field_indices_by_name[] = {
+  3,   /* field[3] = data_centre */
+  2,   /* field[2] = handles */
+  0,   /* field[0] = id */
+  5,   /* field[5] = reason */
+  4,   /* field[4] = retry_after_ms */
+  1,   /* field[1] = state */
+};
+static const ProtobufCIntRange peer__chain_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer__chain_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ChainReply",
+  "ChainReply",
+  "Peer__ChainReply",
+  "peer",
+  sizeof(Peer__ChainReply),
+  6,
+  peer__chain_reply__field_descriptors,
+  peer__chain_reply__field_indices_by_name,
+  1,  peer__chain_reply__number_ranges,
+  (ProtobufCMessageInit) peer__chain_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__chain_end__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainEnd, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__chain_end__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange peer__chain_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__chain_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ChainEnd",
+  "ChainEnd",
+  "Peer__ChainEnd",
+  "peer",
+  sizeof(Peer__ChainEnd),
+  1,
+  peer__chain_end__field_descriptors,
+  peer__chain_end__field_indices_by_name,
+  1,  peer__chain_end__number_ranges,
+  (ProtobufCMessageInit) peer__chain_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[27] =
+{
+  {
+    "from_vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Message, from_vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from_incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Message, from_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_vm",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Message, to_vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Message, to_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_wall_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Message, sent_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttl_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Message, ttl_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, digest),
+    &peer__digest__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "section_ask",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, section_ask),
+    &peer__section_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "section_reply",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, section_reply),
+    &peer__section_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, forward),
+    &peer__forward__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
     "forward_reply",
     14,
     PROTOBUF_C_LABEL_NONE,
@@ -3149,8 +4055,60 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "beat",
+    50,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, beat),
+    &peer__beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chain_ask",
+    51,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, chain_ask),
+    &peer__chain_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chain_reply",
+    52,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, chain_reply),
+    &peer__chain_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chain_end",
+    53,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, chain_end),
+    &peer__chain_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
+  23,   /* field[23] = beat */
+  24,   /* field[24] = chain_ask */
+  26,   /* field[26] = chain_end */
+  25,   /* field[25] = chain_reply */
   13,   /* field[13] = demand */
   6,   /* field[6] = digest */
   9,   /* field[9] = forward */
@@ -3175,13 +4133,14 @@
   5,   /* field[5] = ttl_ms */
   18,   /* field[18] = view */
 };
-static const ProtobufCIntRange peer__message__number_ranges[4 + 1] =
+static const ProtobufCIntRange peer__message__number_ranges[5 + 1] =
 {
   { 1, 0 },
   { 10, 6 },
   { 30, 14 },
   { 40, 18 },
-  { 0, 23 }
+  { 50, 23 },
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -3191,10 +4150,40 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  23,
+  27,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
-  4,  peer__message__number_ranges,
+  5,  peer__message__number_ranges,
   (ProtobufCMessageInit) peer__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCEnumValue peer__chain_state__enum_values_by_number[3] =
+{
+  { "CHAIN_TAKEN", "PEER__CHAIN_STATE__CHAIN_TAKEN", 0 },
+  { "CHAIN_READY", "PEER__CHAIN_STATE__CHAIN_READY", 1 },
+  { "CHAIN_REFUSED", "PEER__CHAIN_STATE__CHAIN_REFUSED", 2 },
+};
+static const ProtobufCIntRange peer__chain_state__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex peer__chain_state__enum_values_by_name[3] =
+{
+  { "CHAIN_READY", 1 },
+  { "CHAIN_REFUSED", 2 },
+  { "CHAIN_TAKEN", 0 },
+};
+const ProtobufCEnumDescriptor peer__chain_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "peer.ChainState",
+  "ChainState",
+  "Peer__ChainState",
+  "peer",
+  3,
+  peer__chain_state__enum_values_by_number,
+  3,
+  peer__chain_state__enum_values_by_name,
+  1,
+  peer__chain_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- /dev/null
+++ b/packages/serve/srv.c
@@ -0,0 +1,305 @@
+/* A serving node: start, timers, readiness, reload and planned stop. */
+#include "srv_int.h"
+
+#include "base/clk.h"
+#include "base/log.h"
+
+#include <string.h>
+#include <sys/stat.h>
+
+#define SETTLE_MS 1000 /* two rounds of gossip: the fleet is known by then */
+#define GAP_MS 1000    /* between two ticks: the process was suspended */
+#define MS_PER_S 1000.0
+/*
+ * A planned stop. Callers keep an address for the time that the answer named, and a round or two
+ * of gossip passes before other nodes name it no more.
+ */
+#define STOP_SERVE_MS 3300
+#define STOP_IDLE_MS 2800  /* from then on idle connections are closed */
+#define STOP_MARGIN_MS 500 /* before the end of the grace time: what still runs is cut */
+#define SETTINGS_EVERY 10  /* ticks between two looks at the settings file */
+
+void srv_observe(struct srv_histogram *h, int64_t ms)
+{
+	int i = 0;
+
+	while (i < SRV_BUCKETS - 1 && ms > (1 << i))
+		i++;
+	if (ms <= (1 << i))
+		h->buckets[i]++;
+	h->count++;
+	h->sum_ms += (double)ms;
+}
+
+static void update_ready(struct srv *s, int64_t now_ms)
+{
+	bool ready = s->view->doc && s->view->complete && s->stop_began_ms == 0 &&
+		     now_ms - s->started_ms >= SETTLE_MS;
+
+	if (ready != s->is_ready)
+		log_info(ready ? "ready" : "not_ready", "{s:I, s:i, s:i}", "version",
+			 (json_int_t)(s->view->doc ? s->view->doc->version : 0), "upstreams",
+			 (int)g_hash_table_size(s->view->upstreams), "alive",
+			 (int)fle_count_alive(s->fleet, now_ms));
+	s->is_ready = ready;
+	fle_set_self(s->fleet, ready, s->stop_began_ms > 0);
+}
+
+static void update_limits(struct srv *s)
+{
+	const struct pub_limits *limits = s->view->doc ? &s->view->doc->limits : NULL;
+
+	if (!limits || limits->max_body_bytes <= 0)
+		return;
+	hts_set_limits(s->front, &(struct hts_limits){
+					 .max_header_bytes = limits->max_header_bytes,
+					 .max_body_bytes = limits->max_body_bytes,
+					 .header_timeout_ms = limits->header_timeout_ms,
+					 .idle_timeout_ms = limits->idle_timeout_ms,
+				 });
+}
+
+static void stop_loop(struct srv *s)
+{
+	s->stopped = true;
+	uv_stop(&s->loop);
+}
+
+static void drive_stop(struct srv *s, int64_t now_ms)
+{
+	int64_t grace_ms = (int64_t)(sst_num(s->set->stop_grace_s) * MS_PER_S) - STOP_MARGIN_MS;
+	int64_t since_ms = now_ms - s->stop_began_ms;
+	uint32_t busy = hts_count_busy(s->front) + chn_count_jobs(s->chains);
+
+	if (since_ms >= STOP_IDLE_MS)
+		hts_drain(s->front);
+	if ((since_ms >= STOP_SERVE_MS && busy == 0) || since_ms >= grace_ms) {
+		log_info("stopping_ends", "{s:I, s:i}", "after_ms", (json_int_t)since_ms, "cut",
+			 (int)busy);
+		stop_loop(s);
+	}
+}
+
+/* Seeds and limits may change while the node runs; its own addresses may not. */
+static void reload(struct srv *s, const char *cause)
+{
+	GError *error = NULL;
+	struct sst *set = sst_load(s->settings_path, &error);
+
+	if (!set) {
+		log_error("settings_refused", "{s:s, s:s}", "cause", cause, "error",
+			  error->message);
+		g_error_free(error);
+		return;
+	}
+	if (strcmp(set->caller_address, s->set->caller_address) != 0 ||
+	    strcmp(set->peer_address, s->set->peer_address) != 0 ||
+	    strcmp(set->source_address, s->set->source_address) != 0)
+		log_warn("settings_need_restart", "{s:s}", "cause", cause);
+	/* addresses in use are compared and logged by their old text */
+	g_free(set->peer_address);
+	set->peer_address = g_strdup(s->set->peer_address);
+	g_free(set->source_address);
+	set->source_address = g_strdup(s->set->source_address);
+	sst_free(s->set);
+	s->set = set;
+	log_info("settings_read", "{s:s, s:i}", "cause", cause, "seeds", (int)set->n_seeds);
+}
+
+static int64_t file_time(const char *path)
+{
+	struct stat st;
+
+	if (stat(path, &st) != 0)
+		return 0;
+	return (int64_t)st.st_mtim.tv_sec * CLK_MS_PER_S + st.st_mtim.tv_nsec / CLK_NS_PER_MS;
+}
+
+static void look_at_settings(struct srv *s)
+{
+	int64_t mtime = file_time(s->settings_path);
+
+	if (mtime == s->settings_mtime)
+		return;
+	s->settings_mtime = mtime;
+	reload(s, "the file changed");
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	static uint32_t ticks;
+	struct srv *s = timer->data;
+	int64_t now_ms = clk_now_ms();
+	int64_t gap_ms = now_ms - s->last_tick_ms;
+
+	if (gap_ms > GAP_MS) {
+		log_warn("clock_gap", "{s:I}", "gap_ms", (json_int_t)gap_ms);
+		fle_excuse_gap(s->fleet, gap_ms);
+	}
+	s->last_tick_ms = now_ms;
+	srv_feed_tick(s->feed, now_ms);
+	if (pvw_tick(s->view, now_ms)) {
+		log_info("upstreams_lapsed", NULL);
+		srv_chain_view_changed(s);
+	}
+	srv_chain_tick(s, now_ms);
+	update_ready(s, now_ms);
+	if (s->stop_began_ms > 0)
+		drive_stop(s, now_ms);
+	if (++ticks % SETTINGS_EVERY != 0)
+		return;
+	look_at_settings(s);
+	update_limits(s);
+	srv_ups_sweep(s, now_ms);
+	hts_sweep(s->front, now_ms);
+	hts_sweep(s->ready, now_ms);
+	hts_sweep(s->lookup, now_ms);
+	hts_sweep(s->admin, now_ms);
+	if (s->metrics)
+		hts_sweep(s->metrics, now_ms);
+}
+
+static void on_stop_signal(uv_signal_t *signal, int number)
+{
+	struct srv *s = signal->data;
+
+	if (s->stop_began_ms > 0) {
+		log_info("stop_hurried", "{s:i}", "signal", number);
+		stop_loop(s);
+		return;
+	}
+	s->stop_began_ms = clk_now_ms();
+	log_info("stopping", "{s:i, s:i, s:i}", "signal", number, "requests",
+		 (int)hts_count_busy(s->front), "chains", (int)chn_count_jobs(s->chains));
+	hts_say_close(s->front);
+	update_ready(s, s->stop_began_ms);
+}
+
+static void on_reload_signal(uv_signal_t *signal, int number)
+{
+	struct srv *s = signal->data;
+
+	s->settings_mtime = file_time(s->settings_path);
+	reload(s, "signal");
+}
+
+static void start_signal(struct srv *s, uv_signal_t *signal, int number, uv_signal_cb fn)
+{
+	uv_signal_init(&s->loop, signal);
+	signal->data = s;
+	uv_signal_start(signal, fn, number);
+}
+
+static void start_timers(struct srv *s)
+{
+	uv_timer_init(&s->loop, &s->tick);
+	s->tick.data = s;
+	uv_timer_start(&s->tick, on_tick, 0, SRV_TICK_MS);
+	uv_timer_init(&s->loop, &s->chain_tick);
+	s->chain_tick.data = s;
+	start_signal(s, &s->on_term, SIGTERM, on_stop_signal);
+	start_signal(s, &s->on_int, SIGINT, on_stop_signal);
+	start_signal(s, &s->on_hup, SIGHUP, on_reload_signal);
+}
+
+static void fill_self(const struct srv *s, struct fle_record *self)
+{
+	g_strlcpy(self->peer_address, s->set->peer_address, sizeof(self->peer_address));
+	g_strlcpy(self->caller_address, s->set->caller_address, sizeof(self->caller_address));
+	g_strlcpy(self->data_centre, s->set->data_centre, sizeof(self->data_centre));
+	g_strlcpy(self->region, s->set->region, sizeof(self->region));
+	self->incarnation = (uint64_t)clk_wall_ms();
+}
+
+static bool start_front(struct srv *s, GError **error)
+{
+	const struct hts_handler handler = {
+		.on_request = srv_req_begin,
+		.on_gone = srv_req_gone,
+		.on_drained = srv_req_drained,
+		.arg = s,
+	};
+	/* until the configuration says otherwise */
+	const struct hts_limits limits = {
+		.max_header_bytes = 16384,
+		.max_body_bytes = 4 * 1024 * 1024,
+		.header_timeout_ms = 3000,
+		.idle_timeout_ms = 15000,
+	};
+
+	s->front = hts_new(&s->loop, s->set->caller_address, &handler, &limits, error);
+	return s->front != NULL;
+}
+
+struct srv *srv_new(struct sst *set, const char *path, const struct adp_ops *adp, GError **error)
+{
+	struct srv *s = g_new0(struct srv, 1);
+	struct fle_record self = {0};
+
+	s->set = set;
+	s->settings_path = g_strdup(path);
+	s->settings_mtime = file_time(path);
+	s->adp = adp;
+	s->rnd.state = rnd_os_seed();
+	s->next_chain = rnd_os_seed() & ~0xffffffULL;
+	s->started_ms = clk_now_ms();
+	s->last_tick_ms = s->started_ms;
+	uv_loop_init(&s->loop);
+	fill_self(s, &self);
+	s->fleet = fle_new(&self, s->started_ms);
+	s->view = pvw_new();
+	s->chains = chn_new();
+	s->upstreams = g_hash_table_new(g_str_hash, g_str_equal);
+	s->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->asks = srv_chain_asks_new();
+	start_timers(s);
+	s->feed = srv_feed_new(s);
+	if (!srv_mesh_start(s, self.incarnation, error) || !srv_look_start(s, error) ||
+	    !start_front(s, error)) {
+		srv_free(s);
+		return NULL;
+	}
+	log_info("started", "{s:s, s:s, s:s, s:s, s:s, s:i}", "version", CS_VERSION, "vm", set->vm,
+		 "data_centre", set->data_centre, "caller", hts_address(s->front), "peer",
+		 set->peer_address, "seeds", (int)set->n_seeds);
+	return s;
+}
+
+void srv_run(struct srv *s)
+{
+	while (!s->stopped)
+		uv_run(&s->loop, UV_RUN_DEFAULT);
+	log_info("stopped", "{s:I, s:I}", "requests", (json_int_t)s->counters[SRV_REQUESTS],
+		 "served", (json_int_t)s->counters[SRV_SERVED]);
+}
+
+static void close_handle(uv_handle_t *handle, void *arg)
+{
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+/*
+ * The loop's handles close with the callbacks of their owners; what a request or call held is
+ * left to the end of the process.
+ */
+void srv_free(struct srv *s)
+{
+	if (!s)
+		return;
+	hts_free(s->front);
+	srv_look_stop(s);
+	srv_mesh_stop(s);
+	srv_feed_free(s->feed);
+	uv_run(&s->loop, UV_RUN_NOWAIT);
+	uv_walk(&s->loop, close_handle, NULL);
+	uv_run(&s->loop, UV_RUN_NOWAIT);
+	g_hash_table_destroy(s->asks);
+	g_hash_table_destroy(s->budgets);
+	chn_free(s->chains);
+	pvw_free(s->view);
+	fle_free(s->fleet);
+	sst_free(s->set);
+	g_free(s->settings_path);
+	g_free(s);
+}
--- /dev/null
+++ b/packages/serve/srv_feed.c
@@ -0,0 +1,305 @@
+/*
+ * Reader of the source of configuration and upstreams: one full read, then one watch. The next
+ * watch waits a little, so that one call brings many changes.
+ */
+#include "srv_int.h"
+
+#include "base/clk.h"
+#include "base/log.h"
+
+#include <string.h>
+
+#define GATHER_MS 400  /* between two watches: a fifth of the time that a change may take */
+#define WATCH_MS 1000  /* that the source may hold a watch without news */
+#define ANSWER_MS 1000 /* besides, before a call counts as lost */
+#define CONNECT_MS 700
+#define AGAIN_MS 300	  /* after a failure; doubles with each in a row */
+#define AGAIN_MAX_MS 1200 /* well below the time in which a change has to be in force */
+#define REPLY_BYTES_MAX (16 * 1024 * 1024)
+
+enum feed_state {
+	FEED_PAUSED,  /* the next call is due at due_ms */
+	FEED_READING, /* a page of the full read */
+	FEED_WATCHING,
+};
+
+struct srv_feed {
+	struct srv *s;
+	struct htc_origin *origin;
+	struct htc_call *call;
+	enum feed_state state;
+	bool have_read;	 /* a full read has ended; watch from revision on */
+	char *page_from; /* last key of the previous page */
+	int64_t first_revision;
+	int64_t revision;
+	int64_t due_ms;
+	int64_t sent_ms;
+	int64_t good_ms; /* last answer with content */
+	uint32_t fails;
+	int status;
+	GByteArray *body;
+};
+
+static void log_change(const struct adp_change *change, const char *event, const char *id)
+{
+	log_info(event, "{s:s, s:I}", "id", id, "revision", (json_int_t)change->revision);
+}
+
+static bool take_doc(struct srv *s, struct adp_change *change)
+{
+	struct pub_doc *doc = change->doc;
+	int64_t version = doc->version;
+
+	change->doc = NULL;
+	if (!pvw_take_doc(s->view, doc))
+		return false;
+	log_info("config_in_force", "{s:I, s:I, s:i, s:i, s:i}", "version", (json_int_t)version,
+		 "revision", (json_int_t)change->revision, "routes", (int)s->view->doc->n_routes,
+		 "services", (int)s->view->doc->n_services, "accounts",
+		 (int)s->view->doc->n_accounts);
+	return true;
+}
+
+static bool take_upstream(struct srv *s, struct adp_change *change, int64_t now_ms)
+{
+	struct pub_upstream *doc = change->upstream;
+	bool changed;
+
+	change->upstream = NULL;
+	changed = pvw_take_upstream(s->view, doc, change->revision, now_ms);
+	if (changed)
+		log_info("upstream_published", "{s:s, s:s, s:s, s:s, s:b, s:I, s:I}", "upstream",
+			 doc->id, "service", doc->service, "address", doc->address, "data_centre",
+			 doc->data_centre, "leaving", (int)doc->leaving, "cold_ms",
+			 (json_int_t)doc->cold_left_ms, "revision", (json_int_t)change->revision);
+	return changed;
+}
+
+static bool apply(struct srv *s, struct adp_change *change, int64_t now_ms)
+{
+	switch (change->kind) {
+	case ADP_CHANGE_DOC:
+		return take_doc(s, change);
+	case ADP_CHANGE_UPSTREAM:
+		return take_upstream(s, change, now_ms);
+	case ADP_CHANGE_UPSTREAM_GONE:
+		if (!pvw_drop_upstream(s->view, change->id, change->revision, now_ms))
+			return false;
+		log_change(change, "upstream_gone", change->id);
+		return true;
+	case ADP_CHANGE_OUT:
+		if (!pvw_set_out(s->view, change->id, true, now_ms))
+			return false;
+		log_change(change, "data_centre_out", change->id);
+		return true;
+	case ADP_CHANGE_BACK:
+		if (!pvw_set_out(s->view, change->id, false, now_ms))
+			return false;
+		log_change(change, "data_centre_back", change->id);
+		return true;
+	case ADP_CHANGE_BAD:
+		log_warn("entry_unreadable", "{s:s, s:s, s:I}", "id", change->id, "reason",
+			 change->why, "revision", (json_int_t)change->revision);
+		/* an unreadable entry names no upstream to use */
+		return pvw_drop_upstream(s->view, change->id, change->revision, now_ms);
+	case ADP_CHANGE_OTHER:
+		break;
+	}
+	return false;
+}
+
+static void pause_until(struct srv_feed *feed, int64_t due_ms)
+{
+	feed->state = FEED_PAUSED;
+	feed->due_ms = due_ms;
+}
+
+static void fail(struct srv_feed *feed, const char *reason)
+{
+	struct srv *s = feed->s;
+	int64_t now_ms = clk_now_ms();
+
+	srv_count(s, SRV_READS_FAILED);
+	if (feed->fails++ == 0)
+		log_warn("source_lost", "{s:s, s:s, s:I, s:I}", "address", s->set->source_address,
+			 "reason", reason, "revision", (json_int_t)feed->revision, "age_ms",
+			 (json_int_t)srv_feed_age_ms(feed, now_ms));
+	pvw_set_away(s->view, true, now_ms);
+	pause_until(feed, now_ms + MIN(AGAIN_MS << MIN(feed->fails - 1, 4), AGAIN_MAX_MS));
+}
+
+static void end_page(struct srv_feed *feed, struct adp_feed_reply *reply, int64_t now_ms)
+{
+	if (!feed->page_from)
+		feed->first_revision = reply->revision;
+	g_free(feed->page_from);
+	feed->page_from = NULL;
+	if (reply->more && reply->last_key) {
+		feed->page_from = g_strdup(reply->last_key);
+		pause_until(feed, now_ms);
+		return;
+	}
+	/* pages are no snapshot: what changed since the first one comes with the watch */
+	feed->revision = feed->first_revision;
+	feed->have_read = true;
+	pvw_read_end(feed->s->view, feed->first_revision, now_ms);
+	pause_until(feed, now_ms);
+}
+
+static void take_reply(struct srv_feed *feed, struct adp_feed_reply *reply)
+{
+	struct srv *s = feed->s;
+	int64_t now_ms = clk_now_ms();
+	bool changed = false;
+
+	if (feed->fails > 0)
+		log_info("source_back", "{s:s, s:i, s:I}", "address", s->set->source_address,
+			 "fails", (int)feed->fails, "revision", (json_int_t)reply->revision);
+	feed->fails = 0;
+	feed->good_ms = now_ms;
+	pvw_set_away(s->view, false, now_ms);
+	for (guint i = 0; i < reply->changes->len; i++)
+		changed = apply(s, &g_array_index(reply->changes, struct adp_change, i), now_ms) ||
+			  changed;
+	if (feed->state == FEED_READING) {
+		end_page(feed, reply, now_ms);
+		changed = true;
+	} else {
+		feed->revision = MAX(feed->revision, reply->revision);
+		pause_until(feed, now_ms + GATHER_MS);
+	}
+	if (changed && feed->have_read)
+		srv_chain_view_changed(s);
+}
+
+static bool on_head(void *arg, const struct htc_head *head)
+{
+	struct srv_feed *feed = arg;
+
+	feed->status = head->status;
+	g_byte_array_set_size(feed->body, 0);
+	return true;
+}
+
+static void on_data(void *arg, const void *data, size_t len)
+{
+	struct srv_feed *feed = arg;
+
+	if (feed->body->len + len <= REPLY_BYTES_MAX)
+		g_byte_array_append(feed->body, data, (guint)len);
+}
+
+static void on_end(void *arg, enum htc_end end)
+{
+	struct srv_feed *feed = arg;
+	struct adp_feed_reply reply;
+
+	feed->call = NULL;
+	if (end != HTC_DONE) {
+		fail(feed, end == HTC_NOT_SENT ? "no connection" : "connection broken");
+		return;
+	}
+	switch (feed->s->adp->feed->read_reply(feed->status, (const char *)feed->body->data,
+					       feed->body->len, feed->state == FEED_WATCHING,
+					       &reply)) {
+	case ADP_FEED_OK:
+		take_reply(feed, &reply);
+		adp_feed_reply_clear(&reply);
+		break;
+	case ADP_FEED_LOST:
+		log_warn("source_history_lost", "{s:I}", "revision", (json_int_t)feed->revision);
+		feed->have_read = false;
+		pause_until(feed, clk_now_ms());
+		break;
+	case ADP_FEED_REFUSED:
+		fail(feed, "refused");
+		break;
+	case ADP_FEED_MALFORMED:
+		fail(feed, "malformed answer");
+		break;
+	}
+}
+
+static const struct htc_ops call_ops = {
+	.on_head = on_head,
+	.on_data = on_data,
+	.on_end = on_end,
+};
+
+static void send_call(struct srv_feed *feed, int64_t now_ms)
+{
+	const struct adp_feed_ops *ops = feed->s->adp->feed;
+	struct hdr_list headers = {0};
+	char *target;
+
+	if (feed->have_read) {
+		feed->state = FEED_WATCHING;
+		target = ops->watch_target(feed->revision, WATCH_MS);
+	} else {
+		if (!feed->page_from)
+			pvw_read_begin(feed->s->view);
+		feed->state = FEED_READING;
+		target = ops->read_target(feed->page_from);
+	}
+	hdr_add(&headers, "Host", feed->s->set->source_address);
+	const struct htc_request request = {
+		.method = "GET",
+		.target = target,
+		.headers = &headers,
+		.connect_timeout_ms = CONNECT_MS,
+	};
+	srv_count(feed->s, SRV_READS);
+	feed->sent_ms = now_ms;
+	feed->call = htc_start(feed->origin, &request, &call_ops, feed);
+	hdr_clear(&headers);
+	g_free(target);
+	if (!feed->call)
+		fail(feed, "no socket");
+}
+
+void srv_feed_tick(struct srv_feed *feed, int64_t now_ms)
+{
+	int64_t limit_ms = feed->state == FEED_WATCHING ? WATCH_MS + ANSWER_MS : ANSWER_MS;
+
+	if (feed->state == FEED_PAUSED) {
+		if (now_ms >= feed->due_ms)
+			send_call(feed, now_ms);
+		return;
+	}
+	if (now_ms - feed->sent_ms <= limit_ms)
+		return;
+	htc_cancel(feed->call);
+	feed->call = NULL;
+	fail(feed, "no answer in time");
+}
+
+int64_t srv_feed_age_ms(const struct srv_feed *feed, int64_t now_ms)
+{
+	return feed->good_ms > 0 ? now_ms - feed->good_ms : -1;
+}
+
+int64_t srv_feed_revision(const struct srv_feed *feed)
+{
+	return feed->revision;
+}
+
+struct srv_feed *srv_feed_new(struct srv *s)
+{
+	struct srv_feed *feed = g_new0(struct srv_feed, 1);
+
+	feed->s = s;
+	feed->origin = htc_origin_new(&s->loop, s->set->source_address);
+	feed->body = g_byte_array_new();
+	return feed;
+}
+
+void srv_feed_free(struct srv_feed *feed)
+{
+	if (!feed)
+		return;
+	htc_cancel(feed->call);
+	htc_origin_free(feed->origin);
+	g_byte_array_unref(feed->body);
+	g_free(feed->page_from);
+	g_free(feed);
+}
--- /dev/null
+++ b/packages/serve/srv_look.c
@@ -0,0 +1,277 @@
+/* Listeners besides the callers': addresses, readiness, operators' status and dump, metrics. */
+#include "srv_int.h"
+
+#include "base/clk.h"
+#include "base/ctr.h"
+#include "base/log.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define ADDRESSES_MAX 64
+#define NEAR_MIN 2 /* members of the asker's region, below which all others are named too */
+#define MS_PER_S 1000.0
+#define TTL_MS 1500 /* a stopping node serves for twice as long */
+#define POOLS_MAX 64
+
+struct listing {
+	const struct srv *s;
+	const char *region; /* NULL: any */
+	const char *addresses[ADDRESSES_MAX];
+	uint32_t n;
+	int64_t now_ms;
+};
+
+static void list_member(void *arg, const struct fle_member *m)
+{
+	struct listing *l = arg;
+
+	if (l->n >= ADDRESSES_MAX || !fle_is_alive(l->s->fleet, m, l->now_ms) || !m->record.ready ||
+	    m->record.leaving)
+		return;
+	if (l->region && strcmp(l->region, m->record.region) != 0)
+		return;
+	l->addresses[l->n++] = m->record.caller_address;
+}
+
+static void answer_lookup(struct srv *s, struct hts_request *request)
+{
+	struct listing l = {.s = s, .now_ms = clk_now_ms()};
+	int64_t ttl_ms = MIN(TTL_MS, (int64_t)(sst_num(s->set->lookup_ttl_s) * MS_PER_S));
+	struct hdr_list headers = {0};
+	struct adp_lookup lookup;
+	char *body;
+
+	if (!s->adp->caller->read_lookup(request->target, &lookup)) {
+		hts_answer(request, 404, NULL, "", 0);
+		return;
+	}
+	l.region = lookup.region;
+	fle_each(s->fleet, list_member, &l);
+	if (l.n < NEAR_MIN) {
+		l.n = 0;
+		l.region = NULL;
+		fle_each(s->fleet, list_member, &l);
+	}
+	srv_count(s, SRV_LOOKUPS);
+	if (l.n == 0) {
+		hts_answer(request, 503, NULL, "", 0);
+	} else {
+		body = s->adp->caller->lookup_body(l.addresses, l.n, ttl_ms);
+		hdr_add(&headers, "Content-Type", s->adp->upstream->media_type);
+		hts_answer(request, 200, &headers, body, strlen(body));
+		hdr_clear(&headers);
+		free(body);
+	}
+	adp_lookup_clear(&lookup);
+}
+
+static void on_lookup(void *arg, struct hts_request *request)
+{
+	answer_lookup(arg, request);
+}
+
+static void on_ready(void *arg, struct hts_request *request)
+{
+	struct srv *s = arg;
+
+	if (!s->adp->caller->is_ready_target(request->target))
+		hts_answer(request, 404, NULL, "", 0);
+	else
+		hts_answer(request, s->is_ready ? 200 : 503, NULL, "", 0);
+}
+
+static void put_member(void *arg, const struct fle_member *m)
+{
+	json_t *list = arg;
+
+	json_array_append_new(list,
+			      json_pack("{s:s, s:s, s:s, s:I, s:I, s:b, s:b, s:I}", "peer",
+					m->record.peer_address, "caller", m->record.caller_address,
+					"data_centre", m->record.data_centre, "incarnation",
+					(json_int_t)m->record.incarnation, "beat",
+					(json_int_t)m->record.beat, "ready", (int)m->record.ready,
+					"leaving", (int)m->record.leaving, "heard_ms",
+					(json_int_t)(clk_now_ms() - m->heard_ms)));
+}
+
+static json_t *put_upstreams(struct srv *s, int64_t now_ms)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->view->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pvw_upstream *entry = value;
+		const struct srv_upstream *u = g_hash_table_lookup(s->upstreams, entry->doc->id);
+		json_array_append_new(
+			list, json_pack("{s:s, s:s, s:s, s:s, s:b, s:b, s:i, s:I, s:f}", "upstream",
+					entry->doc->id, "service", entry->doc->service, "address",
+					entry->doc->address, "data_centre", entry->doc->data_centre,
+					"usable", (int)pvw_is_usable(s->view, entry), "cold",
+					(int)pvw_is_cold(entry, now_ms), "in_flight",
+					u ? (int)u->in_flight : 0, "blocked_ms",
+					(json_int_t)(u ? MAX(u->blocked_until_ms - now_ms, 0) : 0),
+					"failed", u ? srv_ups_failed(u, now_ms) : 0.0));
+	}
+	return list;
+}
+
+static json_t *put_pools(struct srv *s)
+{
+	struct chn_pool_state pools[POOLS_MAX];
+	uint32_t n = chn_pool_states(s->chains, pools, POOLS_MAX);
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < n; i++)
+		json_array_append_new(
+			list, json_pack("{s:s, s:i, s:i, s:i, s:i, s:I}", "pool", pools[i].service,
+					"upstreams", (int)pools[i].upstreams, "busy",
+					(int)pools[i].busy, "waiting", (int)pools[i].waiting,
+					"pending", (int)pools[i].pending, "backlog_ms",
+					(json_int_t)pools[i].backlog_ms));
+	return list;
+}
+
+static json_t *status(struct srv *s)
+{
+	int64_t now_ms = clk_now_ms();
+
+	return json_pack("{s:s, s:b, s:b, s:I, s:I, s:I, s:i, s:i, s:s, s:i, s:i}", "vm",
+			 s->set->vm, "ready", (int)s->is_ready, "stopping", s->stop_began_ms > 0,
+			 "version", (json_int_t)(s->view->doc ? s->view->doc->version : 0),
+			 "revision", (json_int_t)srv_feed_revision(s->feed), "view_age_ms",
+			 (json_int_t)srv_feed_age_ms(s->feed, now_ms), "alive",
+			 (int)fle_count_alive(s->fleet, now_ms), "upstreams",
+			 (int)g_hash_table_size(s->view->upstreams), "owner",
+			 fle_owner(s->fleet, "chains", NULL, now_ms)->record.peer_address, "chains",
+			 (int)chn_count_jobs(s->chains), "requests", (int)hts_count_busy(s->front));
+}
+
+static json_t *dump(struct srv *s)
+{
+	json_t *members = json_array();
+
+	fle_each(s->fleet, put_member, members);
+	return json_pack("{s:o, s:o, s:o, s:o}", "status", status(s), "members", members,
+			 "upstreams", put_upstreams(s, clk_now_ms()), "pools", put_pools(s));
+}
+
+static void on_admin(void *arg, struct hts_request *request)
+{
+	struct srv *s = arg;
+	struct hdr_list headers = {0};
+	json_t *root = NULL;
+	char *body;
+
+	if (strcmp(request->target, "/status") == 0)
+		root = status(s);
+	else if (strcmp(request->target, "/dump") == 0)
+		root = dump(s);
+	if (!root) {
+		hts_answer(request, 404, NULL, "", 0);
+		return;
+	}
+	body = json_dumps(root, JSON_INDENT(2));
+	hdr_add(&headers, "Content-Type", "application/json");
+	hts_answer(request, 200, &headers, body, strlen(body));
+	hdr_clear(&headers);
+	free(body);
+	json_decref(root);
+}
+
+static void put_histogram(GString *out, const char *name, const struct srv_histogram *h)
+{
+	uint64_t sum = 0;
+
+	g_string_append_printf(out, "# TYPE currantscale_%s_ms histogram\n", name);
+	for (int i = 0; i < SRV_BUCKETS; i++) {
+		sum += h->buckets[i];
+		g_string_append_printf(
+			out, "currantscale_%s_ms_bucket{le=\"%d\"} %" G_GUINT64_FORMAT "\n", name,
+			1 << i, sum);
+	}
+	g_string_append_printf(out,
+			       "currantscale_%s_ms_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
+			       "currantscale_%s_ms_sum %.0f\n"
+			       "currantscale_%s_ms_count %" G_GUINT64_FORMAT "\n",
+			       name, h->count, name, h->sum_ms, name, h->count);
+}
+
+static void on_metrics(void *arg, struct hts_request *request)
+{
+	static const struct {
+		const char *name;
+		const char *help;
+	} names[] = {
+#define NAME(id, name, help) {name, help},
+		SRV_COUNTERS(NAME)
+#undef NAME
+	};
+	struct srv *s = arg;
+	struct hdr_list headers = {0};
+	GString *out = g_string_new(NULL);
+
+	for (int i = 0; i < SRV_COUNTERS_N; i++)
+		g_string_append_printf(out,
+				       "# HELP currantscale_%s %s\n# TYPE currantscale_%s counter\n"
+				       "currantscale_%s %" G_GUINT64_FORMAT "\n",
+				       names[i].name, names[i].help, names[i].name, names[i].name,
+				       s->counters[i]);
+	put_histogram(out, "first_byte", &s->first_byte);
+	put_histogram(out, "chain", &s->chain_time);
+	ctr_write_text(out);
+	hdr_add(&headers, "Content-Type", "text/plain; version=0.0.4");
+	hts_answer(request, 200, &headers, out->str, out->len);
+	hdr_clear(&headers);
+	g_string_free(out, TRUE);
+}
+
+static void on_gone(void *arg, struct hts_request *request)
+{
+}
+
+bool srv_look_start(struct srv *s, GError **error)
+{
+	/* these listeners take short questions without bodies from few */
+	const struct hts_limits limits = {
+		.max_header_bytes = 8192,
+		.max_body_bytes = 8192,
+		.header_timeout_ms = 3000,
+		.idle_timeout_ms = 20000,
+	};
+	const struct {
+		struct hts **listener;
+		const char *address;
+		void (*on_request)(void *arg, struct hts_request *request);
+	} listeners[] = {
+		{&s->ready, s->set->ready_address, on_ready},
+		{&s->lookup, s->set->lookup_address, on_lookup},
+		{&s->admin, s->set->admin_address, on_admin},
+		{&s->metrics, s->set->metrics_address, on_metrics},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
+		const struct hts_handler handler = {
+			.on_request = listeners[i].on_request,
+			.on_gone = on_gone,
+			.arg = s,
+		};
+		if (!listeners[i].address)
+			continue;
+		*listeners[i].listener =
+			hts_new(&s->loop, listeners[i].address, &handler, &limits, error);
+		if (!*listeners[i].listener)
+			return false;
+	}
+	return true;
+}
+
+void srv_look_stop(struct srv *s)
+{
+	hts_free(s->ready);
+	hts_free(s->lookup);
+	hts_free(s->admin);
+	hts_free(s->metrics);
+}
--- /dev/null
+++ b/packages/serve/srv_mesh.c
@@ -0,0 +1,197 @@
+/* Messages between nodes: gossip of heartbeats, and word of upstreams that don't answer. */
+#include "srv_int.h"
+
+#include "base/clk.h"
+#include "base/hcl.h"
+#include "base/log.h"
+
+#include <string.h>
+
+#define MESSAGE_TTL_MS 60000 /* wall clocks may differ by seconds; every message bears a late use  \
+			      */
+#define TROUBLES_MAX 8
+#define TARGETS_MAX 8
+#define SEEDS_MAX 8
+
+void srv_mesh_send(struct srv *s, const char *peer_address, Peer__Message *message)
+{
+	message->ttl_ms = MESSAGE_TTL_MS;
+	peer_send(s->peer, peer_address, peer_address, message);
+}
+
+static void put_member(Peer__Member *out, const struct fle_record *r)
+{
+	peer__member__init(out);
+	out->peer_address = (char *)r->peer_address;
+	out->caller_address = (char *)r->caller_address;
+	out->data_centre = (char *)r->data_centre;
+	out->region = (char *)r->region;
+	out->incarnation = r->incarnation;
+	out->beat = r->beat;
+	out->ready = r->ready;
+	out->leaving = r->leaving;
+}
+
+static void get_member(struct fle_record *r, const Peer__Member *in)
+{
+	memset(r, 0, sizeof(*r));
+	g_strlcpy(r->peer_address, in->peer_address, sizeof(r->peer_address));
+	g_strlcpy(r->caller_address, in->caller_address, sizeof(r->caller_address));
+	g_strlcpy(r->data_centre, in->data_centre, sizeof(r->data_centre));
+	g_strlcpy(r->region, in->region, sizeof(r->region));
+	r->incarnation = in->incarnation;
+	r->beat = in->beat;
+	r->ready = in->ready;
+	r->leaving = in->leaving;
+}
+
+/* What this node itself has seen; others' word is not passed on, so that it dies out. */
+static uint32_t put_troubles(struct srv *s, Peer__Trouble *troubles, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&iter, s->upstreams);
+	while (n < TROUBLES_MAX && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct srv_upstream *u = value;
+		if (u->told || u->fails == 0 || u->blocked_until_ms <= now_ms)
+			continue;
+		peer__trouble__init(&troubles[n]);
+		troubles[n].upstream = u->id;
+		troubles[n].wait_ms = (uint32_t)(u->blocked_until_ms - now_ms);
+		n++;
+	}
+	return n;
+}
+
+/* Seeds name operators' listeners; the listener for nodes has the same port on all of them. */
+static uint32_t seed_addresses(const struct srv *s, char (*seeds)[FLE_NAME_BYTES])
+{
+	const char *port = strrchr(s->set->peer_address, ':');
+	char host[FLE_NAME_BYTES];
+	uint16_t other;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->set->n_seeds && n < SEEDS_MAX; i++) {
+		if (!hcl_split_address(s->set->seeds[i], host, sizeof(host), &other))
+			continue;
+		g_snprintf(seeds[n++], FLE_NAME_BYTES, "%s%s", host, port);
+	}
+	return n;
+}
+
+static void send_beat(struct srv *s, const char *target, int64_t now_ms)
+{
+	struct fle_record records[FLE_RECORDS_MAX];
+	Peer__Member members[FLE_RECORDS_MAX];
+	Peer__Member *member_list[FLE_RECORDS_MAX];
+	Peer__Trouble troubles[TROUBLES_MAX];
+	Peer__Trouble *trouble_list[TROUBLES_MAX];
+	Peer__Message message = PEER__MESSAGE__INIT;
+	Peer__Beat beat = PEER__BEAT__INIT;
+
+	beat.n_members = fle_fill(s->fleet, records, FLE_RECORDS_MAX, &s->rnd, now_ms);
+	for (size_t i = 0; i < beat.n_members; i++) {
+		put_member(&members[i], &records[i]);
+		member_list[i] = &members[i];
+	}
+	beat.members = member_list;
+	beat.n_troubles = put_troubles(s, troubles, now_ms);
+	for (size_t i = 0; i < beat.n_troubles; i++)
+		trouble_list[i] = &troubles[i];
+	beat.troubles = trouble_list;
+	message.kind_case = PEER__MESSAGE__KIND_BEAT;
+	message.beat = &beat;
+	srv_mesh_send(s, target, &message);
+}
+
+static void on_round(uv_timer_t *timer)
+{
+	struct srv *s = timer->data;
+	char seeds[SEEDS_MAX][FLE_NAME_BYTES];
+	char targets[TARGETS_MAX][FLE_NAME_BYTES];
+	const char *seed_list[SEEDS_MAX];
+	int64_t now_ms = clk_now_ms();
+	uint32_t n_seeds = seed_addresses(s, seeds);
+	uint32_t n;
+
+	for (uint32_t i = 0; i < n_seeds; i++)
+		seed_list[i] = seeds[i];
+	fle_round(s->fleet, now_ms);
+	n = fle_targets(s->fleet, seed_list, n_seeds, &s->rnd, targets, TARGETS_MAX, now_ms);
+	for (uint32_t i = 0; i < n; i++)
+		send_beat(s, targets[i], now_ms);
+}
+
+static void log_fleet(struct srv *s, const char *from, int64_t now_ms)
+{
+	log_info("fleet_changed", "{s:s, s:i, s:s}", "heard_from", from, "alive",
+		 (int)fle_count_alive(s->fleet, now_ms), "owner",
+		 fle_owner(s->fleet, "chains", NULL, now_ms)->record.peer_address);
+}
+
+static void take_beat(struct srv *s, const char *from, const Peer__Beat *beat)
+{
+	struct fle_record records[FLE_RECORDS_MAX];
+	int64_t now_ms = clk_now_ms();
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < beat->n_members && n < FLE_RECORDS_MAX; i++)
+		get_member(&records[n++], beat->members[i]);
+	if (fle_take(s->fleet, records, n, now_ms))
+		log_fleet(s, from, now_ms);
+	for (size_t i = 0; i < beat->n_troubles; i++)
+		srv_ups_take_word(s, beat->troubles[i]->upstream, beat->troubles[i]->wait_ms,
+				  now_ms);
+}
+
+static void on_message(void *arg, const Peer__Message *message)
+{
+	struct srv *s = arg;
+
+	if (message->kind_case == PEER__MESSAGE__KIND_BEAT)
+		take_beat(s, message->from_vm, message->beat);
+	else
+		srv_chain_message(s, message);
+}
+
+static void on_readable(uv_poll_t *poll, int status, int events)
+{
+	struct srv *s = poll->data;
+
+	peer_receive(s->peer);
+}
+
+bool srv_mesh_start(struct srv *s, uint64_t incarnation, GError **error)
+{
+	const struct peer_options options = {
+		.vm = s->set->peer_address,
+		.incarnation = incarnation,
+		.listen = s->set->peer_address,
+		.on_message = on_message,
+		.arg = s,
+		.threadless = true,
+	};
+
+	s->peer = peer_new(&options, error);
+	if (!s->peer)
+		return false;
+	uv_poll_init(&s->loop, &s->peer_poll, peer_fd(s->peer));
+	s->peer_poll.data = s;
+	uv_poll_start(&s->peer_poll, UV_READABLE, on_readable);
+	uv_timer_init(&s->loop, &s->mesh_tick);
+	s->mesh_tick.data = s;
+	uv_timer_start(&s->mesh_tick, on_round, rnd_below(&s->rnd, FLE_BEAT_MS), FLE_BEAT_MS);
+	return true;
+}
+
+void srv_mesh_stop(struct srv *s)
+{
+	if (!s->peer)
+		return;
+	uv_close((uv_handle_t *)&s->peer_poll, NULL);
+	uv_close((uv_handle_t *)&s->mesh_tick, NULL);
+	peer_free(s->peer);
+	s->peer = NULL;
+}
--- /dev/null
+++ b/packages/serve/sst.c
@@ -0,0 +1,165 @@
+#include "serve/sst.h"
+
+#include "base/err.h"
+#include "model/sch.h"
+
+#include <math.h>
+#include <string.h>
+
+#define LOG_LINES_PER_S 400 /* 40 KB/s, and some 1% of a quarter core */
+
+#define SST_STR(member, must)                                                                      \
+	{                                                                                          \
+		.key = #member, .type = SCH_STR, .off = offsetof(struct sst, member),              \
+		.required = (must)                                                                 \
+	}
+
+static const struct sch_field centre_fields[] = {
+	{.key = "name",
+	 .type = SCH_STR,
+	 .off = offsetof(struct sst_centre, name),
+	 .required = true},
+	{.key = "region",
+	 .type = SCH_STR,
+	 .off = offsetof(struct sst_centre, region),
+	 .required = true},
+};
+
+static const struct sch_map centre_map = {centre_fields, G_N_ELEMENTS(centre_fields),
+					  sizeof(struct sst_centre)};
+
+static const struct sch_field fields[] = {
+	SST_STR(adapter, true),
+	SST_STR(vm, true),
+	SST_STR(data_centre, true),
+	SST_STR(region, true),
+	SST_STR(caller_address, true),
+	SST_STR(ready_address, true),
+	SST_STR(lookup_address, true),
+	SST_STR(admin_address, true),
+	SST_STR(metrics_address, false),
+	SST_STR(peer_address, true),
+	SST_STR(source_address, true),
+	{.key = "seeds",
+	 .type = SCH_STRS,
+	 .off = offsetof(struct sst, seeds),
+	 .off_n = offsetof(struct sst, n_seeds)},
+	{.key = "data_centres",
+	 .type = SCH_LIST,
+	 .off = offsetof(struct sst, data_centres),
+	 .off_n = offsetof(struct sst, n_data_centres),
+	 .item = &centre_map},
+	SST_STR(log_level, false),
+	{.key = "log_lines_per_s",
+	 .type = SCH_INT,
+	 .off = offsetof(struct sst, log_lines_per_s),
+	 .min = 1,
+	 .max = 1000000,
+	 .fallback = LOG_LINES_PER_S},
+	SST_STR(lookup_ttl_s, true),
+	SST_STR(stop_grace_s, true),
+	SST_STR(retry_ratio, true),
+	SST_STR(retry_window_s, true),
+	SST_STR(retry_slack, true),
+	SST_STR(cold_factor, true),
+	SST_STR(cold_slack, true),
+};
+
+static const struct sch_map map = {fields, G_N_ELEMENTS(fields), sizeof(struct sst)};
+
+bool sst_is_for(const char *path)
+{
+	char *text;
+	bool found;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return false;
+	found = g_str_has_prefix(text, "adapter:") || strstr(text, "\nadapter:");
+	g_free(text);
+	return found;
+}
+
+double sst_num(const char *text)
+{
+	return g_ascii_strtod(text, NULL);
+}
+
+static bool is_number(const char *text)
+{
+	char *end;
+	double value = g_ascii_strtod(text, &end);
+
+	return end != text && *end == '\0' && isfinite(value) && value >= 0;
+}
+
+static bool check_numbers(const struct sst *set, const char *path, GError **error)
+{
+	const struct {
+		const char *key;
+		const char *text;
+	} numbers[] = {
+		{"lookup_ttl_s", set->lookup_ttl_s}, {"stop_grace_s", set->stop_grace_s},
+		{"retry_ratio", set->retry_ratio},   {"retry_window_s", set->retry_window_s},
+		{"retry_slack", set->retry_slack},   {"cold_factor", set->cold_factor},
+		{"cold_slack", set->cold_slack},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		if (!is_number(numbers[i].text))
+			return err_set(error, ERR_SETTINGS, "%s: %s: %s is no number from 0 up",
+				       path, numbers[i].key, numbers[i].text);
+	}
+	return true;
+}
+
+static struct sst *load_text(const char *path, const char *text, gsize len, GError **error)
+{
+	GPtrArray *faults = sch_faults_new();
+	struct sch_doc *doc = sch_doc_new(text, len, faults);
+	struct sst *set = g_new0(struct sst, 1);
+	bool good = doc && sch_load_doc(doc, &map, set, faults);
+
+	if (!good && faults->len > 0) {
+		const struct sch_fault *fault = g_ptr_array_index(faults, 0);
+		err_set(error, ERR_SETTINGS, "%s:%d:%d: %s: %s", path, fault->line, fault->column,
+			fault->key, fault->reason);
+	}
+	sch_doc_free(doc);
+	g_ptr_array_unref(faults);
+	if (good && check_numbers(set, path, error))
+		return set;
+	sst_free(set);
+	return NULL;
+}
+
+struct sst *sst_load(const char *path, GError **error)
+{
+	struct sst *set;
+	char *text;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, NULL)) {
+		err_set(error, ERR_SETTINGS, "%s: can't be read", path);
+		return NULL;
+	}
+	set = load_text(path, text, len, error);
+	g_free(text);
+	return set;
+}
+
+void sst_free(struct sst *set)
+{
+	if (!set)
+		return;
+	sch_clear(&map, set);
+	g_free(set);
+}
+
+const char *sst_region_of(const struct sst *set, const char *data_centre)
+{
+	for (uint32_t i = 0; i < set->n_data_centres; i++) {
+		if (strcmp(set->data_centres[i].name, data_centre) == 0)
+			return set->data_centres[i].region;
+	}
+	return "";
+}
