--- a/packages/decide/chn.c
+++ b/packages/decide/chn.c
@@ -125,7 +125,7 @@
 }
 
 static void refuse(struct chn *c, struct job *job, const char *reason, int64_t retry_ms,
-		   GArray *out)
+		   int64_t now_ms, GArray *out)
 {
 	struct chn_cmd cmd = {
 		.kind = CHN_CMD_REFUSE,
@@ -133,6 +133,8 @@
 		.asker = g_strdup(job->asker),
 		.reason = reason,
 		.retry_after_ms = retry_ms,
+		.late = job->late,
+		.expect_in_ms = job->expect_at_ms - now_ms,
 	};
 
 	g_array_append_val(out, cmd);
@@ -169,7 +171,14 @@
 static void deliver(struct job *job, int64_t now_ms, GArray *out)
 {
 	GPtrArray *handles = g_ptr_array_new();
-	struct chn_cmd cmd = {.kind = CHN_CMD_READY, .job = job->id, .asker = g_strdup(job->asker)};
+	struct chn_cmd cmd = {
+		.kind = CHN_CMD_READY,
+		.job = job->id,
+		.asker = g_strdup(job->asker),
+		.late = job->late,
+		.expect_in_ms = job->expect_at_ms - now_ms,
+		.aim_in_ms = job->aim_at_ms - now_ms,
+	};
 
 	for (uint32_t i = 0; i < job->n_stages; i++) {
 		const struct stage *s = &job->stages[i];
@@ -195,7 +204,7 @@
 	return !job->stages[index].terminal;
 }
 
-static void advance(struct job *job, int64_t now_ms, GArray *out)
+void chn_advance(struct job *job, int64_t now_ms, GArray *out)
 {
 	bool done = chn_job_advance(job);
 
@@ -205,9 +214,26 @@
 	}
 	if (done && !job->delivered)
 		deliver(job, now_ms, out);
+	else if (!done)
+		chn_tell_progress(job, out);
+}
+
+static void tell_admitted(const struct job *job, int64_t now_ms, GArray *out)
+{
+	struct chn_cmd cmd = {
+		.kind = CHN_CMD_ADMIT,
+		.job = job->id,
+		.asker = g_strdup(job->asker),
+		.late = job->late,
+		.expect_in_ms = job->expect_at_ms - now_ms,
+		.aim_in_ms = job->aim_at_ms - now_ms,
+	};
+
+	g_array_append_val(out, cmd);
 }
 
-void chn_submit(struct chn *c, const struct chn_job_doc *doc, int64_t now_ms, GArray *out)
+void chn_submit(struct chn *c, const struct chn_job_doc *doc, const struct chn_done *done,
+		uint32_t n_done, int64_t now_ms, GArray *out)
 {
 	int64_t retry_ms = CHN_RETRY_MIN_MS;
 	const char *reason;
@@ -218,12 +244,14 @@
 	job = chn_job_new(c, doc);
 	g_hash_table_insert(c->jobs, &job->id, job);
 	g_ptr_array_add(c->order, job);
+	chn_adopt_results(c, job, done, n_done, now_ms);
 	reason = chn_admit(c, job, now_ms, &retry_ms);
-	if (reason) {
-		refuse(c, job, reason, retry_ms, out);
+	if (reason && n_done == 0) {
+		refuse(c, job, reason, retry_ms, now_ms, out);
 		return;
 	}
-	advance(job, now_ms, out);
+	tell_admitted(job, now_ms, out);
+	chn_advance(job, now_ms, out);
 	chn_dispatch(c, now_ms, out);
 }
 
@@ -285,7 +313,8 @@
 	return false;
 }
 
-static void take_handle(struct call *call, struct stage *s, struct piece *piece, const char *handle)
+static void take_handle(struct call *call, struct stage *s, struct piece *piece, const char *handle,
+			int64_t now_ms)
 {
 	struct upstream *u = call->upstream;
 
@@ -296,6 +325,7 @@
 	piece->state = PIECE_DONE;
 	piece->handle = g_strdup(handle);
 	piece->maker = u;
+	piece->done_ms = now_ms;
 	piece->freed = false;
 	u->room_used += s->result_bytes;
 	s->n_done++;
@@ -327,7 +357,7 @@
 	s = &job->stages[at->stage];
 	piece = &s->pieces[at->index];
 	if (result->fault == CHN_OK) {
-		take_handle(call, s, piece, result->handle);
+		take_handle(call, s, piece, result->handle, now_ms);
 		return true;
 	}
 	if (piece->state != PIECE_RUNNING || piece->call != call->id)
@@ -335,7 +365,7 @@
 	put_back(s, piece);
 	renew_inputs(job, s);
 	if (result->fault == CHN_LATE) {
-		refuse(c, job, "its deadline passed in a pool", CHN_RETRY_MIN_MS, out);
+		refuse(c, job, "its deadline passed in a pool", CHN_RETRY_MIN_MS, now_ms, out);
 		return false;
 	}
 	if (result->fault == CHN_GONE)
@@ -345,7 +375,7 @@
 	else
 		piece->tries++;
 	if (is_worn_out(job)) {
-		refuse(c, job, "its pieces failed too often", CHN_RETRY_MIN_MS, out);
+		refuse(c, job, "its pieces failed too often", CHN_RETRY_MIN_MS, now_ms, out);
 		return false;
 	}
 	return true;
@@ -368,7 +398,7 @@
 	for (uint32_t i = 0; i < call->n; i++) {
 		struct job *job = g_hash_table_lookup(c->jobs, &call->pieces[i].job);
 		if (job)
-			advance(job, now_ms, out);
+			chn_advance(job, now_ms, out);
 	}
 }
 
@@ -380,15 +410,28 @@
 	u->ratio += CHN_RATIO_GAIN * (ratio - u->ratio);
 }
 
+/* What a piece costs of an upstream's time, with calls as full as they are under this load. */
+static void note_cost(struct pool *pool, const struct call *call, int64_t now_ms)
+{
+	double cost_ms = (double)(now_ms - call->sent_ms) / call->n;
+
+	if (pool->cost_ms <= 0)
+		pool->cost_ms = cost_ms;
+	pool->cost_ms += CHN_COST_GAIN * (cost_ms - pool->cost_ms);
+}
+
 void chn_call_done(struct chn *c, uint64_t id, const struct chn_result *results, uint32_t n,
-		   int64_t now_ms, GArray *out)
+		   uint32_t others, int64_t now_ms, GArray *out)
 {
 	struct call *call = take_call(c, id);
 
 	if (!call)
 		return;
 	note_ratio(call->upstream, call, now_ms);
+	note_cost(call->upstream->pool, call, now_ms);
 	call->upstream->fails = 0;
+	if (others > 0)
+		call->upstream->shared_ms = now_ms;
 	for (uint32_t i = 0; i < call->n && i < n; i++)
 		take_result(c, call, &call->pieces[i], &results[i], now_ms, out);
 	advance_all(c, call, now_ms, out);
@@ -413,12 +456,13 @@
 	}
 }
 
-static void refuse_worn_out(struct chn *c, const struct call *call, GArray *out)
+static void refuse_worn_out(struct chn *c, const struct call *call, int64_t now_ms, GArray *out)
 {
 	for (uint32_t i = 0; i < call->n; i++) {
 		struct job *job = g_hash_table_lookup(c->jobs, &call->pieces[i].job);
 		if (job && is_worn_out(job))
-			refuse(c, job, "its pieces failed too often", CHN_RETRY_MIN_MS, out);
+			refuse(c, job, "its pieces failed too often", CHN_RETRY_MIN_MS, now_ms,
+			       out);
 	}
 }
 
@@ -440,7 +484,7 @@
 	}
 	put_back_call(c, call, fault != CHN_CALL_FULL);
 	if (fault != CHN_CALL_FULL)
-		refuse_worn_out(c, call, out);
+		refuse_worn_out(c, call, now_ms, out);
 	advance_all(c, call, now_ms, out);
 	g_hash_table_remove(c->calls, &id);
 	chn_dispatch(c, now_ms, out);
@@ -548,6 +592,10 @@
 		call = g_hash_table_lookup(c->calls, &piece->call);
 		if (!call || now_ms - call->sent_ms < CHN_FETCHED_MS)
 			return false;
+		/* behind another owner's call its turn may still be to come */
+		if (call->upstream->shared_ms > 0 &&
+		    call->sent_ms - call->upstream->shared_ms < CHN_SHARED_MS)
+			return false;
 	}
 	return true;
 }
@@ -579,6 +627,21 @@
 }
 
 /* Marks what can no longer be in time, gives up what can no longer make its deadline. */
+/* The oldest result that a stage still needs, and that runs out with its time. */
+static bool has_expired(const struct job *job, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		const struct stage *s = &job->stages[i];
+		for (uint32_t k = 0; s->pool && k < s->n_pieces; k++) {
+			const struct piece *piece = &s->pieces[k];
+			if (piece->state == PIECE_DONE && !piece->freed && piece->done_ms > 0 &&
+			    now_ms - piece->done_ms > s->pool->doc.handle_ms - CHN_EXPIRY_MARGIN_MS)
+				return true;
+		}
+	}
+	return false;
+}
+
 static void judge_jobs(struct chn *c, int64_t now_ms, GArray *out)
 {
 	for (guint i = c->order->len; i > 0; i--) {
@@ -594,27 +657,10 @@
 		free_fetched(c, job, now_ms);
 		if (ready_ms > job->deadline_at_ms)
 			refuse(c, job, "its deadline is nearer than its last stages",
-			       CHN_RETRY_MIN_MS, out);
-	}
-}
-
-static void flush_frees(struct chn *c, GArray *out)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, c->upstreams);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct upstream *u = value;
-		struct chn_cmd cmd = {.kind = CHN_CMD_FREE};
-		if (u->frees->len == 0)
-			continue;
-		g_ptr_array_add(u->frees, NULL);
-		cmd.upstream = g_strdup(u->id);
-		cmd.address = g_strdup(u->address);
-		cmd.handles = (char **)g_ptr_array_free(u->frees, FALSE);
-		u->frees = g_ptr_array_new_with_free_func(g_free);
-		g_array_append_val(out, cmd);
+			       CHN_RETRY_MIN_MS, now_ms, out);
+		else if (has_expired(job, now_ms))
+			refuse(c, job, "it waited for longer than its results are kept",
+			       CHN_RETRY_MIN_MS, now_ms, out);
 	}
 }
 
@@ -622,8 +668,9 @@
 {
 	abandon_overdue(c, now_ms);
 	judge_jobs(c, now_ms, out);
+	if (c->handing)
+		chn_hand_over(c, now_ms, out);
 	chn_dispatch(c, now_ms, out);
-	flush_frees(c, out);
 }
 
 uint32_t chn_count_jobs(const struct chn *c)
@@ -681,6 +728,7 @@
 	g_free(cmd->upstream);
 	g_free(cmd->address);
 	g_strfreev(cmd->handles);
+	chn_hand_clear(cmd);
 	g_free(cmd->asker);
 	g_free(cmd->data_centre);
 	*cmd = (struct chn_cmd){0};
--- a/packages/decide/chn_admit.c
+++ b/packages/decide/chn_admit.c
@@ -19,12 +19,22 @@
 	return n;
 }
 
-/* Of the pool's time that one more piece takes, in full calls. */
+/* Of the pool's time that one more piece takes, in calls as full as they lately were. */
 double chn_pool_unit_ms(const struct pool *pool, int64_t now_ms)
 {
 	uint32_t n = MAX(usable_upstreams(pool, now_ms), 1);
+	double full_ms = pool->doc.call_ms / MAX(pool->doc.batch_size, 1) + pool->doc.piece_ms;
 
-	return (pool->doc.call_ms / MAX(pool->doc.batch_size, 1) + pool->doc.piece_ms) / n;
+	double cost_ms = fmax(pool->cost_ms, full_ms);
+
+	/* calls fill up as the queue grows: the truth lies between the two */
+	return (full_ms + CHN_COST_SHARE * (cost_ms - full_ms)) / n;
+}
+
+/* The order in which chains are served that are in time; see chn_job_due_ms(). */
+static int64_t order_of(const struct job *job)
+{
+	return job->aim_at_ms + job->rank * CHN_RANK_MS;
 }
 
 static uint32_t left_in_pool(const struct job *job, const struct pool *pool)
@@ -49,7 +59,7 @@
 		const struct job *other = g_ptr_array_index(c->order, i);
 		if (other == job || other->delivered)
 			continue;
-		if (!all && (other->late || other->aim_at_ms > job->aim_at_ms))
+		if (!all && (other->late || order_of(other) > order_of(job)))
 			continue;
 		n += left_in_pool(other, pool);
 	}
@@ -76,11 +86,12 @@
 	int64_t rest_ms = chn_job_rest_ms(job);
 	int64_t over_ms;
 
-	job->late = now_ms + wait_ms(c, job, false, now_ms) + rest_ms > job->aim_at_ms;
+	job->expect_at_ms = now_ms + wait_ms(c, job, false, now_ms) + rest_ms;
+	job->late = job->expect_at_ms > job->aim_at_ms;
 	if (!job->late)
 		return NULL;
-	over_ms = now_ms + wait_ms(c, job, true, now_ms) + rest_ms + CHN_DEADLINE_MARGIN_MS -
-		  job->deadline_at_ms;
+	job->expect_at_ms = now_ms + wait_ms(c, job, true, now_ms) + rest_ms;
+	over_ms = job->expect_at_ms + CHN_DEADLINE_MARGIN_MS - job->deadline_at_ms;
 	if (over_ms <= 0)
 		return NULL;
 	*retry_ms = CLAMP(over_ms, CHN_RETRY_MIN_MS, CHN_RETRY_MAX_MS);
--- a/packages/decide/chn_call.c
+++ b/packages/decide/chn_call.c
@@ -301,11 +301,35 @@
 	g_array_unref(entries);
 }
 
+/* Before the calls, so that the room is free at their upstreams when their turn comes. */
+static void flush_frees(struct chn *c, GArray *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct upstream *u = value;
+		struct chn_cmd cmd = {.kind = CHN_CMD_FREE};
+		if (u->frees->len == 0)
+			continue;
+		g_ptr_array_add(u->frees, NULL);
+		cmd.upstream = g_strdup(u->id);
+		cmd.address = g_strdup(u->address);
+		cmd.handles = (char **)g_ptr_array_free(u->frees, FALSE);
+		u->frees = g_ptr_array_new_with_free_func(g_free);
+		g_array_append_val(out, cmd);
+	}
+}
+
 void chn_dispatch(struct chn *c, int64_t now_ms, GArray *out)
 {
 	GHashTableIter iter;
 	gpointer pool;
 
+	flush_frees(c, out);
+	if (c->handing)
+		return;
 	g_hash_table_iter_init(&iter, c->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
 		dispatch_pool(c, pool, now_ms, out);
--- /dev/null
+++ b/packages/decide/chn_hand.c
@@ -0,0 +1,164 @@
+/* Hand-over of chains to another owner, with the results that stand. */
+#include "chn_int.h"
+
+void chn_set_handing(struct chn *c, bool handing)
+{
+	c->handing = handing;
+}
+
+static bool is_running(const struct job *job)
+{
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		for (uint32_t k = 0; k < job->stages[i].n_pieces; k++) {
+			if (job->stages[i].pieces[k].state == PIECE_RUNNING)
+				return true;
+		}
+	}
+	return false;
+}
+
+static void copy_doc(const struct job *job, struct chn_job_doc *doc)
+{
+	struct chn_stage_doc *stages = g_new0(struct chn_stage_doc, job->n_stages + 1);
+
+	for (uint32_t i = 0; i < job->n_stages; i++)
+		stages[i] = (struct chn_stage_doc){
+			.service = g_strdup(job->stages[i].service),
+			.after = job->stages[i].after,
+			.pieces = job->stages[i].n_pieces,
+			.result_bytes = job->stages[i].result_bytes,
+		};
+	*doc = (struct chn_job_doc){
+		.id = job->id,
+		.asker = g_strdup(job->asker),
+		.attempt = g_strdup(job->attempt),
+		.key = g_strdup(job->key),
+		.stages = stages,
+		.n_stages = job->n_stages,
+		.aim_at_ms = job->aim_at_ms,
+		.deadline_at_ms = job->deadline_at_ms,
+		.rank = job->rank,
+		.data_centre = g_strdup(job->data_centre),
+		.regions = g_strdupv(job->regions),
+	};
+}
+
+/* stage: one alone, or -1 for all. */
+static void copy_done(const struct job *job, int stage, struct chn_cmd *cmd)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct chn_done));
+
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		for (uint32_t k = 0; k < job->stages[i].n_pieces; k++) {
+			const struct piece *piece = &job->stages[i].pieces[k];
+			if (piece->state != PIECE_DONE || (stage >= 0 && i != (uint32_t)stage))
+				continue;
+			const struct chn_done done = {
+				.stage = i,
+				.index = k,
+				.upstream = g_strdup(piece->maker ? piece->maker->id : ""),
+				/* empty: used up and given up already */
+				.handle = g_strdup(piece->freed ? "" : piece->handle),
+			};
+			g_array_append_val(list, done);
+		}
+	}
+	cmd->n_done = list->len;
+	cmd->done = (struct chn_done *)(void *)g_array_free(list, FALSE);
+}
+
+/* The room of its results is the next owner's to account for. */
+static void leave_results(struct job *job)
+{
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		for (uint32_t k = 0; k < job->stages[i].n_pieces; k++) {
+			const struct piece *piece = &job->stages[i].pieces[k];
+			if (piece->state == PIECE_DONE && piece->maker && !piece->freed)
+				piece->maker->room_used -= job->stages[i].result_bytes;
+		}
+	}
+}
+
+void chn_tell_progress(const struct job *job, GArray *out)
+{
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		struct stage *s = &job->stages[i];
+		struct chn_cmd cmd = {.kind = CHN_CMD_PROGRESS, .job = job->id};
+		if (s->told || s->n_pieces == 0 || s->n_done < s->n_pieces)
+			continue;
+		s->told = true;
+		cmd.asker = g_strdup(job->asker);
+		copy_done(job, (int)i, &cmd);
+		g_array_append_val(out, cmd);
+	}
+}
+
+static void hand(struct chn *c, struct job *job, GArray *out)
+{
+	struct chn_cmd cmd = {.kind = CHN_CMD_HAND, .job = job->id, .asker = g_strdup(job->asker)};
+
+	copy_doc(job, &cmd.doc);
+	copy_done(job, -1, &cmd);
+	leave_results(job);
+	g_array_append_val(out, cmd);
+	g_hash_table_remove(c->jobs, &job->id);
+	g_ptr_array_remove(c->order, job);
+	chn_job_free(job);
+}
+
+void chn_hand_over(struct chn *c, int64_t now_ms, GArray *out)
+{
+	for (guint i = c->order->len; i > 0; i--) {
+		struct job *job = g_ptr_array_index(c->order, i - 1);
+		if (!job->delivered && !is_running(job))
+			hand(c, job, out);
+	}
+}
+
+static void adopt_result(struct chn *c, struct job *job, const struct chn_done *done, int64_t now_ms)
+{
+	struct upstream *u = g_hash_table_lookup(c->upstreams, done->upstream);
+	struct stage *s;
+	struct piece *piece;
+
+	if (done->stage >= job->n_stages || done->index >= job->stages[done->stage].n_pieces)
+		return;
+	if (!u && done->handle[0] != '\0')
+		return; /* its maker isn't known here: it is made anew */
+	s = &job->stages[done->stage];
+	piece = &s->pieces[done->index];
+	if (piece->state == PIECE_DONE)
+		return;
+	piece->state = PIECE_DONE;
+	piece->handle = g_strdup(done->handle);
+	piece->maker = u;
+	piece->done_ms = now_ms;
+	piece->freed = done->handle[0] == '\0';
+	s->n_done++;
+	if (!piece->freed)
+		u->room_used += s->result_bytes;
+}
+
+void chn_adopt_results(struct chn *c, struct job *job, const struct chn_done *done, uint32_t n_done,
+		       int64_t now_ms)
+{
+	for (uint32_t i = 0; i < n_done; i++)
+		adopt_result(c, job, &done[i], now_ms);
+}
+
+void chn_hand_clear(struct chn_cmd *cmd)
+{
+	for (uint32_t i = 0; i < cmd->n_done; i++) {
+		g_free(cmd->done[i].upstream);
+		g_free(cmd->done[i].handle);
+	}
+	g_free(cmd->done);
+	for (uint32_t i = 0; i < cmd->doc.n_stages; i++)
+		g_free(cmd->doc.stages[i].service);
+	g_free((void *)cmd->doc.stages);
+	g_free((void *)cmd->doc.asker);
+	g_free((void *)cmd->doc.attempt);
+	g_free((void *)cmd->doc.key);
+	g_free((void *)cmd->doc.data_centre);
+	g_strfreev((char **)cmd->doc.regions);
+}
--- a/packages/decide/chn_int.h
+++ b/packages/decide/chn_int.h
@@ -6,7 +6,8 @@
 
 /* A pool's work of the stages after this one, in ms: ordering alone depends on it. */
 #define CHN_STAGE_SHARE_MS 600
-#define CHN_ROOM_SHARE 0.9     /* of the announced room that is planned with */
+#define CHN_RANK_MS 400 /* of latest start that one rank is worth: most of a call */
+#define CHN_ROOM_SHARE 1.0     /* of the announced room that is planned with */
 #define CHN_OVERDUE_FACTOR 2   /* times the expected time, after which pieces go elsewhere */
 #define CHN_OVERDUE_MS 200     /* besides: transport and the upstream's own jitter */
 #define CHN_SLOW_RATIO 2.5     /* of the expected time: an upstream is slow */
@@ -17,6 +18,10 @@
 #define CHN_BAD_PAUSE_MAX_MS 4000
 #define CHN_FETCHED_MS 100	/* after the sending of a call to an idle upstream, it holds its inputs */
 #define CHN_SCARCE_SHARE 0.4	/* of the room in use, from which inputs are given up once fetched */
+#define CHN_SHARED_MS 2000	/* an upstream had calls of another owner lately */
+#define CHN_EXPIRY_MARGIN_MS 400 /* before a result runs out, for the call that fetches it */
+#define CHN_COST_GAIN 0.1	/* of the newest call in the mean cost of a piece */
+#define CHN_COST_SHARE 0.5	/* of the measured cost of a piece beyond that in a full call */
 #define CHN_TRIES_MAX 4		   /* failures of one piece before its chain is given up */
 #define CHN_DEADLINE_MARGIN_MS 250 /* of the deadline for the way back and the first token */
 #define CHN_RETRY_MIN_MS 250
@@ -30,6 +35,7 @@
 	uint64_t call; /* that it runs in */
 	char *handle;
 	struct upstream *maker; /* NULL once the upstream is gone */
+	int64_t done_ms;
 	bool freed;
 };
 
@@ -42,6 +48,7 @@
 	uint32_t n_pieces;
 	uint32_t n_done;
 	bool open;     /* its pieces may start */
+	bool told;     /* the asker knows its results */
 	bool terminal; /* no other stage needs it */
 	uint32_t depth;
 };
@@ -59,6 +66,7 @@
 	int64_t deadline_at_ms;
 	int32_t rank;
 	bool late;	/* it can't be in time any more */
+	int64_t expect_at_ms; /* when it was expected to be ready, at admission */
 	bool delivered; /* its results were handed over; they are held until chn_end() */
 	int64_t delivered_ms;
 };
@@ -91,6 +99,7 @@
 	uint32_t fails; /* in a row */
 	double ratio;	/* measured time over expected time */
 	int64_t last_call_ms;
+	int64_t shared_ms; /* when it last had calls of another owner; 0: never */
 	int64_t room_used;
 	int64_t room_foreign; /* held there by what another owner left, as refusals for room show */
 	int64_t foreign_ms;   /* when it was noted: it runs out with the time that results are kept */
@@ -101,6 +110,7 @@
 	char *service;
 	struct pub_pool doc;
 	GPtrArray *upstreams;
+	double cost_ms; /* of an upstream's time for a piece, as calls lately took; 0: none yet */
 };
 
 struct chn {
@@ -110,6 +120,7 @@
 	GPtrArray *order;      /* jobs in the order of their coming */
 	GHashTable *calls;     /* id -> struct call */
 	uint64_t next_call;
+	bool handing;
 };
 
 /* chn_job.c */
@@ -122,13 +133,26 @@
 /* Shortest time, in ms, from now until the first token, with no wait in any queue. */
 int64_t chn_job_rest_ms(const struct job *job);
 
-/* When a stage has to start so that its chain is in time, with usual waits. */
+/*
+ * When a stage has to start so that its chain is in time, with usual waits; the less urgent, the
+ * later. Orders the queues.
+ */
 int64_t chn_job_due_ms(const struct job *job, const struct stage *stage);
 
 /* chn_admit.c: whether a chain is taken; sets job->late. NULL, or the reason of a refusal. */
 const char *chn_admit(const struct chn *c, struct job *job, int64_t now_ms, int64_t *retry_ms);
 double chn_pool_unit_ms(const struct pool *pool, int64_t now_ms);
 
+/* chn_hand.c */
+void chn_hand_over(struct chn *c, int64_t now_ms, GArray *out);
+void chn_hand_clear(struct chn_cmd *cmd);
+void chn_adopt_results(struct chn *c, struct job *job, const struct chn_done *done, uint32_t n_done,
+		       int64_t now_ms);
+void chn_tell_progress(const struct job *job, GArray *out);
+
+/* chn.c */
+void chn_advance(struct job *job, int64_t now_ms, GArray *out);
+
 /* chn_call.c: gives pieces to idle upstreams of all pools. */
 void chn_dispatch(struct chn *c, int64_t now_ms, GArray *out);
 bool chn_upstream_is_idle(const struct upstream *u, int64_t now_ms);
--- a/packages/decide/chn_job.c
+++ b/packages/decide/chn_job.c
@@ -174,5 +174,6 @@
 	uint32_t index = (uint32_t)(stage - job->stages);
 	int64_t rest = 1 + (int64_t)stages_after(job, index, job->n_stages);
 
-	return job->aim_at_ms - CHN_FIRST_TOKEN_MS - rest * CHN_STAGE_SHARE_MS;
+	return job->aim_at_ms - CHN_FIRST_TOKEN_MS - rest * CHN_STAGE_SHARE_MS +
+	       job->rank * CHN_RANK_MS;
 }
--- a/packages/decide/fle.c
+++ b/packages/decide/fle.c
@@ -15,7 +15,6 @@
 
 	f->self.record = *self;
 	f->self.heard_ms = now_ms;
-	f->self.seen = true;
 	f->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	return f;
 }
@@ -61,7 +60,6 @@
 		m = g_new0(struct fle_member, 1);
 		m->record = *r;
 		m->heard_ms = now_ms;
-		m->seen = true;
 		g_hash_table_insert(f->members, m->record.peer_address, m);
 		return true;
 	}
@@ -71,7 +69,6 @@
 		  m->record.leaving != r->leaving || m->record.incarnation != r->incarnation;
 	m->record = *r;
 	m->heard_ms = now_ms;
-	m->seen = true;
 	return changed;
 }
 
@@ -102,7 +99,7 @@
 
 bool fle_is_alive(const struct fle *f, const struct fle_member *m, int64_t now_ms)
 {
-	return m == &f->self || (m->seen && now_ms - m->heard_ms <= FLE_SILENT_MS);
+	return m == &f->self || now_ms - m->heard_ms <= FLE_SILENT_MS;
 }
 
 /* Members that are alive, or all, in random order; free with g_ptr_array_unref(). */
@@ -158,7 +155,9 @@
 	GPtrArray *alive = draw(f, true, rnd, now_ms);
 	uint32_t n = 0;
 
-	for (guint i = 0; i < alive->len && n < FLE_FANOUT && n < room; i++)
+	for (uint32_t i = 0; f->rounds <= FLE_JOIN_ROUNDS && i < n_seeds && n < room; i++)
+		n = add_target(f, targets, n, seeds[i]);
+	for (guint i = 0; i < alive->len && i < FLE_FANOUT && n < room; i++)
 		n = add_target(f, targets, n,
 			       ((struct fle_member *)alive->pdata[i])->record.peer_address);
 	if (f->rounds % FLE_SEED_EVERY == 0 || alive->len < FLE_FANOUT) {
@@ -222,25 +221,34 @@
 	return XXH64(m->record.peer_address, strlen(m->record.peer_address), seed);
 }
 
-const struct fle_member *fle_owner(const struct fle *f, const char *task, const char *except,
-				   int64_t now_ms)
+static bool may_own(const struct fle *f, const struct fle_member *m, const char *except,
+		    int64_t now_ms)
 {
-	const struct fle_member *best = NULL;
+	if (!fle_is_alive(f, m, now_ms) || m->record.leaving)
+		return false;
+	return !except || strcmp(except, m->record.peer_address) != 0;
+}
+
+/* A ready one goes first; when all have just started, none is. */
+static bool goes_first(const struct fle_member *a, const struct fle_member *b)
+{
+	if (a->record.ready != b->record.ready)
+		return a->record.ready;
+	if (a->record.incarnation != b->record.incarnation)
+		return a->record.incarnation < b->record.incarnation;
+	return strcmp(a->record.peer_address, b->record.peer_address) < 0;
+}
+
+const struct fle_member *fle_owner(const struct fle *f, const char *except, int64_t now_ms)
+{
+	const struct fle_member *best = may_own(f, &f->self, except, now_ms) ? &f->self : NULL;
 	GHashTableIter iter;
 	gpointer value;
 
-	if (f->self.record.ready && !f->self.record.leaving &&
-	    !(except && strcmp(except, f->self.record.peer_address) == 0))
-		best = &f->self;
 	g_hash_table_iter_init(&iter, f->members);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct fle_member *m = value;
-		if (!fle_is_alive(f, m, now_ms) || !m->record.ready || m->record.leaving)
-			continue;
-		if (except && strcmp(except, m->record.peer_address) == 0)
-			continue;
-		if (!best || weight(task, m) > weight(task, best))
-			best = m;
+		if (may_own(f, value, except, now_ms) && (!best || goes_first(value, best)))
+			best = value;
 	}
 	return best ? best : &f->self;
 }
--- a/packages/decide/include/decide/chn.h
+++ b/packages/decide/include/decide/chn.h
@@ -73,6 +73,9 @@
 	CHN_CMD_FREE,	/* give up results at their maker */
 	CHN_CMD_READY,	/* all results of a chain stand */
 	CHN_CMD_REFUSE, /* the chain is given up; its request has not run and may come back */
+	CHN_CMD_ADMIT,	/* the chain was taken; for the log alone */
+	CHN_CMD_HAND,	/* the chain goes to another owner, with the results that stand */
+	CHN_CMD_PROGRESS, /* a stage is done: the asker is told which results stand */
 };
 
 struct chn_piece {
@@ -85,6 +88,14 @@
 	char **inputs; /* NULL for stages without predecessors */
 };
 
+/* A result that stands when a chain changes its owner. */
+struct chn_done {
+	uint32_t stage;
+	uint32_t index;
+	char *upstream;
+	char *handle;
+};
+
 struct chn_cmd {
 	enum chn_cmd_kind kind;
 	uint64_t call; /* of CALL */
@@ -99,6 +110,13 @@
 	char *data_centre; /* of READY: where most bytes of the results lie; NULL: anywhere */
 	int64_t retry_after_ms;
 	const char *reason; /* of REFUSE: a constant */
+	bool late;	    /* of ADMIT and READY: it can't be in time */
+	int64_t expect_in_ms; /* of ADMIT, READY and REFUSE: the time that was foretold for it */
+	int64_t aim_in_ms;    /* of ADMIT and READY: left until its aim */
+	struct chn_job_doc doc; /* of HAND: owned by the command */
+	/* of HAND and PROGRESS */
+	struct chn_done *done;
+	uint32_t n_done;
 };
 
 /* What the queues look like, for logs, metrics and the dump. */
@@ -119,14 +137,25 @@
 void chn_set_upstreams(struct chn *c, const struct chn_upstream_doc *docs, uint32_t n,
 		       int64_t now_ms);
 
-/* A chain that is known already is left as it is. out: GArray of struct chn_cmd. */
-void chn_submit(struct chn *c, const struct chn_job_doc *doc, int64_t now_ms, GArray *out);
+/*
+ * A chain that is known already is left as it is. done: results that stand from an owner before;
+ * such a chain was admitted there and is not refused here. out: GArray of struct chn_cmd.
+ */
+void chn_submit(struct chn *c, const struct chn_job_doc *doc, const struct chn_done *done,
+		uint32_t n_done, int64_t now_ms, GArray *out);
+
+/*
+ * While handing, no call is sent: each chain is handed over as soon as none of its pieces runs.
+ * For an owner that stops, or that is the owner no longer.
+ */
+void chn_set_handing(struct chn *c, bool handing);
 
 /* The request no longer needs its results: it has begun to run or has ended. */
 void chn_end(struct chn *c, uint64_t job, int64_t now_ms, GArray *out);
 
+/* others: calls of other owners that the upstream had besides, as its answer says. */
 void chn_call_done(struct chn *c, uint64_t call, const struct chn_result *results, uint32_t n,
-		   int64_t now_ms, GArray *out);
+		   uint32_t others, int64_t now_ms, GArray *out);
 void chn_call_failed(struct chn *c, uint64_t call, enum chn_call_fault fault, int64_t now_ms,
 		     GArray *out);
 
--- a/packages/decide/include/decide/fle.h
+++ b/packages/decide/include/decide/fle.h
@@ -23,6 +23,8 @@
 #define FLE_SILENT_MS 2400  /* six rounds: three hops of gossip, with two of them lost */
 #define FLE_FORGET_MS 30000 /* beyond all times that callers keep an address */
 #define FLE_SEED_EVERY 4    /* rounds between two messages to a seed: heals a split fleet */
+#define FLE_JOIN_ROUNDS 20   /* after a start: to all seeds, since most links are still to be made */
+#define FLE_JOIN_BEAT_MS 100 /* between these rounds: the fleet is known before callers come */
 #define FLE_MEMBERS_MAX 4096
 
 /* What a member says of itself. */
@@ -40,7 +42,6 @@
 struct fle_member {
 	struct fle_record record;
 	int64_t heard_ms; /* when the beat last rose */
-	bool seen;	  /* its beat has risen while we looked: it isn't just an old tale */
 };
 
 struct fle;
@@ -80,11 +81,11 @@
 void fle_each(const struct fle *f, void (*fn)(void *arg, const struct fle_member *m), void *arg);
 
 /*
- * The member that owns a task: the first by rendezvous hash among those alive and ready, other
- * than the one named by except (NULL: none). Falls back to the node itself.
+ * The member that owns what one node does for all: the longest-running one of those alive and
+ * ready, other than the one named by except (NULL: none). A node that starts never takes over
+ * from one that runs. Falls back to the node itself.
  */
-const struct fle_member *fle_owner(const struct fle *f, const char *task, const char *except,
-				   int64_t now_ms);
+const struct fle_member *fle_owner(const struct fle *f, const char *except, int64_t now_ms);
 
 /* Rank of the node itself by rendezvous hash over those alive; 0 is first. */
 uint32_t fle_rank(const struct fle *f, const char *task, int64_t now_ms);
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -43,6 +43,9 @@
 typedef struct Peer__Beat Peer__Beat;
 typedef struct Peer__ChainStage Peer__ChainStage;
 typedef struct Peer__ChainAsk Peer__ChainAsk;
+typedef struct Peer__ChainDone Peer__ChainDone;
+typedef struct Peer__ChainHand Peer__ChainHand;
+typedef struct Peer__ChainProgress Peer__ChainProgress;
 typedef struct Peer__ChainReply Peer__ChainReply;
 typedef struct Peer__ChainEnd Peer__ChainEnd;
 typedef struct Peer__Message Peer__Message;
@@ -53,7 +56,11 @@
 typedef enum _Peer__ChainState {
   PEER__CHAIN_STATE__CHAIN_TAKEN = 0,
   PEER__CHAIN_STATE__CHAIN_READY = 1,
-  PEER__CHAIN_STATE__CHAIN_REFUSED = 2
+  PEER__CHAIN_STATE__CHAIN_REFUSED = 2,
+  /*
+   * its owner is the sender from now on
+   */
+  PEER__CHAIN_STATE__CHAIN_MOVED = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__CHAIN_STATE)
 } Peer__ChainState;
 
@@ -598,10 +605,60 @@
    */
   size_t n_regions;
   char **regions;
+  /*
+   * results that stand from an owner before
+   */
+  size_t n_done;
+  Peer__ChainDone **done;
 };
 #define PEER__CHAIN_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__chain_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+
+
+/*
+ * A result that stands when a chain changes its owner.
+ */
+struct  Peer__ChainDone
+{
+  ProtobufCMessage base;
+  uint32_t stage;
+  uint32_t index;
+  char *upstream;
+  char *handle;
+};
+#define PEER__CHAIN_DONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__chain_done__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * A chain that its owner hands to another node.
+ */
+struct  Peer__ChainHand
+{
+  ProtobufCMessage base;
+  Peer__ChainAsk *ask;
+  char *asker;
+};
+#define PEER__CHAIN_HAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__chain_hand__descriptor) \
+    , NULL, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Results that have come to stand: the asker keeps them for the next owner, should this one die.
+ */
+struct  Peer__ChainProgress
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  size_t n_done;
+  Peer__ChainDone **done;
+};
+#define PEER__CHAIN_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__chain_progress__descriptor) \
+    , 0, 0,NULL }
 
 
 struct  Peer__ChainReply
@@ -658,7 +715,9 @@
   PEER__MESSAGE__KIND_BEAT = 50,
   PEER__MESSAGE__KIND_CHAIN_ASK = 51,
   PEER__MESSAGE__KIND_CHAIN_REPLY = 52,
-  PEER__MESSAGE__KIND_CHAIN_END = 53
+  PEER__MESSAGE__KIND_CHAIN_END = 53,
+  PEER__MESSAGE__KIND_CHAIN_HAND = 54,
+  PEER__MESSAGE__KIND_CHAIN_PROGRESS = 55
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -700,6 +759,8 @@
     Peer__ChainAsk *chain_ask;
     Peer__ChainReply *chain_reply;
     Peer__ChainEnd *chain_end;
+    Peer__ChainHand *chain_hand;
+    Peer__ChainProgress *chain_progress;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -1239,6 +1300,63 @@
 void   peer__chain_ask__free_unpacked
                      (Peer__ChainAsk *message,
                       ProtobufCAllocator *allocator);
+/* Peer__ChainDone methods */
+void   peer__chain_done__init
+                     (Peer__ChainDone         *message);
+size_t peer__chain_done__get_packed_size
+                     (const Peer__ChainDone   *message);
+size_t peer__chain_done__pack
+                     (const Peer__ChainDone   *message,
+                      uint8_t             *out);
+size_t peer__chain_done__pack_to_buffer
+                     (const Peer__ChainDone   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ChainDone *
+       peer__chain_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__chain_done__free_unpacked
+                     (Peer__ChainDone *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ChainHand methods */
+void   peer__chain_hand__init
+                     (Peer__ChainHand         *message);
+size_t peer__chain_hand__get_packed_size
+                     (const Peer__ChainHand   *message);
+size_t peer__chain_hand__pack
+                     (const Peer__ChainHand   *message,
+                      uint8_t             *out);
+size_t peer__chain_hand__pack_to_buffer
+                     (const Peer__ChainHand   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ChainHand *
+       peer__chain_hand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__chain_hand__free_unpacked
+                     (Peer__ChainHand *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ChainProgress methods */
+void   peer__chain_progress__init
+                     (Peer__ChainProgress         *message);
+size_t peer__chain_progress__get_packed_size
+                     (const Peer__ChainProgress   *message);
+size_t peer__chain_progress__pack
+                     (const Peer__ChainProgress   *message,
+                      uint8_t             *out);
+size_t peer__chain_progress__pack_to_buffer
+                     (const Peer__ChainProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ChainProgress *
+       peer__chain_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__chain_progress__free_unpacked
+                     (Peer__ChainProgress *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__ChainReply methods */
 void   peer__chain_reply__init
                      (Peer__ChainReply         *message);
@@ -1382,6 +1500,15 @@
 typedef void (*Peer__ChainAsk_Closure)
                  (const Peer__ChainAsk *message,
                   void *closure_data);
+typedef void (*Peer__ChainDone_Closure)
+                 (const Peer__ChainDone *message,
+                  void *closure_data);
+typedef void (*Peer__ChainHand_Closure)
+                 (const Peer__ChainHand *message,
+                  void *closure_data);
+typedef void (*Peer__ChainProgress_Closure)
+                 (const Peer__ChainProgress *message,
+                  void *closure_data);
 typedef void (*Peer__ChainReply_Closure)
                  (const Peer__ChainReply *message,
                   void *closure_data);
@@ -1426,6 +1553,9 @@
 extern const ProtobufCMessageDescriptor peer__beat__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_stage__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__chain_done__descriptor;
+extern const ProtobufCMessageDescriptor peer__chain_hand__descriptor;
+extern const ProtobufCMessageDescriptor peer__chain_progress__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_end__descriptor;
 extern const ProtobufCMessageDescriptor peer__message__descriptor;
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -1267,6 +1267,141 @@
   assert(message->base.descriptor == &peer__chain_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__chain_done__init
+                     (Peer__ChainDone         *message)
+{
+  static const Peer__ChainDone init_value = PEER__CHAIN_DONE__INIT;
+  *message = init_value;
+}
+size_t peer__chain_done__get_packed_size
+                     (const Peer__ChainDone *message)
+{
+  assert(message->base.descriptor == &peer__chain_done__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__chain_done__pack
+                     (const Peer__ChainDone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__chain_done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__chain_done__pack_to_buffer
+                     (const Peer__ChainDone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__chain_done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ChainDone *
+       peer__chain_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ChainDone *)
+     protobuf_c_message_unpack (&peer__chain_done__descriptor,
+                                allocator, len, data);
+}
+void   peer__chain_done__free_unpacked
+                     (Peer__ChainDone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__chain_done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__chain_hand__init
+                     (Peer__ChainHand         *message)
+{
+  static const Peer__ChainHand init_value = PEER__CHAIN_HAND__INIT;
+  *message = init_value;
+}
+size_t peer__chain_hand__get_packed_size
+                     (const Peer__ChainHand *message)
+{
+  assert(message->base.descriptor == &peer__chain_hand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__chain_hand__pack
+                     (const Peer__ChainHand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__chain_hand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__chain_hand__pack_to_buffer
+                     (const Peer__ChainHand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__chain_hand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ChainHand *
+       peer__chain_hand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ChainHand *)
+     protobuf_c_message_unpack (&peer__chain_hand__descriptor,
+                                allocator, len, data);
+}
+void   peer__chain_hand__free_unpacked
+                     (Peer__ChainHand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__chain_hand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__chain_progress__init
+                     (Peer__ChainProgress         *message)
+{
+  static const Peer__ChainProgress init_value = PEER__CHAIN_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t peer__chain_progress__get_packed_size
+                     (const Peer__ChainProgress *message)
+{
+  assert(message->base.descriptor == &peer__chain_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__chain_progress__pack
+                     (const Peer__ChainProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__chain_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__chain_progress__pack_to_buffer
+                     (const Peer__ChainProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__chain_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ChainProgress *
+       peer__chain_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ChainProgress *)
+     protobuf_c_message_unpack (&peer__chain_progress__descriptor,
+                                allocator, len, data);
+}
+void   peer__chain_progress__free_unpacked
+                     (Peer__ChainProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__chain_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__chain_reply__init
                      (Peer__ChainReply         *message)
 {
@@ -3494,7 +3629,7 @@
   (ProtobufCMessageInit) peer__chain_stage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__chain_ask__field_descriptors[9] =
+static const ProtobufCFieldDescriptor peer__chain_ask__field_descriptors[10] =
 {
   {
     "id",
@@ -3604,12 +3739,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "done",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__ChainAsk, n_done),
+    offsetof(Peer__ChainAsk, done),
+    &peer__chain_done__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__chain_ask__field_indices_by_name[] = {
   4,   /* field[4] = aim_ms */
   1,   /* field[1] = attempt */
   7,   /* field[7] = data_centre */
   5,   /* field[5] = deadline_ms */
+  9,   /* field[9] = done */
   0,   /* field[0] = id */
   2,   /* field[2] = key */
   6,   /* field[6] = rank */
@@ -3619,7 +3767,7 @@
 static const ProtobufCIntRange peer__chain_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor peer__chain_ask__descriptor =
 {
@@ -3629,13 +3777,192 @@
   "Peer__ChainAsk",
   "peer",
   sizeof(Peer__ChainAsk),
-  9,
+  10,
   peer__chain_ask__field_descriptors,
   peer__chain_ask__field_indices_by_name,
   1,  peer__chain_ask__number_ranges,
   (ProtobufCMessageInit) peer__chain_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__chain_done__field_descriptors[4] =
+{
+  {
+    "stage",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainDone, stage),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainDone, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainDone, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "handle",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainDone, handle),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__chain_done__field_indices_by_name[] = {
+  3,   /* field[3] = handle */
+  1,   /* field[1] = index */
+  0,   /* field[0] = stage */
+  2,   /* field[2] = upstream */
+};
+static const ProtobufCIntRange peer__chain_done__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__chain_done__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ChainDone",
+  "ChainDone",
+  "Peer__ChainDone",
+  "peer",
+  sizeof(Peer__ChainDone),
+  4,
+  peer__chain_done__field_descriptors,
+  peer__chain_done__field_indices_by_name,
+  1,  peer__chain_done__number_ranges,
+  (ProtobufCMessageInit) peer__chain_done__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__chain_hand__field_descriptors[2] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainHand, ask),
+    &peer__chain_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asker",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainHand, asker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__chain_hand__field_indices_by_name[] = {
+  0,   /* field[0] = ask */
+  1,   /* field[1] = asker */
+};
+static const ProtobufCIntRange peer__chain_hand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__chain_hand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ChainHand",
+  "ChainHand",
+  "Peer__ChainHand",
+  "peer",
+  sizeof(Peer__ChainHand),
+  2,
+  peer__chain_hand__field_descriptors,
+  peer__chain_hand__field_indices_by_name,
+  1,  peer__chain_hand__number_ranges,
+  (ProtobufCMessageInit) peer__chain_hand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__chain_progress__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainProgress, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__ChainProgress, n_done),
+    offsetof(Peer__ChainProgress, done),
+    &peer__chain_done__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__chain_progress__field_indices_by_name[] = {
+  1,   /* field[1] = done */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange peer__chain_progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__chain_progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ChainProgress",
+  "ChainProgress",
+  "Peer__ChainProgress",
+  "peer",
+  sizeof(Peer__ChainProgress),
+  2,
+  peer__chain_progress__field_descriptors,
+  peer__chain_progress__field_indices_by_name,
+  1,  peer__chain_progress__number_ranges,
+  (ProtobufCMessageInit) peer__chain_progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__chain_reply__field_descriptors[6] =
 {
   {
@@ -3777,7 +4104,7 @@
   (ProtobufCMessageInit) peer__chain_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[27] =
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[29] =
 {
   {
     "from_vm",
@@ -4103,11 +4430,37 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "chain_hand",
+    54,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, chain_hand),
+    &peer__chain_hand__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chain_progress",
+    55,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, chain_progress),
+    &peer__chain_progress__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
   23,   /* field[23] = beat */
   24,   /* field[24] = chain_ask */
   26,   /* field[26] = chain_end */
+  27,   /* field[27] = chain_hand */
+  28,   /* field[28] = chain_progress */
   25,   /* field[25] = chain_reply */
   13,   /* field[13] = demand */
   6,   /* field[6] = digest */
@@ -4140,7 +4493,7 @@
   { 30, 14 },
   { 40, 18 },
   { 50, 23 },
-  { 0, 27 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -4150,24 +4503,26 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  27,
+  29,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
   5,  peer__message__number_ranges,
   (ProtobufCMessageInit) peer__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue peer__chain_state__enum_values_by_number[3] =
+static const ProtobufCEnumValue peer__chain_state__enum_values_by_number[4] =
 {
   { "CHAIN_TAKEN", "PEER__CHAIN_STATE__CHAIN_TAKEN", 0 },
   { "CHAIN_READY", "PEER__CHAIN_STATE__CHAIN_READY", 1 },
   { "CHAIN_REFUSED", "PEER__CHAIN_STATE__CHAIN_REFUSED", 2 },
+  { "CHAIN_MOVED", "PEER__CHAIN_STATE__CHAIN_MOVED", 3 },
 };
 static const ProtobufCIntRange peer__chain_state__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 4}
 };
-static const ProtobufCEnumValueIndex peer__chain_state__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex peer__chain_state__enum_values_by_name[4] =
 {
+  { "CHAIN_MOVED", 3 },
   { "CHAIN_READY", 1 },
   { "CHAIN_REFUSED", 2 },
   { "CHAIN_TAKEN", 0 },
@@ -4179,9 +4534,9 @@
   "ChainState",
   "Peer__ChainState",
   "peer",
-  3,
+  4,
   peer__chain_state__enum_values_by_number,
-  3,
+  4,
   peer__chain_state__enum_values_by_name,
   1,
   peer__chain_state__value_ranges,
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -142,6 +142,7 @@
 		log_info("upstreams_lapsed", NULL);
 		srv_chain_view_changed(s);
 	}
+	srv_chain_check_owner(s, now_ms);
 	srv_chain_tick(s, now_ms);
 	update_ready(s, now_ms);
 	if (s->stop_began_ms > 0)
--- a/packages/serve/srv_chain.c
+++ b/packages/serve/srv_chain.c
@@ -10,7 +10,7 @@
 
 #include <string.h>
 
-#define TASK "chains"	/* that nodes are ranked for */
+#define HAND_OVER_MS 800 /* another owner has been known for so long */
 #define TAKEN_MS 350	/* for the owner's word that it has the chain */
 #define ASK_AGAIN_MAX 6 /* owners asked for one chain */
 #define CALL_FACTOR 8	/* times the expected time, after which a call is dropped */
@@ -34,6 +34,7 @@
 	int32_t rank;
 	int64_t began_ms;
 	int64_t sent_ms;
+	GArray *done; /* struct chn_done: results that stand, as the owner told; for the next one */
 	bool taken;
 	bool answered;
 	uint32_t times;
@@ -52,12 +53,15 @@
 	int64_t expect_ms;
 	int status;
 	bool not_run;
+	uint32_t others; /* calls that the upstream had besides this one, as its answer says */
 	uint32_t faults[ADP_PIECE_FAULTS]; /* pieces by what came of them */
 	GByteArray *body;
 	uv_timer_t timer;
 };
 
 static void carry_out(struct srv *s, GArray *out);
+static void hand_over(struct srv *s, const struct chn_cmd *cmd);
+static void tell_progress(struct srv *s, const struct chn_cmd *cmd);
 
 static const char *self_address(const struct srv *s)
 {
@@ -66,6 +70,14 @@
 
 /* ---- the asker's side ---- */
 
+static void clear_done(gpointer data)
+{
+	struct chn_done *done = data;
+
+	g_free(done->upstream);
+	g_free(done->handle);
+}
+
 static void free_ask(gpointer data)
 {
 	struct srv_ask *ask = data;
@@ -76,6 +88,7 @@
 	g_free(ask->attempt);
 	g_free(ask->key);
 	g_strfreev(ask->regions);
+	g_array_unref(ask->done);
 	g_free(ask);
 }
 
@@ -101,6 +114,11 @@
 	};
 }
 
+static const struct chn_done *done_of(const struct srv_ask *ask)
+{
+	return (const struct chn_done *)(void *)ask->done->data;
+}
+
 static void submit_here(struct srv_ask *ask)
 {
 	struct srv *s = ask->s;
@@ -109,45 +127,85 @@
 
 	fill_job(ask, &doc);
 	ask->taken = true;
-	chn_submit(s->chains, &doc, clk_now_ms(), out);
+	chn_submit(s->chains, &doc, done_of(ask), ask->done->len, clk_now_ms(), out);
 	carry_out(s, out);
 }
 
-static void submit_there(const struct srv_ask *ask, int64_t now_ms)
-{
+/* A chain as it travels; borrows from doc. */
+struct wire_ask {
+	Peer__ChainAsk ask;
 	Peer__ChainStage stages[PUB_STAGES_MAX];
 	Peer__ChainStage *list[PUB_STAGES_MAX];
-	Peer__ChainAsk wire = PEER__CHAIN_ASK__INIT;
-	Peer__Message message = PEER__MESSAGE__INIT;
+	Peer__ChainDone *done;
+	Peer__ChainDone **done_list;
+};
+
+static void fill_done(struct wire_ask *w, const struct chn_done *done, uint32_t n)
+{
+	w->done = g_new0(Peer__ChainDone, n + 1);
+	w->done_list = g_new0(Peer__ChainDone *, n + 1);
+	for (uint32_t i = 0; i < n; i++) {
+		peer__chain_done__init(&w->done[i]);
+		w->done[i].stage = done[i].stage;
+		w->done[i].index = done[i].index;
+		w->done[i].upstream = done[i].upstream;
+		w->done[i].handle = done[i].handle;
+		w->done_list[i] = &w->done[i];
+	}
+	w->ask.done = w->done_list;
+	w->ask.n_done = n;
+}
+
+static void clear_wire(struct wire_ask *w)
+{
+	g_free(w->done);
+	g_free(w->done_list);
+}
 
-	for (uint32_t i = 0; i < ask->n_stages; i++) {
-		peer__chain_stage__init(&stages[i]);
-		stages[i].service = ask->stages[i].service;
-		stages[i].after = ask->stages[i].after;
-		stages[i].pieces = ask->stages[i].pieces;
-		stages[i].result_bytes = ask->stages[i].result_bytes;
-		list[i] = &stages[i];
+static void fill_wire(struct wire_ask *w, const struct chn_job_doc *doc, const struct chn_done *done,
+		      uint32_t n_done, int64_t now_ms)
+{
+	peer__chain_ask__init(&w->ask);
+	fill_done(w, done, n_done);
+	w->ask.n_stages = MIN(doc->n_stages, PUB_STAGES_MAX);
+	for (size_t i = 0; i < w->ask.n_stages; i++) {
+		peer__chain_stage__init(&w->stages[i]);
+		w->stages[i].service = doc->stages[i].service;
+		w->stages[i].after = doc->stages[i].after;
+		w->stages[i].pieces = doc->stages[i].pieces;
+		w->stages[i].result_bytes = doc->stages[i].result_bytes;
+		w->list[i] = &w->stages[i];
 	}
-	wire.id = ask->id;
-	wire.attempt = ask->attempt;
-	wire.key = ask->key ? ask->key : "";
-	wire.stages = list;
-	wire.n_stages = ask->n_stages;
-	wire.aim_ms = ask->aim_at_ms - now_ms;
-	wire.deadline_ms = ask->deadline_at_ms - now_ms;
-	wire.rank = ask->rank;
-	wire.data_centre = ask->s->set->data_centre;
-	wire.regions = ask->regions;
-	wire.n_regions = ask->regions ? g_strv_length(ask->regions) : 0;
+	w->ask.id = doc->id;
+	w->ask.attempt = (char *)doc->attempt;
+	w->ask.key = (char *)(doc->key ? doc->key : "");
+	w->ask.stages = w->list;
+	w->ask.aim_ms = doc->aim_at_ms - now_ms;
+	w->ask.deadline_ms = doc->deadline_at_ms - now_ms;
+	w->ask.rank = doc->rank;
+	w->ask.data_centre = (char *)doc->data_centre;
+	w->ask.regions = (char **)doc->regions;
+	w->ask.n_regions = doc->regions ? g_strv_length((char **)doc->regions) : 0;
+}
+
+static void submit_there(const struct srv_ask *ask, int64_t now_ms)
+{
+	Peer__Message message = PEER__MESSAGE__INIT;
+	struct chn_job_doc doc;
+	struct wire_ask wire;
+
+	fill_job(ask, &doc);
+	fill_wire(&wire, &doc, done_of(ask), ask->done->len, now_ms);
 	message.kind_case = PEER__MESSAGE__KIND_CHAIN_ASK;
-	message.chain_ask = &wire;
+	message.chain_ask = &wire.ask;
 	srv_mesh_send(ask->s, ask->owner, &message);
+	clear_wire(&wire);
 }
 
 /* except: the owner that fell silent; NULL for the first. */
 static void submit(struct srv_ask *ask, const char *except, int64_t now_ms)
 {
-	const struct fle_member *owner = fle_owner(ask->s->fleet, TASK, except, now_ms);
+	const struct fle_member *owner = fle_owner(ask->s->fleet, except, now_ms);
 
 	g_strlcpy(ask->owner, owner->record.peer_address, sizeof(ask->owner));
 	ask->owner_incarnation = owner->record.incarnation;
@@ -176,6 +234,8 @@
 	ask->attempt = g_strdup(doc->attempt);
 	ask->key = g_strdup(doc->key);
 	ask->regions = g_strdupv((char **)doc->regions);
+	ask->done = g_array_new(FALSE, FALSE, sizeof(struct chn_done));
+	g_array_set_clear_func(ask->done, clear_done);
 	ask->aim_at_ms = doc->aim_at_ms;
 	ask->deadline_at_ms = doc->deadline_at_ms;
 	ask->rank = doc->rank;
@@ -241,13 +301,22 @@
 	fn(arg, result);
 }
 
+static void set_owner(struct srv_ask *ask, const char *address)
+{
+	const struct fle_member *owner = fle_find(ask->s->fleet, address);
+
+	g_strlcpy(ask->owner, address, sizeof(ask->owner));
+	ask->owner_incarnation = owner ? owner->record.incarnation : 0;
+	ask->taken = true;
+}
+
 static bool is_lost(const struct srv_ask *ask, int64_t now_ms)
 {
 	const struct fle_member *owner = fle_find(ask->s->fleet, ask->owner);
 
 	if (!owner || !fle_is_alive(ask->s->fleet, owner, now_ms))
 		return true;
-	if (owner->record.incarnation != ask->owner_incarnation)
+	if (ask->owner_incarnation != 0 && owner->record.incarnation != ask->owner_incarnation)
 		return true;
 	return !ask->taken && now_ms - ask->sent_ms > TAKEN_MS;
 }
@@ -332,6 +401,7 @@
 	pc->s->adp->upstream->read_answer(&head->headers, &answer);
 	pc->status = head->status;
 	pc->not_run = answer.not_run;
+	pc->others = answer.has_load ? (uint32_t)MAX(answer.running + answer.waiting, 0) : 0;
 	return true;
 }
 
@@ -372,7 +442,7 @@
 		}
 		log_call(pc, pc->faults[ADP_PIECE_OK] < n ? "some pieces failed" : "done", now_ms);
 		out = chn_out_new();
-		chn_call_done(s->chains, pc->id, results, n, now_ms, out);
+		chn_call_done(s->chains, pc->id, results, n, pc->others, now_ms, out);
 		free_call(pc);
 		carry_out(s, out);
 	}
@@ -541,6 +611,13 @@
 		 list);
 }
 
+static void log_chain(const struct chn_cmd *cmd, const char *event)
+{
+	log_info(event, "{s:I, s:s, s:b, s:I, s:I}", "chain", (json_int_t)cmd->job, "asker",
+		 cmd->asker, "late", (int)cmd->late, "expect_in_ms", (json_int_t)cmd->expect_in_ms,
+		 "aim_in_ms", (json_int_t)cmd->aim_in_ms);
+}
+
 static void on_chain_tick(uv_timer_t *timer)
 {
 	struct srv *s = timer->data;
@@ -569,8 +646,18 @@
 			reply(s, cmd);
 			break;
 		case CHN_CMD_READY:
+			log_chain(cmd, "chain_ready");
 			reply(s, cmd);
 			break;
+		case CHN_CMD_PROGRESS:
+			tell_progress(s, cmd);
+			break;
+		case CHN_CMD_HAND:
+			hand_over(s, cmd);
+			break;
+		case CHN_CMD_ADMIT:
+			log_chain(cmd, "chain_admitted");
+			break;
 		}
 	}
 	g_array_unref(out);
@@ -578,13 +665,11 @@
 		uv_timer_start(&s->chain_tick, on_chain_tick, CHN_TICK_MS, CHN_TICK_MS);
 }
 
-static void take_ask(struct srv *s, const char *from, const Peer__ChainAsk *wire)
+/* The same the other way; borrows from the message. Free regions with g_free(). */
+static void read_wire(const Peer__ChainAsk *wire, const char *asker, struct chn_stage_doc *stages,
+		      struct chn_job_doc *doc, int64_t now_ms)
 {
-	struct chn_stage_doc stages[PUB_STAGES_MAX];
-	struct chn_cmd taken = {.job = wire->id, .asker = (char *)from};
 	char **regions = NULL;
-	int64_t now_ms = clk_now_ms();
-	GArray *out = chn_out_new();
 
 	for (size_t i = 0; i < wire->n_stages && i < PUB_STAGES_MAX; i++)
 		stages[i] = (struct chn_stage_doc){
@@ -598,9 +683,9 @@
 		for (size_t i = 0; i < wire->n_regions; i++)
 			regions[i] = wire->regions[i];
 	}
-	const struct chn_job_doc doc = {
+	*doc = (struct chn_job_doc){
 		.id = wire->id,
-		.asker = from,
+		.asker = asker,
 		.attempt = wire->attempt,
 		.key = wire->key,
 		.stages = stages,
@@ -611,12 +696,138 @@
 		.data_centre = wire->data_centre,
 		.regions = regions,
 	};
-	reply_there(s, &taken, PEER__CHAIN_STATE__CHAIN_TAKEN);
-	chn_submit(s->chains, &doc, now_ms, out);
-	g_free(regions);
+}
+
+/* Free with g_free(). */
+static struct chn_done *read_done(Peer__ChainDone *const *wire, size_t n)
+{
+	struct chn_done *done = g_new0(struct chn_done, n + 1);
+
+	for (size_t i = 0; i < n; i++)
+		done[i] = (struct chn_done){wire[i]->stage, wire[i]->index, wire[i]->upstream,
+					    wire[i]->handle};
+	return done;
+}
+
+static void take_ask(struct srv *s, const char *asker, const Peer__ChainAsk *wire)
+{
+	struct chn_stage_doc stages[PUB_STAGES_MAX];
+	struct chn_done *done = read_done(wire->done, wire->n_done);
+	struct chn_job_doc doc;
+	int64_t now_ms = clk_now_ms();
+	GArray *out = chn_out_new();
+
+	read_wire(wire, asker, stages, &doc, now_ms);
+	chn_submit(s->chains, &doc, done, (uint32_t)wire->n_done, now_ms, out);
+	g_free((void *)doc.regions);
+	g_free(done);
 	carry_out(s, out);
 }
 
+static void say_taken(struct srv *s, uint64_t id, const char *asker)
+{
+	const struct chn_cmd taken = {.job = id, .asker = (char *)asker};
+
+	reply_there(s, &taken, PEER__CHAIN_STATE__CHAIN_TAKEN);
+}
+
+/* This node owns the chain now, and its asker has to know whom to tell of its end. */
+static void tell_moved(struct srv *s, uint64_t id, const char *asker)
+{
+	struct chn_cmd moved = {.job = id, .asker = (char *)asker};
+	struct srv_ask *ask;
+
+	if (strcmp(asker, self_address(s)) != 0) {
+		reply_there(s, &moved, PEER__CHAIN_STATE__CHAIN_MOVED);
+		return;
+	}
+	ask = g_hash_table_lookup(s->asks, &id);
+	if (ask)
+		set_owner(ask, self_address(s));
+}
+
+static void hand_over(struct srv *s, const struct chn_cmd *cmd)
+{
+	int64_t now_ms = clk_now_ms();
+	const struct fle_member *owner = fle_owner(s->fleet, self_address(s), now_ms);
+	Peer__ChainHand hand = PEER__CHAIN_HAND__INIT;
+	Peer__Message message = PEER__MESSAGE__INIT;
+	struct wire_ask wire;
+
+	fill_wire(&wire, &cmd->doc, cmd->done, cmd->n_done, now_ms);
+	hand.ask = &wire.ask;
+	hand.asker = cmd->asker;
+	message.kind_case = PEER__MESSAGE__KIND_CHAIN_HAND;
+	message.chain_hand = &hand;
+	log_info("chain_handed_over", "{s:I, s:s, s:s, s:i}", "chain", (json_int_t)cmd->job, "asker",
+		 cmd->asker, "owner", owner->record.peer_address, "results", (int)cmd->n_done);
+	srv_mesh_send(s, owner->record.peer_address, &message);
+	clear_wire(&wire);
+}
+
+static void put_done(GArray *list, const struct chn_done *done)
+{
+	const struct chn_done copy = {done->stage, done->index, g_strdup(done->upstream),
+				      g_strdup(done->handle)};
+
+	for (guint i = 0; i < list->len; i++) {
+		struct chn_done *old = &g_array_index(list, struct chn_done, i);
+		if (old->stage != done->stage || old->index != done->index)
+			continue;
+		clear_done(old);
+		*old = copy;
+		return;
+	}
+	g_array_append_val(list, copy);
+}
+
+static void keep_progress(struct srv *s, uint64_t id, const struct chn_done *done, uint32_t n)
+{
+	struct srv_ask *ask = g_hash_table_lookup(s->asks, &id);
+
+	for (uint32_t i = 0; ask && i < n; i++)
+		put_done(ask->done, &done[i]);
+}
+
+static void tell_progress(struct srv *s, const struct chn_cmd *cmd)
+{
+	Peer__ChainProgress progress = PEER__CHAIN_PROGRESS__INIT;
+	Peer__Message message = PEER__MESSAGE__INIT;
+	struct wire_ask wire;
+
+	if (strcmp(cmd->asker, self_address(s)) == 0)
+		return; /* it dies with the owner */
+	peer__chain_ask__init(&wire.ask);
+	fill_done(&wire, cmd->done, cmd->n_done);
+	progress.id = cmd->job;
+	progress.done = wire.done_list;
+	progress.n_done = cmd->n_done;
+	message.kind_case = PEER__MESSAGE__KIND_CHAIN_PROGRESS;
+	message.chain_progress = &progress;
+	srv_mesh_send(s, cmd->asker, &message);
+	clear_wire(&wire);
+}
+
+static void take_progress(struct srv *s, const Peer__ChainProgress *wire)
+{
+	struct chn_done *done = read_done(wire->done, wire->n_done);
+
+	keep_progress(s, wire->id, done, (uint32_t)wire->n_done);
+	g_free(done);
+}
+
+void srv_chain_check_owner(struct srv *s, int64_t now_ms)
+{
+	const struct fle_member *owner = fle_owner(s->fleet, NULL, now_ms);
+	bool other = strcmp(owner->record.peer_address, self_address(s)) != 0;
+
+	if (!other)
+		s->not_owner_since_ms = 0;
+	else if (s->not_owner_since_ms == 0)
+		s->not_owner_since_ms = now_ms;
+	chn_set_handing(s->chains, other && now_ms - s->not_owner_since_ms >= HAND_OVER_MS);
+}
+
 static void take_reply(struct srv *s, const char *from, const Peer__ChainReply *wire)
 {
 	struct srv_ask *ask = g_hash_table_lookup(s->asks, &wire->id);
@@ -627,6 +838,13 @@
 			ask->taken = true;
 		return;
 	}
+	if (wire->state == PEER__CHAIN_STATE__CHAIN_MOVED) {
+		if (ask)
+			set_owner(ask, from);
+		else /* it has ended meanwhile */
+			send_end(s, from, wire->id);
+		return;
+	}
 	handles = g_new0(char *, wire->n_handles + 1);
 	for (size_t i = 0; i < wire->n_handles; i++)
 		handles[i] = wire->handles[i];
@@ -647,11 +865,19 @@
 
 	switch (message->kind_case) {
 	case PEER__MESSAGE__KIND_CHAIN_ASK:
+		say_taken(s, message->chain_ask->id, message->from_vm);
 		take_ask(s, message->from_vm, message->chain_ask);
 		break;
 	case PEER__MESSAGE__KIND_CHAIN_REPLY:
 		take_reply(s, message->from_vm, message->chain_reply);
 		break;
+	case PEER__MESSAGE__KIND_CHAIN_HAND:
+		tell_moved(s, message->chain_hand->ask->id, message->chain_hand->asker);
+		take_ask(s, message->chain_hand->asker, message->chain_hand->ask);
+		break;
+	case PEER__MESSAGE__KIND_CHAIN_PROGRESS:
+		take_progress(s, message->chain_progress);
+		break;
 	case PEER__MESSAGE__KIND_CHAIN_END:
 		out = chn_out_new();
 		chn_end(s->chains, message->chain_end->id, clk_now_ms(), out);
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -94,12 +94,14 @@
 	uv_timer_t tick;
 	uv_timer_t chain_tick;
 	uv_timer_t mesh_tick;
+	uint32_t rounds; /* of gossip */
 	uv_signal_t on_term;
 	uv_signal_t on_int;
 	uv_signal_t on_hup;
 	int64_t started_ms;
 	int64_t last_tick_ms;
 	int64_t stop_began_ms; /* 0: none */
+	int64_t not_owner_since_ms; /* another node owns the chains; 0: this one does */
 	bool is_ready;
 	bool stopped;
 	uint64_t counters[SRV_COUNTERS_N];
@@ -148,6 +150,9 @@
 uint64_t srv_chain_ask(struct srv *s, const struct chn_job_doc *doc, srv_chain_fn fn, void *arg);
 void srv_chain_end(struct srv *s, uint64_t id);
 
+/* Chains that this node owns go to the fleet's owner when that is another node. */
+void srv_chain_check_owner(struct srv *s, int64_t now_ms);
+
 /* srv_ups.c */
 struct srv_upstream *srv_ups_get(struct srv *s, const char *id, const char *address);
 void srv_ups_note_good(struct srv_upstream *u, int64_t now_ms);
--- a/packages/serve/srv_look.c
+++ b/packages/serve/srv_look.c
@@ -145,7 +145,7 @@
 			 (json_int_t)srv_feed_age_ms(s->feed, now_ms), "alive",
 			 (int)fle_count_alive(s->fleet, now_ms), "upstreams",
 			 (int)g_hash_table_size(s->view->upstreams), "owner",
-			 fle_owner(s->fleet, "chains", NULL, now_ms)->record.peer_address, "chains",
+			 fle_owner(s->fleet, NULL, now_ms)->record.peer_address, "chains",
 			 (int)chn_count_jobs(s->chains), "requests", (int)hts_count_busy(s->front));
 }
 
--- a/packages/serve/srv_mesh.c
+++ b/packages/serve/srv_mesh.c
@@ -119,6 +119,8 @@
 	for (uint32_t i = 0; i < n_seeds; i++)
 		seed_list[i] = seeds[i];
 	fle_round(s->fleet, now_ms);
+	if (++s->rounds == FLE_JOIN_ROUNDS)
+		uv_timer_set_repeat(timer, FLE_BEAT_MS);
 	n = fle_targets(s->fleet, seed_list, n_seeds, &s->rnd, targets, TARGETS_MAX, now_ms);
 	for (uint32_t i = 0; i < n; i++)
 		send_beat(s, targets[i], now_ms);
@@ -128,7 +130,7 @@
 {
 	log_info("fleet_changed", "{s:s, s:i, s:s}", "heard_from", from, "alive",
 		 (int)fle_count_alive(s->fleet, now_ms), "owner",
-		 fle_owner(s->fleet, "chains", NULL, now_ms)->record.peer_address);
+		 fle_owner(s->fleet, NULL, now_ms)->record.peer_address);
 }
 
 static void take_beat(struct srv *s, const char *from, const Peer__Beat *beat)
@@ -139,8 +141,10 @@
 
 	for (size_t i = 0; i < beat->n_members && n < FLE_RECORDS_MAX; i++)
 		get_member(&records[n++], beat->members[i]);
-	if (fle_take(s->fleet, records, n, now_ms))
+	if (fle_take(s->fleet, records, n, now_ms)) {
 		log_fleet(s, from, now_ms);
+		send_beat(s, from, now_ms); /* one that joins knows the fleet at once */
+	}
 	for (size_t i = 0; i < beat->n_troubles; i++)
 		srv_ups_take_word(s, beat->troubles[i]->upstream, beat->troubles[i]->wait_ms,
 				  now_ms);
@@ -182,7 +186,7 @@
 	uv_poll_start(&s->peer_poll, UV_READABLE, on_readable);
 	uv_timer_init(&s->loop, &s->mesh_tick);
 	s->mesh_tick.data = s;
-	uv_timer_start(&s->mesh_tick, on_round, rnd_below(&s->rnd, FLE_BEAT_MS), FLE_BEAT_MS);
+	uv_timer_start(&s->mesh_tick, on_round, 0, FLE_JOIN_BEAT_MS);
 	return true;
 }
 
--- a/tests/prop_chain.cc
+++ b/tests/prop_chain.cc
@@ -165,7 +165,7 @@
 	doc.deadline_at_ms = w.now + *rc::gen::inRange<int64_t>(500, 8000);
 	doc.data_centre = "dc";
 	GArray *out = chn_out_new();
-	chn_submit(w.owner, &doc, w.now, out);
+	chn_submit(w.owner, &doc, nullptr, 0, w.now, out);
 	take(w, out);
 }
 
@@ -196,7 +196,7 @@
 	for (size_t i = 0; i < results.size(); i++)
 		results[i].handle = results[i].fault == CHN_OK ? handles[i].c_str() : nullptr;
 	if (whole)
-		chn_call_done(w.owner, id, results.data(), (uint32_t)results.size(), w.now, out);
+		chn_call_done(w.owner, id, results.data(), (uint32_t)results.size(), 0, w.now, out);
 	else
 		chn_call_failed(w.owner, id, *rc::gen::element(CHN_CALL_FULL, CHN_CALL_FAILED),
 				w.now, out);
