Learn times from whole calls alone, pause at full rooms, take callers once ready

Callers reached nodes that had just started and knew no fleet.

Change: means take only calls without a failed piece; an upstream that had no room at all rests 200 ms; the callers' listener opens once the node is ready.

--- a/packages/decide/chn.c
+++ b/packages/decide/chn.c
@@ -420,6 +420,25 @@
 	pool->cost_ms += CHN_COST_GAIN * (cost_ms - pool->cost_ms);
 }
 
+/* A call of which pieces failed took less than its work would have. */
+static void note_times(struct call *call, const struct chn_result *results, uint32_t n,
+		       int64_t now_ms)
+{
+	uint32_t failed = 0;
+	uint32_t no_room = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		failed += results[i].fault != CHN_OK;
+		no_room += results[i].fault == CHN_ROOM;
+	}
+	if (failed == 0) {
+		note_ratio(call->upstream, call, now_ms);
+		note_cost(call->upstream->pool, call, now_ms);
+	}
+	if (no_room == n)
+		call->upstream->bad_until_ms = now_ms + CHN_ROOM_PAUSE_MS;
+}
+
 void chn_call_done(struct chn *c, uint64_t id, const struct chn_result *results, uint32_t n,
 		   uint32_t others, int64_t now_ms, GArray *out)
 {
@@ -427,8 +446,7 @@
 
 	if (!call)
 		return;
-	note_ratio(call->upstream, call, now_ms);
-	note_cost(call->upstream->pool, call, now_ms);
+	note_times(call, results, n, now_ms);
 	call->upstream->fails = 0;
 	if (others > 0)
 		call->upstream->shared_ms = now_ms;
--- a/packages/decide/chn_int.h
+++ b/packages/decide/chn_int.h
@@ -14,6 +14,7 @@
 #define CHN_SLOW_PROBE_MS 3000 /* between two calls to a slow upstream */
 #define CHN_RATIO_GAIN 0.3     /* of the newest call in the mean ratio */
 #define CHN_FULL_PAUSE_MS 60   /* before an upstream that refused is asked again */
+#define CHN_ROOM_PAUSE_MS 200   /* before one that had no room at all is asked again */
 #define CHN_BAD_PAUSE_MS 500   /* after a failure; doubles with each in a row */
 #define CHN_BAD_PAUSE_MAX_MS 4000
 #define CHN_FETCHED_MS 100	/* after the sending of a call to an idle upstream, it holds its inputs */
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <sys/stat.h>
 
-#define SETTLE_MS 1000 /* two rounds of gossip: the fleet is known by then */
+#define SETTLE_MS 600 /* six rounds of gossip to all seeds: the fleet is known by then */
 #define GAP_MS 1000    /* between two ticks: the process was suspended */
 #define MS_PER_S 1000.0
 /*
@@ -31,6 +31,21 @@
 	h->sum_ms += (double)ms;
 }
 
+static bool start_front(struct srv *s, GError **error);
+
+/* A node that is not ready yet turns callers to the others sooner by taking no connection. */
+static void open_front(struct srv *s)
+{
+	GError *error = NULL;
+
+	if (start_front(s, &error)) {
+		s->front_open = true;
+		return;
+	}
+	log_error("listen_failed", "{s:s}", "error", error->message);
+	g_error_free(error);
+}
+
 static void update_ready(struct srv *s, int64_t now_ms)
 {
 	bool ready = s->view->doc && s->view->complete && s->stop_began_ms == 0 &&
@@ -42,6 +57,8 @@
 			 (int)g_hash_table_size(s->view->upstreams), "alive",
 			 (int)fle_count_alive(s->fleet, now_ms));
 	s->is_ready = ready;
+	if (ready && !s->front_open)
+		open_front(s);
 	fle_set_self(s->fleet, ready, s->stop_began_ms > 0);
 }
 
@@ -49,7 +66,7 @@
 {
 	const struct pub_limits *limits = s->view->doc ? &s->view->doc->limits : NULL;
 
-	if (!limits || limits->max_body_bytes <= 0)
+	if (!limits || limits->max_body_bytes <= 0 || !s->front)
 		return;
 	hts_set_limits(s->front, &(struct hts_limits){
 					 .max_header_bytes = limits->max_header_bytes,
@@ -69,9 +86,9 @@
 {
 	int64_t grace_ms = (int64_t)(sst_num(s->set->stop_grace_s) * MS_PER_S) - STOP_MARGIN_MS;
 	int64_t since_ms = now_ms - s->stop_began_ms;
-	uint32_t busy = hts_count_busy(s->front) + chn_count_jobs(s->chains);
+	uint32_t busy = (s->front ? hts_count_busy(s->front) : 0) + chn_count_jobs(s->chains);
 
-	if (since_ms >= STOP_IDLE_MS)
+	if (s->front && since_ms >= STOP_IDLE_MS)
 		hts_drain(s->front);
 	if ((since_ms >= STOP_SERVE_MS && busy == 0) || since_ms >= grace_ms) {
 		log_info("stopping_ends", "{s:I, s:i}", "after_ms", (json_int_t)since_ms, "cut",
@@ -152,7 +169,8 @@
 	look_at_settings(s);
 	update_limits(s);
 	srv_ups_sweep(s, now_ms);
-	hts_sweep(s->front, now_ms);
+	if (s->front)
+		hts_sweep(s->front, now_ms);
 	hts_sweep(s->ready, now_ms);
 	hts_sweep(s->lookup, now_ms);
 	hts_sweep(s->admin, now_ms);
@@ -171,8 +189,10 @@
 	}
 	s->stop_began_ms = clk_now_ms();
 	log_info("stopping", "{s:i, s:i, s:i}", "signal", number, "requests",
-		 (int)hts_count_busy(s->front), "chains", (int)chn_count_jobs(s->chains));
-	hts_say_close(s->front);
+		 s->front ? (int)hts_count_busy(s->front) : 0, "chains",
+		 (int)chn_count_jobs(s->chains));
+	if (s->front)
+		hts_say_close(s->front);
 	update_ready(s, s->stop_began_ms);
 }
 
@@ -255,13 +275,12 @@
 	s->asks = srv_chain_asks_new();
 	start_timers(s);
 	s->feed = srv_feed_new(s);
-	if (!srv_mesh_start(s, self.incarnation, error) || !srv_look_start(s, error) ||
-	    !start_front(s, error)) {
+	if (!srv_mesh_start(s, self.incarnation, error) || !srv_look_start(s, error)) {
 		srv_free(s);
 		return NULL;
 	}
 	log_info("started", "{s:s, s:s, s:s, s:s, s:s, s:i}", "version", CS_VERSION, "vm", set->vm,
-		 "data_centre", set->data_centre, "caller", hts_address(s->front), "peer",
+		 "data_centre", set->data_centre, "caller", set->caller_address, "peer",
 		 set->peer_address, "seeds", (int)set->n_seeds);
 	return s;
 }
--- a/packages/serve/srv_chain.c
+++ b/packages/serve/srv_chain.c
@@ -10,7 +10,7 @@
 
 #include <string.h>
 
-#define HAND_OVER_MS 800 /* another owner has been known for so long */
+#define HAND_OVER_MS 300 /* another owner has been known for so long */
 #define TAKEN_MS 350	/* for the owner's word that it has the chain */
 #define ASK_AGAIN_MAX 6 /* owners asked for one chain */
 #define CALL_FACTOR 8	/* times the expected time, after which a call is dropped */
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -103,6 +103,7 @@
 	int64_t stop_began_ms; /* 0: none */
 	int64_t not_owner_since_ms; /* another node owns the chains; 0: this one does */
 	bool is_ready;
+	bool front_open; /* callers' listener has been opened */
 	bool stopped;
 	uint64_t counters[SRV_COUNTERS_N];
 	struct srv_histogram first_byte;
