--- a/packages/decide/chn_admit.c
+++ b/packages/decide/chn_admit.c
@@ -31,12 +31,6 @@
 	return (full_ms + CHN_COST_SHARE * (cost_ms - full_ms)) / n;
 }
 
-/* The order in which chains are served that are in time; see chn_job_due_ms(). */
-static int64_t order_of(const struct job *job)
-{
-	return job->aim_at_ms + job->rank * CHN_RANK_MS;
-}
-
 static uint32_t left_in_pool(const struct job *job, const struct pool *pool)
 {
 	uint32_t n = 0;
@@ -49,19 +43,19 @@
 	return n;
 }
 
-/* Pieces that have to be done in the pool before those of job, all chains or those in time. */
+/* Pieces that have to be done in the pool before those of job: of all chains, or of those that go first. */
 static uint32_t pieces_ahead(const struct chn *c, const struct job *job, const struct pool *pool,
 			     bool all)
 {
+	int64_t order = chn_job_order(job);
 	uint32_t n = 0;
 
 	for (guint i = 0; i < c->order->len; i++) {
 		const struct job *other = g_ptr_array_index(c->order, i);
 		if (other == job || other->delivered)
 			continue;
-		if (!all && (other->late || order_of(other) > order_of(job)))
-			continue;
-		n += left_in_pool(other, pool);
+		if (all || (!other->late && chn_job_order(other) <= order))
+			n += left_in_pool(other, pool);
 	}
 	return n;
 }
@@ -81,19 +75,26 @@
 	return (int64_t)longest_ms;
 }
 
+static int64_t foretell(const struct chn *c, const struct job *job, bool all, int64_t now_ms)
+{
+	return now_ms + wait_ms(c, job, all, now_ms) + chn_job_rest_ms(job);
+}
+
 const char *chn_admit(const struct chn *c, struct job *job, int64_t now_ms, int64_t *retry_ms)
 {
-	int64_t rest_ms = chn_job_rest_ms(job);
-	int64_t over_ms;
+	int64_t in_ms;
 
-	job->expect_at_ms = now_ms + wait_ms(c, job, false, now_ms) + rest_ms;
+	job->expect_at_ms = foretell(c, job, false, now_ms);
 	job->late = job->expect_at_ms > job->aim_at_ms;
 	if (!job->late)
 		return NULL;
-	job->expect_at_ms = now_ms + wait_ms(c, job, true, now_ms) + rest_ms;
-	over_ms = job->expect_at_ms + CHN_DEADLINE_MARGIN_MS - job->deadline_at_ms;
-	if (over_ms <= 0)
+	job->expect_at_ms = foretell(c, job, true, now_ms);
+	in_ms = job->expect_at_ms - now_ms;
+	job->promise_at_ms = job->expect_at_ms + CHN_PROMISE_MARGIN_MS;
+	if (in_ms <= CHN_LATE_MAX_MS && now_ms + (int64_t)(in_ms * CHN_LATE_FACTOR) +
+						CHN_DEADLINE_MARGIN_MS <= job->deadline_at_ms)
 		return NULL;
-	*retry_ms = CLAMP(over_ms, CHN_RETRY_MIN_MS, CHN_RETRY_MAX_MS);
-	return "the pools' queues are longer than its deadline";
+	/* by then the queue has shrunk to what a late chain may wait behind */
+	*retry_ms = CLAMP(in_ms - CHN_LATE_MAX_MS / 2, CHN_RETRY_MIN_MS, CHN_RETRY_MAX_MS);
+	return "the pools' queues are too long for it";
 }
--- a/packages/decide/chn_call.c
+++ b/packages/decide/chn_call.c
@@ -8,7 +8,6 @@
 	struct job *job;
 	struct stage *stage;
 	bool late;
-	uint32_t done_before; /* stages of the chain that are done */
 	int64_t due_ms;
 };
 
@@ -30,19 +29,7 @@
 	return n;
 }
 
-static uint32_t stages_done(const struct job *job)
-{
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < job->n_stages; i++)
-		n += job->stages[i].n_done == job->stages[i].n_pieces;
-	return n;
-}
-
-/*
- * In time first, by the latest start that is in time; late ones behind, those with most behind
- * them first, since their results take room meanwhile.
- */
+/* Those that can be in time first; then by the latest start that keeps what they were promised. */
 static gint compare_entries(gconstpointer left, gconstpointer right)
 {
 	const struct entry *a = left;
@@ -50,8 +37,6 @@
 
 	if (a->late != b->late)
 		return a->late ? 1 : -1;
-	if (a->late && a->done_before != b->done_before)
-		return a->done_before > b->done_before ? -1 : 1;
 	if (a->due_ms != b->due_ms)
 		return a->due_ms < b->due_ms ? -1 : 1;
 	return a->job->id < b->job->id ? -1 : a->job->id > b->job->id;
@@ -71,7 +56,6 @@
 				.job = job,
 				.stage = s,
 				.late = job->late,
-				.done_before = stages_done(job),
 				.due_ms = chn_job_due_ms(job, s),
 			};
 			g_array_append_val(entries, e);
--- a/packages/decide/chn_job.c
+++ b/packages/decide/chn_job.c
@@ -38,6 +38,7 @@
 	job->data_centre = g_strdup(doc->data_centre);
 	job->regions = g_strdupv((char **)doc->regions);
 	job->aim_at_ms = doc->aim_at_ms;
+	job->promise_at_ms = doc->aim_at_ms;
 	job->deadline_at_ms = doc->deadline_at_ms;
 	job->rank = doc->rank;
 	job->n_stages = doc->n_stages;
@@ -169,11 +170,15 @@
 	return longest;
 }
 
+int64_t chn_job_order(const struct job *job)
+{
+	return job->promise_at_ms + job->rank * CHN_RANK_MS;
+}
+
 int64_t chn_job_due_ms(const struct job *job, const struct stage *stage)
 {
 	uint32_t index = (uint32_t)(stage - job->stages);
 	int64_t rest = 1 + (int64_t)stages_after(job, index, job->n_stages);
 
-	return job->aim_at_ms - CHN_FIRST_TOKEN_MS - rest * CHN_STAGE_SHARE_MS +
-	       job->rank * CHN_RANK_MS;
+	return chn_job_order(job) - CHN_FIRST_TOKEN_MS - rest * CHN_STAGE_SHARE_MS;
 }
--- a/packages/serve/req_int.h
+++ b/packages/serve/req_int.h
@@ -78,6 +78,9 @@
 
 /* srv_leg.c */
 void req_send(struct req *r);
+
+/* The upstream that the request would be sent to now; NULL when there is none. */
+struct srv_upstream *req_pick(struct req *r, int64_t now_ms);
 void req_leg_cancel(struct leg *leg);
 
 /* Sets the timer to the next moment at which something has to be decided. */
--- a/packages/serve/srv_chain.c
+++ b/packages/serve/srv_chain.c
@@ -29,6 +29,7 @@
 	char *attempt;
 	char *key;
 	char **regions;
+	char *data_centre; /* where its results are wanted */
 	int64_t aim_at_ms;
 	int64_t deadline_at_ms;
 	int32_t rank;
@@ -87,6 +88,7 @@
 	g_free(ask->stages);
 	g_free(ask->attempt);
 	g_free(ask->key);
+	g_free(ask->data_centre);
 	g_strfreev(ask->regions);
 	g_array_unref(ask->done);
 	g_free(ask);
@@ -109,7 +111,7 @@
 		.aim_at_ms = ask->aim_at_ms,
 		.deadline_at_ms = ask->deadline_at_ms,
 		.rank = ask->rank,
-		.data_centre = ask->s->set->data_centre,
+		.data_centre = ask->data_centre,
 		.regions = ask->regions,
 	};
 }
@@ -233,6 +235,7 @@
 	}
 	ask->attempt = g_strdup(doc->attempt);
 	ask->key = g_strdup(doc->key);
+	ask->data_centre = g_strdup(doc->data_centre);
 	ask->regions = g_strdupv((char **)doc->regions);
 	ask->done = g_array_new(FALSE, FALSE, sizeof(struct chn_done));
 	g_array_set_clear_func(ask->done, clear_done);
--- a/packages/serve/srv_leg.c
+++ b/packages/serve/srv_leg.c
@@ -77,7 +77,7 @@
 	return CLAMP(1 + URGENCY_STEP * r->rank, 0, URGENCY_MAX);
 }
 
-static struct srv_upstream *pick(struct req *r, int64_t now_ms)
+struct srv_upstream *req_pick(struct req *r, int64_t now_ms)
 {
 	const char *tried[SRV_LEGS_MAX + 1];
 
@@ -158,7 +158,7 @@
 {
 	int64_t now_ms = clk_now_ms();
 	const char *reason = why_not(r, now_ms);
-	struct srv_upstream *u = reason ? NULL : pick(r, now_ms);
+	struct srv_upstream *u = reason ? NULL : req_pick(r, now_ms);
 
 	if (u) {
 		send_to(r, u, now_ms);
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -208,6 +208,8 @@
 static void ask_chain(struct req *r)
 {
 	struct chn_stage_doc stages[PUB_STAGES_MAX];
+	const struct pvw_upstream *entry;
+	struct srv_upstream *engine;
 
 	for (uint32_t i = 0; i < r->route->n_stages; i++)
 		stages[i] = (struct chn_stage_doc){
@@ -216,7 +218,7 @@
 			.pieces = i < r->ask.n_pieces ? r->ask.pieces[i] : 0,
 			.result_bytes = r->route->stages[i].result_bytes,
 		};
-	const struct chn_job_doc doc = {
+	struct chn_job_doc doc = {
 		.attempt = r->ask.attempt,
 		.key = r->ask.piece_key,
 		.stages = stages,
@@ -226,6 +228,10 @@
 		.rank = r->rank,
 		.regions = r->regions,
 	};
+	/* its results are best made beside the engine that will fetch them */
+	engine = req_pick(r, clk_now_ms());
+	entry = engine ? g_hash_table_lookup(r->s->view->upstreams, engine->id) : NULL;
+	doc.data_centre = entry ? entry->doc->data_centre : r->s->set->data_centre;
 	r->chain = srv_chain_ask(r->s, &doc, on_chain, r);
 }
 
