--- a/packages/decide/chn.c
+++ b/packages/decide/chn.c
@@ -381,31 +381,13 @@
 	return true;
 }
 
-/* A call that waited at the upstream has its turn now. */
-static void begin_next(struct chn *c, const struct call *ended, int64_t now_ms)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	ended->upstream->end_ms = now_ms;
-	g_hash_table_iter_init(&iter, c->calls);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct call *call = value;
-		if (call == ended || call->upstream != ended->upstream || call->turn_ms <= now_ms)
-			continue;
-		call->turn_ms = now_ms;
-		call->upstream->end_ms = now_ms + call->expect_ms;
-	}
-}
-
-static struct call *take_call(struct chn *c, uint64_t id, int64_t now_ms)
+static struct call *take_call(struct chn *c, uint64_t id)
 {
 	struct call *call = g_hash_table_lookup(c->calls, &id);
 
 	if (call) {
 		call->upstream->calls--;
 		call->upstream->room_used -= call->room_bytes;
-		begin_next(c, call, now_ms);
 	}
 	return call;
 }
@@ -423,7 +405,7 @@
 static void note_ratio(struct upstream *u, const struct call *call, int64_t now_ms)
 {
 	double plain_ms = u->pool->doc.call_ms + u->pool->doc.piece_ms * call->n;
-	double ratio = plain_ms > 0 ? (double)(now_ms - call->turn_ms) / plain_ms : 1.0;
+	double ratio = plain_ms > 0 ? (double)(now_ms - call->sent_ms) / plain_ms : 1.0;
 
 	u->ratio += CHN_RATIO_GAIN * (ratio - u->ratio);
 }
@@ -431,7 +413,7 @@
 /* What a piece costs of an upstream's time, with calls as full as they are under this load. */
 static void note_cost(struct pool *pool, const struct call *call, int64_t now_ms)
 {
-	double cost_ms = (double)(now_ms - call->turn_ms) / call->n;
+	double cost_ms = (double)(now_ms - call->sent_ms) / call->n;
 
 	if (pool->cost_ms <= 0)
 		pool->cost_ms = cost_ms;
@@ -460,7 +442,7 @@
 void chn_call_done(struct chn *c, uint64_t id, const struct chn_result *results, uint32_t n,
 		   uint32_t others, int64_t now_ms, GArray *out)
 {
-	struct call *call = take_call(c, id, now_ms);
+	struct call *call = take_call(c, id);
 
 	if (!call)
 		return;
@@ -505,7 +487,7 @@
 void chn_call_failed(struct chn *c, uint64_t id, enum chn_call_fault fault, int64_t now_ms,
 		     GArray *out)
 {
-	struct call *call = take_call(c, id, now_ms);
+	struct call *call = take_call(c, id);
 	struct upstream *u;
 
 	if (!call)
@@ -607,7 +589,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct call *call = value;
 		int64_t limit_ms = CHN_OVERDUE_FACTOR * call->expect_ms + CHN_OVERDUE_MS;
-		if (call->abandoned || now_ms - call->turn_ms < limit_ms)
+		if (call->abandoned || now_ms - call->sent_ms < limit_ms)
 			continue;
 		call->abandoned = true;
 		call->upstream->ratio = MAX(call->upstream->ratio, CHN_SLOW_RATIO);
@@ -626,11 +608,11 @@
 		if (piece->state == PIECE_WAITING)
 			return false;
 		call = g_hash_table_lookup(c->calls, &piece->call);
-		if (!call || now_ms - call->turn_ms < CHN_FETCHED_MS)
+		if (!call || now_ms - call->sent_ms < CHN_FETCHED_MS)
 			return false;
 		/* behind another owner's call its turn may still be to come */
 		if (call->upstream->shared_ms > 0 &&
-		    call->turn_ms - call->upstream->shared_ms < CHN_SHARED_MS)
+		    call->sent_ms - call->upstream->shared_ms < CHN_SHARED_MS)
 			return false;
 	}
 	return true;
--- a/packages/decide/chn_call.c
+++ b/packages/decide/chn_call.c
@@ -13,12 +13,7 @@
 
 bool chn_upstream_is_idle(const struct upstream *u, int64_t now_ms)
 {
-	uint32_t slots = (uint32_t)MAX(u->pool->doc.slots, 1);
-
-	if (!u->usable || u->calls > slots || (u->calls == slots && u->pool->doc.queue_depth < 1))
-		return false;
-	/* the next call is on its way as the last one ends; one that is overdue ends nobody knows when */
-	if (u->calls == slots && (now_ms < u->end_ms - CHN_AHEAD_MS || now_ms > u->end_ms))
+	if (!u->usable || u->calls >= (uint32_t)MAX(u->pool->doc.slots, 1))
 		return false;
 	if (now_ms < u->bad_until_ms)
 		return false;
@@ -175,11 +170,10 @@
 	}
 	c->next_call++;
 	call->upstream = u;
-	call->turn_ms = u->calls > 0 ? MAX(u->end_ms, now_ms + 1) : now_ms;
+	call->sent_ms = now_ms;
 	call->expect_ms =
 		(int64_t)((u->pool->doc.call_ms + u->pool->doc.piece_ms * call->n) * u->ratio);
 	u->calls++;
-	u->end_ms = call->turn_ms + call->expect_ms;
 	u->last_call_ms = now_ms;
 	u->room_used += call->room_bytes;
 	g_hash_table_insert(c->calls, &call->id, call);
--- a/packages/decide/chn_int.h
+++ b/packages/decide/chn_int.h
@@ -26,7 +26,6 @@
 #define CHN_LATE_MAX_MS 4000	/* for a chain that is late: its first results are kept for some 4 s */
 #define CHN_LATE_FACTOR 1.5	/* of the time foretold has to fit into its deadline */
 #define CHN_PROMISE_MARGIN_MS 300 /* beyond the time foretold, within which a late chain is served */
-#define CHN_AHEAD_MS 40 /* before the expected end of a call, for the way of the next to the upstream */
 #define CHN_TRIES_MAX 4		   /* failures of one piece before its chain is given up */
 #define CHN_DEADLINE_MARGIN_MS 250 /* of the deadline for the way back and the first token */
 #define CHN_RETRY_MIN_MS 250
@@ -80,7 +79,7 @@
 struct call {
 	uint64_t id;
 	struct upstream *upstream;
-	int64_t turn_ms; /* when it began to be worked on: the call before it had ended */
+	int64_t sent_ms;
 	int64_t expect_ms;
 	bool abandoned; /* its pieces were given to others */
 	struct call_piece {
@@ -100,8 +99,7 @@
 	struct pool *pool;
 	bool usable;
 	bool listed;
-	uint32_t calls;	 /* in progress, one of them perhaps waiting there */
-	int64_t end_ms;	 /* when those in progress are expected to have ended */
+	uint32_t calls; /* in progress */
 	int64_t bad_until_ms;
 	uint32_t fails; /* in a row */
 	double ratio;	/* measured time over expected time */
--- a/tests/prop_chain.cc
+++ b/tests/prop_chain.cc
@@ -2,7 +2,6 @@
  * askers. */
 #include "decide/chn.h"
 
-#include <algorithm>
 #include <map>
 #include <rapidcheck.h>
 #include <set>
@@ -63,7 +62,6 @@
 		doc->services[i].name = g_strdup(names[i]);
 		doc->services[i].pool.present = true;
 		doc->services[i].pool.slots = 1;
-		doc->services[i].pool.queue_depth = 2;
 		doc->services[i].pool.batch_size = i == 2 ? 16 : 8;
 		doc->services[i].pool.call_ms = 200;
 		doc->services[i].pool.piece_ms = i == 2 ? 11 : 21;
@@ -96,10 +94,8 @@
 {
 	Call call = {cmd.upstream, {}, 0};
 
-	/* one in its slot, one on its way to follow it */
-	RC_ASSERT(std::count_if(w.calls.begin(), w.calls.end(), [&](const auto &other) {
-			  return other.second.upstream == call.upstream;
-		  }) <= 1);
+	for (const auto &other : w.calls)
+		RC_ASSERT(other.second.upstream != call.upstream);
 	for (uint32_t i = 0; i < cmd.n_pieces; i++) {
 		const chn_piece &p = cmd.pieces[i];
 		const Job &job = w.jobs.at(p.job);
