Let callers learn of dead nodes sooner, and take them once joined

Cause: clients hold addresses of nodes without power: silence was noticed after 2.4 s, answers were kept for 1.5 s; a restarted node took no caller for 0.6 s though the fleet answered it in 0.1 s.

--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -8,6 +8,7 @@
 #include <sys/stat.h>
 
 #define SETTLE_MS 600 /* six rounds of gossip to all seeds: the fleet is known by then */
+#define JOINED_MIN 3 /* members, the node itself among them, after which it needs not settle */
 #define GAP_MS 1000    /* between two ticks: the process was suspended */
 #define MS_PER_S 1000.0
 /*
@@ -49,7 +50,8 @@
 static void update_ready(struct srv *s, int64_t now_ms)
 {
 	bool ready = s->view->doc && s->view->complete && s->stop_began_ms == 0 &&
-		     now_ms - s->started_ms >= SETTLE_MS;
+		     (now_ms - s->started_ms >= SETTLE_MS ||
+		      fle_count_alive(s->fleet, now_ms) >= JOINED_MIN);
 
 	if (ready != s->is_ready)
 		log_info(ready ? "ready" : "not_ready", "{s:I, s:i, s:i}", "version",
--- a/packages/serve/srv_look.c
+++ b/packages/serve/srv_look.c
@@ -11,7 +11,7 @@
 #define ADDRESSES_MAX 64
 #define NEAR_MIN 2 /* members of the asker's region, below which all others are named too */
 #define MS_PER_S 1000.0
-#define TTL_MS 1500 /* a stopping node serves for twice as long */
+#define TTL_MS 1000 /* a stopping node serves for three times as long */
 #define POOLS_MAX 64
 
 struct listing {
