Weigh a prompt part that many sessions share little; add the platform's stand-in

Change: the first part weighs 0.3, the session's part 4 times what reading it anew takes. The emulator gains the platform's store and engines (packages/emul/pse*), for tests without the kit.

--- a/packages/decide/sel.c
+++ b/packages/decide/sel.c
@@ -11,7 +11,8 @@
 #define SEL_INPUTS_MS 60.0 /* of inputs that cross to another data centre, their price included */
 #define SEL_BUSY_MS 40.0   /* of each request that this node has there already */
 #define SEL_STREAM_MS 5.0  /* the same where many run at a time */
-#define SEL_AFFINITY 4.0    /* times what reading a shared part anew takes: it has a price besides */
+#define SEL_SESSION 4.0 /* times what reading a session's part anew takes: it has a price besides */
+#define SEL_PREFIX 0.3	/* the same of a part that many sessions share: soon every engine holds it */
 #define SEL_TIE_MS 4.0	   /* spreads equal ones, the same for all nodes */
 
 static double unit(uint64_t key, const char *id)
@@ -37,9 +38,9 @@
 	if (r->has_inputs && !c->beside_inputs)
 		ms += SEL_INPUTS_MS;
 	if (r->prefix)
-		ms += SEL_AFFINITY * r->prefix_ms * unit(r->prefix, c->id);
+		ms += SEL_PREFIX * r->prefix_ms * unit(r->prefix, c->id);
 	if (r->session)
-		ms += SEL_AFFINITY * r->session_ms * unit(r->session, c->id);
+		ms += SEL_SESSION * r->session_ms * unit(r->session, c->id);
 	return ms + SEL_TIE_MS * unit(0, c->id);
 }
 
--- /dev/null
+++ b/packages/emul/pse_engine.c
@@ -0,0 +1,272 @@
+/* The stand-in's engines: plain ones, streams and pools, with the faults that tests set. */
+#include "pse_int.h"
+
+#include "base/clk.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HEADER_ATTEMPT "X-Currantscale-Attempt-Id"
+#define DEADLINE_MAX_MS 60000
+
+extern const struct hts_limits pse_limits;
+
+/* A request that an engine works on. */
+struct pse_run {
+	struct pse_engine *engine;
+	struct hts_request *request; /* NULL: its caller has closed */
+	uv_timer_t timer;
+	uint32_t next_event;
+	bool begun;
+};
+
+static const char *attempt_of(const struct hts_request *request)
+{
+	const char *attempt = hdr_get(&request->headers, HEADER_ATTEMPT);
+
+	return attempt ? attempt : "";
+}
+
+static void put_signature(struct hdr_list *headers, const struct pse_engine *e, const char *attempt)
+{
+	hdr_add(headers, HEADER_ATTEMPT, attempt);
+	hdr_add(headers, "X-Currantscale-Response-Signature", e->id);
+}
+
+static void on_run_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void end_run(struct pse_run *run)
+{
+	if (run->request)
+		g_hash_table_remove(run->engine->open, run->request);
+	uv_timer_stop(&run->timer);
+	uv_close((uv_handle_t *)&run->timer, on_run_closed);
+}
+
+static void answer_plain(struct pse_run *run)
+{
+	struct pse_engine *e = run->engine;
+	struct hts_request *request = run->request;
+	const char *attempt = attempt_of(request);
+	struct hdr_list headers = {0};
+	char *body = g_strdup_printf("body of %s", attempt);
+	size_t len = strlen(body);
+
+	put_signature(&headers, e, e->fault == PSE_OTHER ? "another" : attempt);
+	switch (e->fault) {
+	case PSE_LOSE:
+		hts_break(request);
+		break;
+	case PSE_MUTE:
+		break;
+	case PSE_FAIL:
+		hts_answer(request, 500, &headers, "failed", 6);
+		break;
+	case PSE_CUT:
+		hts_begin(request, 200, &headers, (int64_t)len);
+		hts_write(request, body, len / 2);
+		hts_break(request);
+		break;
+	case PSE_UNFRAMED:
+		hts_begin(request, 200, &headers, HTS_UNTIL_CLOSE);
+		hts_write(request, body, len);
+		hts_finish(request);
+		break;
+	case PSE_UNFRAMED_RESET:
+		hts_begin(request, 200, &headers, HTS_UNTIL_CLOSE);
+		hts_write(request, body, len / 2);
+		hts_break(request);
+		break;
+	default:
+		hts_answer(request, 200, &headers, body, len);
+	}
+	hdr_clear(&headers);
+	g_free(body);
+}
+
+static void on_event(uv_timer_t *timer);
+
+static void stream_event(struct pse_run *run)
+{
+	struct pse_engine *e = run->engine;
+	struct hdr_list headers = {0};
+	char *event;
+
+	if (!run->begun) {
+		const char *last = hdr_get(&run->request->headers, "Last-Event-Id");
+		run->next_event = last ? (uint32_t)strtoul(last, NULL, 10) + 1 : 0;
+		put_signature(&headers, e, attempt_of(run->request));
+		hdr_add(&headers, "Content-Type", "text/event-stream");
+		hts_begin(run->request, 200, &headers, HTS_LENGTH_UNKNOWN);
+		hdr_clear(&headers);
+		run->begun = true;
+	}
+	if (run->next_event >= e->options.events) {
+		hts_finish(run->request);
+		end_run(run);
+		return;
+	}
+	event = g_strdup_printf("id: %u\ndata: token %u\n\n", run->next_event, run->next_event);
+	if (e->fault == PSE_CUT && run->next_event > 0) {
+		hts_write(run->request, event, strlen(event) / 2);
+		hts_break(run->request);
+		end_run(run);
+	} else {
+		hts_write(run->request, event, strlen(event));
+		run->next_event++;
+		uv_timer_start(&run->timer, on_event, (uint64_t)e->options.gap_ms, 0);
+	}
+	g_free(event);
+}
+
+static json_t *make_result(struct pse_engine *e)
+{
+	char *handle;
+
+	if (g_hash_table_size(e->results) >= e->options.results_max)
+		return json_pack("{s:s}", "reason", "room");
+	handle = g_strdup_printf("%s/%s-%u", hts_address(e->listener), e->id, e->next_result++);
+	g_hash_table_add(e->results, handle);
+	return json_pack("{s:s}", "handle", handle);
+}
+
+static void answer_pieces(struct pse_run *run)
+{
+	const GByteArray *body = run->request->body;
+	json_t *root = json_loadb((const char *)body->data, body->len, 0, NULL);
+	json_t *results = json_array();
+
+	for (size_t i = 0; i < json_array_size(json_object_get(root, "items")); i++)
+		json_array_append_new(results, make_result(run->engine));
+	pse_answer_json(run->request, 200, json_pack("{s:o}", "items", results));
+	json_decref(root);
+}
+
+static void on_event(uv_timer_t *timer)
+{
+	struct pse_run *run = timer->data;
+	struct pse *p = run->engine->p;
+
+	pthread_mutex_lock(&p->lock);
+	if (!run->request) {
+		end_run(run);
+	} else if (run->engine->options.kind == PSE_STREAM && run->engine->fault != PSE_LOSE &&
+		   run->engine->fault != PSE_MUTE) {
+		stream_event(run);
+	} else {
+		struct hts_request *request = run->request;
+		if (run->engine->options.kind == PSE_POOL)
+			answer_pieces(run);
+		else
+			answer_plain(run);
+		run->request = request;
+		end_run(run);
+	}
+	pthread_mutex_unlock(&p->lock);
+}
+
+static void refuse(struct hts_request *request, int status)
+{
+	struct hdr_list headers = {0};
+
+	hdr_add(&headers, HEADER_ATTEMPT, attempt_of(request));
+	hdr_add(&headers, "X-Currantscale-Not-Executed", "1");
+	hts_answer(request, status, &headers, "", 0);
+	hdr_clear(&headers);
+}
+
+/* What a caller's request may not carry to an engine. */
+static bool is_bad(const struct pse_engine *e, const struct hts_request *request)
+{
+	const char *deadline = hdr_get(&request->headers, "X-Currantscale-Deadline-Ms");
+	const char *expect = hdr_get(&request->headers, "X-Currantscale-Expect-Instance");
+
+	if (e->options.kind == PSE_POOL)
+		return false;
+	return hdr_get(&request->headers, "X-Currantscale-Key") || !deadline ||
+	       strtol(deadline, NULL, 10) > DEADLINE_MAX_MS || !expect ||
+	       hdr_get(&request->headers, "Kv-From") || !*attempt_of(request);
+}
+
+static void note_run(struct pse_engine *e, const char *attempt)
+{
+	uint32_t n = GPOINTER_TO_UINT(g_hash_table_lookup(e->runs, attempt)) + 1;
+
+	g_hash_table_insert(e->runs, g_strdup(attempt), GUINT_TO_POINTER(n));
+	e->seen.runs++;
+	e->seen.most_runs = MAX(e->seen.most_runs, n);
+}
+
+static void begin_run(struct pse_engine *e, struct hts_request *request)
+{
+	struct pse_run *run = g_new0(struct pse_run, 1);
+	int64_t now_ms = clk_now_ms();
+	int64_t start_ms = now_ms;
+
+	note_run(e, attempt_of(request));
+	if (e->options.kind == PSE_POOL) {
+		start_ms = MAX(now_ms, e->busy_until_ms);
+		e->busy_until_ms = start_ms + e->options.work_ms;
+	}
+	run->engine = e;
+	run->request = request;
+	uv_timer_init(&e->p->loop, &run->timer);
+	run->timer.data = run;
+	g_hash_table_insert(e->open, request, run);
+	uv_timer_start(&run->timer, on_event, (uint64_t)(start_ms + e->options.work_ms - now_ms), 0);
+}
+
+static void free_results(struct pse_engine *e, struct hts_request *request)
+{
+	json_t *root = json_loadb((const char *)request->body->data, request->body->len, 0, NULL);
+	json_t *handles = json_object_get(root, "handles");
+
+	for (size_t i = 0; i < json_array_size(handles); i++)
+		g_hash_table_remove(e->results, json_string_value(json_array_get(handles, i)));
+	json_decref(root);
+	hts_answer(request, 200, NULL, "{}", 2);
+}
+
+static void on_request(void *arg, struct hts_request *request)
+{
+	struct pse_engine *e = arg;
+
+	pthread_mutex_lock(&e->p->lock);
+	e->seen.arrivals++;
+	e->seen.bad += is_bad(e, request);
+	if (e->options.kind == PSE_POOL && strcmp(request->target, "/-/stage-free") == 0)
+		free_results(e, request);
+	else if (e->fault == PSE_SHED)
+		refuse(request, 503);
+	else if (e->fault == PSE_WRONG)
+		refuse(request, 421);
+	else
+		begin_run(e, request);
+	pthread_mutex_unlock(&e->p->lock);
+}
+
+static void on_gone(void *arg, struct hts_request *request)
+{
+	struct pse_engine *e = arg;
+	struct pse_run *run = g_hash_table_lookup(e->open, request);
+
+	/* the lock is held by the run's timer when the engine itself breaks off */
+	if (!run)
+		return;
+	g_hash_table_remove(e->open, request);
+	run->request = NULL;
+}
+
+void pse_engine_start(struct pse_engine *e)
+{
+	const struct hts_handler handler = {
+		.on_request = on_request,
+		.on_gone = on_gone,
+		.arg = e,
+	};
+
+	e->listener = hts_new(&e->p->loop, "127.0.0.1:0", &handler, &pse_limits, NULL);
+}
--- /dev/null
+++ b/packages/emul/pse_store.c
@@ -0,0 +1,167 @@
+/* The stand-in's store: items with revisions, pages, watches, a history that may be forgotten. */
+#include "pse_int.h"
+
+#include "base/clk.h"
+
+#include <string.h>
+
+#define PAGE_ITEMS 5 /* small, so that tests see several pages */
+
+extern const struct hts_limits pse_limits;
+
+void pse_put(struct pse *p, const char *key, const char *value)
+{
+	struct pse_item item = {.key = g_strdup(key), .value = g_strdup(value)};
+
+	pthread_mutex_lock(&p->lock);
+	item.revision = (int64_t)p->log->len + 1;
+	g_array_append_val(p->log, item);
+	pthread_mutex_unlock(&p->lock);
+}
+
+static json_t *to_json(const struct pse_item *item)
+{
+	char *value;
+	json_t *json;
+
+	if (!item->value)
+		return json_pack("{s:s, s:I, s:b}", "key", item->key, "revision",
+				 (json_int_t)item->revision, "deleted", 1);
+	value = g_base64_encode((const guchar *)item->value, strlen(item->value));
+	json = json_pack("{s:s, s:s, s:I, s:I, s:i}", "key", item->key, "value", value, "revision",
+			 (json_int_t)item->revision, "created", (json_int_t)item->revision, "leaseId",
+			 0);
+	g_free(value);
+	return json;
+}
+
+/* The newest item of each key that stands. */
+static GHashTable *standing(struct pse *p)
+{
+	GHashTable *items = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < p->log->len; i++) {
+		struct pse_item *item = &g_array_index(p->log, struct pse_item, i);
+		if (item->value)
+			g_hash_table_insert(items, item->key, item);
+		else
+			g_hash_table_remove(items, item->key);
+	}
+	return items;
+}
+
+static void answer_range(struct pse *p, struct hts_request *request, const char *after)
+{
+	GHashTable *items = standing(p);
+	GList *keys = g_list_sort(g_hash_table_get_keys(items), (GCompareFunc)strcmp);
+	json_t *list = json_array();
+	bool more = false;
+
+	for (GList *at = keys; at; at = at->next) {
+		const char *key = at->data;
+		if (after && strcmp(key, after) <= 0)
+			continue;
+		more = json_array_size(list) == PAGE_ITEMS;
+		if (more)
+			break;
+		json_array_append_new(list, to_json(g_hash_table_lookup(items, key)));
+	}
+	pse_answer_json(request, 200, json_pack("{s:o, s:b, s:I}", "items", list, "hasMore", (int)more,
+						"at", (json_int_t)p->log->len));
+	g_list_free(keys);
+	g_hash_table_destroy(items);
+}
+
+static void answer_watch(struct pse *p, struct hts_request *request, int64_t after)
+{
+	json_t *list = json_array();
+
+	for (guint i = (guint)after; i < p->log->len; i++)
+		json_array_append_new(list, to_json(&g_array_index(p->log, struct pse_item, i)));
+	pse_answer_json(request, 200,
+			json_pack("{s:o, s:I}", "events", list, "at", (json_int_t)p->log->len));
+}
+
+static void begin_watch(struct pse *p, struct hts_request *request, GHashTable *query)
+{
+	const char *after = g_hash_table_lookup(query, "after");
+	const char *wait = g_hash_table_lookup(query, "waitMs");
+	struct pse_watch *w;
+
+	if (p->store_fault == PSE_STORE_FORGOT) {
+		p->store_fault = PSE_STORE_SOUND; /* once: what is read anew is remembered */
+		hts_answer(request, 410, NULL, "", 0);
+		return;
+	}
+	w = g_new0(struct pse_watch, 1);
+	w->request = request;
+	w->after = after ? g_ascii_strtoll(after, NULL, 10) : 0;
+	w->until_ms = clk_now_ms() + (wait ? g_ascii_strtoll(wait, NULL, 10) : 0);
+	g_ptr_array_add(p->watches, w);
+}
+
+static void on_request(void *arg, struct hts_request *request)
+{
+	struct pse *p = arg;
+	const char *question = strchr(request->target, '?');
+	GHashTable *query = g_uri_parse_params(question ? question + 1 : "", -1, "&",
+					       G_URI_PARAMS_NONE, NULL);
+
+	pthread_mutex_lock(&p->lock);
+	if (p->store_fault == PSE_STORE_BUSY)
+		hts_answer(request, 503, NULL, "", 0);
+	else if (p->store_fault == PSE_STORE_SILENT)
+		(void)request; /* never answered */
+	else if (g_str_has_prefix(request->target, "/-/kv-range"))
+		answer_range(p, request, g_hash_table_lookup(query, "after"));
+	else if (g_str_has_prefix(request->target, "/-/kv-watch"))
+		begin_watch(p, request, query);
+	else
+		hts_answer(request, 404, NULL, "", 0);
+	pthread_mutex_unlock(&p->lock);
+	g_hash_table_unref(query);
+}
+
+static void on_gone(void *arg, struct hts_request *request)
+{
+	struct pse *p = arg;
+
+	pthread_mutex_lock(&p->lock);
+	for (guint i = p->watches->len; i > 0; i--) {
+		struct pse_watch *w = g_ptr_array_index(p->watches, i - 1);
+		if (w->request != request)
+			continue;
+		g_ptr_array_remove_index_fast(p->watches, i - 1);
+		g_free(w);
+	}
+	pthread_mutex_unlock(&p->lock);
+}
+
+void pse_store_tick(struct pse *p, int64_t now_ms)
+{
+	for (guint i = p->watches->len; i > 0; i--) {
+		struct pse_watch *w = g_ptr_array_index(p->watches, i - 1);
+		if (w->after >= (int64_t)p->log->len && now_ms < w->until_ms)
+			continue;
+		g_ptr_array_remove_index_fast(p->watches, i - 1);
+		answer_watch(p, w->request, w->after);
+		g_free(w);
+	}
+}
+
+bool pse_store_start(struct pse *p, GError **error)
+{
+	const struct hts_handler handler = {
+		.on_request = on_request,
+		.on_gone = on_gone,
+		.arg = p,
+	};
+
+	p->store = hts_new(&p->loop, "127.0.0.1:0", &handler, &pse_limits, error);
+	return p->store != NULL;
+}
+
+const char *pse_store_address(const struct pse *p)
+{
+	return hts_address(p->store);
+}
