Tell a reset from an end when both come together; test the adapter with real processes

Cause: with the last bytes of an answer without a length, a reset was reported as an orderly end by the event library (it sees the hang-up before it reads the error): one answer in three, cut by the engine, reached its caller as whole (proc_adapter, answers: 'no length, reset, node 2').

Change: at an end the socket is asked itself. tests/adapted.c and proc_adapter.c drive real nodes against the emulator's stand-in: faults of engines, resumed and cut streams, chains whose owner is killed or stopped, a stop under load, versions and keys, engines and data centres that leave, broken entries, a source that is away or has forgotten, addresses, metrics.

--- a/packages/http/htc.c
+++ b/packages/http/htc.c
@@ -250,10 +250,24 @@
 	end_call(c, HTC_DONE);
 }
 
+/*
+ * The library reports an end for a reset too, when it comes together with the last bytes; the
+ * socket still tells them apart.
+ */
+static bool is_orderly(const struct conn *c, ssize_t n)
+{
+	char byte;
+	int fd;
+
+	if (n != UV_EOF || uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0)
+		return false;
+	return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void on_eof(struct conn *c, ssize_t n)
 {
 	/* an answer without a length ends with an orderly close, not with a reset */
-	if (n == UV_EOF && c->call && c->call->sent && !c->skipping) {
+	if (c->call && c->call->sent && !c->skipping && is_orderly(c, n)) {
 		http_parser_execute(&c->parser, &parser_settings, NULL, 0);
 		if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
 			close_conn(c);
--- /dev/null
+++ b/tests/proc_adapter.c
@@ -0,0 +1,497 @@
+/* The adapter's whole path: real nodes between callers and the emulator's stand-in of the platform. */
+#include "adapted.h"
+
+#include "base/clk.h"
+#include "raw.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define TEST_TIMEOUT_S 120
+#define IN_FORCE_MS 2500 /* of a change, as the users' sheets demand */
+#define MANY 40
+
+static struct adapted *a;
+
+static void set_up(void)
+{
+	a = adapted_new(3);
+}
+
+static void tear_down(void)
+{
+	adapted_free(a);
+}
+
+static void set_faults(enum pse_fault first, enum pse_fault second)
+{
+	pse_set_fault(a->pse, "plain-1", first);
+	pse_set_fault(a->pse, "plain-2", second);
+}
+
+static uint32_t most_runs(void)
+{
+	struct pse_seen one;
+	struct pse_seen two;
+
+	pse_look(a->pse, "plain-1", &one);
+	pse_look(a->pse, "plain-2", &two);
+	return MAX(one.most_runs, two.most_runs);
+}
+
+static const struct {
+	const char *name;
+	const char *target;
+	enum pse_fault first;
+	enum pse_fault second;
+	int status;	  /* 0: none that is whole */
+	const char *part; /* of the answer; NULL: any */
+	bool once;	  /* no engine ran the attempt twice, and no two engines did */
+} cases[] = {
+	{"sound", "/once/x", PSE_SOUND, PSE_SOUND, 200, "body of attempt", true},
+	{"refused by all", "/once/x", PSE_SHED, PSE_SHED, 503, "Retry-After", true},
+	{"refused by one", "/once/x", PSE_SHED, PSE_SOUND, 200, "body of attempt", true},
+	{"address of another", "/once/x", PSE_WRONG, PSE_SOUND, 200, "body of attempt", true},
+	{"answer lost", "/once/x", PSE_LOSE, PSE_LOSE, 502, NULL, true},
+	{"answer cut", "/once/x", PSE_CUT, PSE_CUT, 502, NULL, true},
+	{"failed", "/once/x", PSE_FAIL, PSE_FAIL, 500, "Response-Signature", true},
+	{"no length", "/once/x", PSE_UNFRAMED, PSE_UNFRAMED, 200, "body of attempt", true},
+	{"no length, reset", "/once/x", PSE_UNFRAMED_RESET, PSE_UNFRAMED_RESET, 502, NULL, true},
+	{"silence", "/once/x", PSE_MUTE, PSE_MUTE, 504, NULL, true},
+	{"another's answer", "/once/x", PSE_OTHER, PSE_OTHER, 504, NULL, true},
+	{"safe: lost by one", "/safe/x", PSE_LOSE, PSE_SOUND, 200, "body of attempt", false},
+	{"safe: failed by one", "/safe/x", PSE_FAIL, PSE_SOUND, 200, "body of attempt", false},
+	{"safe: silence of one", "/safe/x", PSE_MUTE, PSE_SOUND, 200, "body of attempt", false},
+	{"safe: cut by one", "/safe/x", PSE_SOUND, PSE_CUT, 200, "body of attempt", false},
+	{"safe: failed by all", "/safe/x", PSE_FAIL, PSE_FAIL, 500, "Response-Signature", false},
+	{"no route", "/none/x", PSE_SOUND, PSE_SOUND, 404, NULL, true},
+};
+
+static uint32_t total_runs(void)
+{
+	struct pse_seen one;
+	struct pse_seen two;
+
+	pse_look(a->pse, "plain-1", &one);
+	pse_look(a->pse, "plain-2", &two);
+	return one.runs + two.runs;
+}
+
+START_TEST(answers)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct adapted_answer answer;
+		uint32_t before = total_runs();
+		set_faults(cases[i].first, cases[i].second);
+		for (uint32_t node = 0; node < a->n_nodes; node++) {
+			adapted_send(a, node, "GET", cases[i].target, NULL, &answer);
+			ck_assert_msg(answer.status == cases[i].status && answer.whole &&
+					      (!cases[i].part ||
+					       strstr(answer.text->str, cases[i].part)),
+				      "%s, node %u: %s", cases[i].name, node, answer.text->str);
+			adapted_clear(&answer);
+		}
+		if (cases[i].once)
+			ck_assert_msg(total_runs() - before <= a->n_nodes, "%s ran twice",
+				      cases[i].name);
+		clk_sleep_ms(1100); /* an engine that fell silent is tried again */
+	}
+	ck_assert_uint_eq(most_runs(), 1);
+}
+END_TEST
+
+/* What an engine answers without a length reaches the caller without one. */
+START_TEST(unframed)
+{
+	struct adapted_answer answer;
+
+	set_faults(PSE_UNFRAMED, PSE_UNFRAMED);
+	adapted_send(a, 0, "GET", "/once/x", NULL, &answer);
+	ck_assert(!strstr(answer.text->str, "Content-Length"));
+	ck_assert(!strstr(answer.text->str, "chunked"));
+	adapted_clear(&answer);
+}
+END_TEST
+
+static const struct {
+	const char *extra;
+	const char *target;
+	int status;
+} requests[] = {
+	{"Content-Length: 3\r\nContent-Length: 4\r\n", "/once/x", 400},
+	{"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "/once/x", 400},
+	{"Kv-From: 127.0.0.1:1/x\r\nX-Currantscale-Tenant: other\r\n", "/once/x", 200},
+	{"X-Currantscale-Inputs: 127.0.0.1:1/x\r\n", "/tell/x", 200},
+};
+
+START_TEST(hostile_requests)
+{
+	struct pse_seen seen;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+		struct adapted_answer answer;
+		adapted_send(a, 0, "GET", requests[i].target, requests[i].extra, &answer);
+		ck_assert_msg(answer.status == requests[i].status, "case %zu: %s", i,
+			      answer.text->str);
+		adapted_clear(&answer);
+	}
+	for (int i = 1; i <= 2; i++) {
+		pse_look(a->pse, i == 1 ? "plain-1" : "plain-2", &seen);
+		ck_assert_uint_eq(seen.bad, 0);
+	}
+}
+END_TEST
+
+/* The ids of a stream's events: each once and in order, or the test fails. Their number. */
+static int count_events(const char *body)
+{
+	int n = 0;
+
+	for (const char *at = body; (at = strstr(at, "id: ")); at++) {
+		ck_assert_int_eq(atoi(at + 4), n);
+		n++;
+	}
+	return n;
+}
+
+START_TEST(streams_resume)
+{
+	struct adapted_answer answer;
+
+	pse_set_fault(a->pse, "model-1", PSE_CUT);
+	for (uint32_t node = 0; node < a->n_nodes; node++) {
+		adapted_send(a, node, "POST", "/resume/x", "Content-Length: 0\r\n", &answer);
+		ck_assert_msg(answer.status == 200 && answer.whole, "%s", answer.text->str);
+		ck_assert_int_eq(count_events(answer.body), 6);
+		adapted_clear(&answer);
+	}
+}
+END_TEST
+
+/* A stream that may not be resumed is cut, and can't be taken for a whole one. */
+START_TEST(streams_cut)
+{
+	struct adapted_answer answer;
+
+	pse_set_fault(a->pse, "model-1", PSE_CUT);
+	pse_set_fault(a->pse, "model-2", PSE_CUT);
+	adapted_send(a, 0, "POST", "/tell/x", "Content-Length: 0\r\n", &answer);
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert(!answer.whole);
+	adapted_clear(&answer);
+}
+END_TEST
+
+#define PIECES "Content-Length: 0\r\nX-Currantscale-Pieces: 2,3\r\nX-Currantscale-Piece-Key: k\r\n"
+
+static uint32_t held_results(void)
+{
+	struct pse_seen first;
+	struct pse_seen second;
+
+	pse_look(a->pse, "first-1", &first);
+	pse_look(a->pse, "second-1", &second);
+	return first.held + second.held;
+}
+
+START_TEST(chains)
+{
+	struct adapted_answer answer;
+	int64_t end_ms;
+
+	for (uint32_t node = 0; node < a->n_nodes; node++) {
+		adapted_send(a, node, "POST", "/chain/x", PIECES, &answer);
+		ck_assert_msg(answer.status == 200 && answer.whole, "%s", answer.text->str);
+		adapted_clear(&answer);
+	}
+	end_ms = clk_now_ms() + 1000;
+	while (held_results() > 0 && clk_now_ms() < end_ms)
+		clk_sleep_ms(20);
+	ck_assert_uint_eq(held_results(), 0);
+}
+END_TEST
+
+struct sender {
+	uint32_t node;
+	const char *target;
+	const char *extra;
+	struct adapted_answer answer;
+};
+
+static gpointer send_one(gpointer arg)
+{
+	struct sender *sender = arg;
+
+	adapted_send(a, sender->node, "POST", sender->target, sender->extra, &sender->answer);
+	return NULL;
+}
+
+/* The node that owns the chains, as the first running one says. */
+static uint32_t find_owner(void)
+{
+	int status;
+	char *text = adapted_get(a->nodes[0].admin, "/status", &status);
+	uint32_t owner = 0;
+
+	ck_assert_int_eq(status, 200);
+	for (uint32_t i = 0; i < a->n_nodes; i++) {
+		if (strstr(text, a->nodes[i].peer))
+			owner = i;
+	}
+	g_free(text);
+	return owner;
+}
+
+/* Chains asked for by nodes that live go on when their owner is killed or stopped. */
+static void lose_owner(int sig)
+{
+	uint32_t owner = find_owner();
+	struct sender senders[2];
+	GThread *threads[2];
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < a->n_nodes; i++) {
+		if (i == owner)
+			continue;
+		senders[n] = (struct sender){.node = i, .target = "/chain/x", .extra = PIECES};
+		threads[n] = g_thread_new("sender", send_one, &senders[n]);
+		n++;
+	}
+	clk_sleep_ms(30);
+	adapted_signal(a, owner, sig);
+	for (uint32_t i = 0; i < n; i++) {
+		g_thread_join(threads[i]);
+		ck_assert_msg(senders[i].answer.status == 200 && senders[i].answer.whole, "%s",
+			      senders[i].answer.text->str);
+		adapted_clear(&senders[i].answer);
+	}
+}
+
+START_TEST(owner_killed)
+{
+	lose_owner(SIGKILL);
+}
+END_TEST
+
+START_TEST(owner_stopped)
+{
+	lose_owner(SIGTERM);
+}
+END_TEST
+
+/* A planned stop answers what it has read, and ends by itself with 0 within its grace. */
+START_TEST(stop_under_load)
+{
+	struct sender senders[MANY];
+	GThread *threads[MANY];
+	int64_t began_ms = clk_now_ms();
+	int state;
+
+	for (int i = 0; i < MANY; i++) {
+		senders[i] = (struct sender){
+			.node = 1,
+			.target = i % 2 ? "/tell/x" : "/once/x",
+			.extra = "Content-Length: 0\r\n",
+		};
+		threads[i] = g_thread_new("sender", send_one, &senders[i]);
+	}
+	clk_sleep_ms(50);
+	state = adapted_signal(a, 1, SIGTERM);
+	ck_assert(WIFEXITED(state) && WEXITSTATUS(state) == 0);
+	ck_assert_int_lt(clk_now_ms() - began_ms, 8000);
+	for (int i = 0; i < MANY; i++) {
+		g_thread_join(threads[i]);
+		ck_assert_msg(senders[i].answer.status == 200 && senders[i].answer.whole, "%d: %s", i,
+			      senders[i].answer.text->str);
+		adapted_clear(&senders[i].answer);
+	}
+}
+END_TEST
+
+static int status_of(uint32_t node, const char *target, const char *extra)
+{
+	struct adapted_answer answer;
+	int status;
+
+	adapted_send(a, node, "GET", target, extra, &answer);
+	status = answer.status;
+	adapted_clear(&answer);
+	return status;
+}
+
+/* Versions go on and never back; keys and routes are in force in time. */
+START_TEST(versions)
+{
+	adapted_configure(a, 9, "key-1", "key-9");
+	clk_sleep_ms(IN_FORCE_MS);
+	for (uint32_t i = 0; i < a->n_nodes; i++)
+		ck_assert_int_eq(status_of(i, "/once/x", NULL), 401);
+	ck_assert_int_eq(status_of(0, "/public/x", NULL), 200);
+	adapted_configure(a, 8, NULL, NULL);
+	clk_sleep_ms(IN_FORCE_MS);
+	ck_assert_int_eq(status_of(0, "/once/x", NULL), 401);
+	adapted_configure(a, 12, "/once/", "/again/");
+	clk_sleep_ms(IN_FORCE_MS);
+	ck_assert_int_eq(status_of(1, "/once/x", NULL), 404);
+	ck_assert_int_eq(status_of(1, "/again/x", NULL), 200);
+}
+END_TEST
+
+static uint32_t arrivals(const char *id)
+{
+	struct pse_seen seen;
+
+	pse_look(a->pse, id, &seen);
+	return seen.arrivals;
+}
+
+/* After the time that a change may take, none of many requests reaches the engine. */
+static void expect_left_alone(const char *id)
+{
+	uint32_t before;
+
+	clk_sleep_ms(IN_FORCE_MS);
+	before = arrivals(id);
+	for (int i = 0; i < MANY; i++)
+		ck_assert_int_eq(status_of((uint32_t)i % a->n_nodes, "/safe/x", NULL), 200);
+	ck_assert_uint_eq(arrivals(id), before);
+}
+
+START_TEST(leaving_engine)
+{
+	pse_publish(a->pse, "plain-1", "draining");
+	expect_left_alone("plain-1");
+}
+END_TEST
+
+START_TEST(gone_engine)
+{
+	pse_publish(a->pse, "plain-1", NULL);
+	expect_left_alone("plain-1");
+}
+END_TEST
+
+START_TEST(centre_out)
+{
+	pse_put(a->pse, "op/evacuate/a1", "{}");
+	expect_left_alone("plain-1");
+	pse_put(a->pse, "op/evacuate/a1", NULL);
+	pse_publish(a->pse, "plain-2", "draining");
+	expect_left_alone("plain-2");
+}
+END_TEST
+
+/* An entry that can't be read names no engine, and the others hold. */
+START_TEST(broken_entries)
+{
+	static const char *const values[] = {"", "{", "[]", "{\"service\":3}",
+					     "{\"service\":\"plain\",\"address\":\"x\",\"zone\":\"a1\","
+					     "\"state\":\"odd\",\"slots\":1,\"coldLeftMs\":0}"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		char *key = g_strdup_printf("servers/broken-%zu", i);
+		pse_put(a->pse, key, values[i]);
+		g_free(key);
+	}
+	pse_put(a->pse, "other/key", "x");
+	pse_publish(a->pse, "plain-1", "draining");
+	expect_left_alone("plain-1");
+}
+END_TEST
+
+static const struct {
+	enum pse_store_fault fault;
+	const char *prefix; /* of the public route from then on */
+} outages[] = {
+	{PSE_STORE_BUSY, "/busy/"},
+	{PSE_STORE_SILENT, "/silent/"},
+	{PSE_STORE_FORGOT, "/forgot/"},
+};
+
+/* Service goes on while the source is away, and what changed meanwhile is in force after it. */
+START_TEST(source_away)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(outages); i++) {
+		pse_set_store_fault(a->pse, outages[i].fault);
+		clk_sleep_ms(3000);
+		ck_assert_msg(status_of(0, "/once/x", NULL) == 200, "%s", outages[i].prefix);
+		adapted_configure(a, 20 + (int)i, "/public/", outages[i].prefix);
+		pse_set_store_fault(a->pse, PSE_STORE_SOUND);
+		clk_sleep_ms(IN_FORCE_MS + 1500); /* the source is asked again after some time */
+		ck_assert_msg(status_of(0, outages[i].prefix, NULL) == 200, "%s",
+			      outages[i].prefix);
+	}
+}
+END_TEST
+
+static bool names(const char *body, uint32_t node)
+{
+	return strstr(body, a->nodes[node].front) != NULL;
+}
+
+/* Addresses: all that are ready; none that is dead or stopping, after a few seconds. */
+START_TEST(addresses)
+{
+	static const char question[] = "/-/resolve?name=h.example&region=r&zone=a1";
+	int status;
+	char *body = adapted_get(a->nodes[0].lookup, question, &status);
+
+	ck_assert_int_eq(status, 200);
+	for (uint32_t i = 0; i < a->n_nodes; i++)
+		ck_assert_msg(names(body, i), "node %u isn't named: %s", i, body);
+	g_free(body);
+	adapted_signal(a, 2, SIGKILL);
+	adapted_signal(a, 1, SIGTERM);
+	clk_sleep_ms(4000);
+	body = adapted_get(a->nodes[0].lookup, question, &status);
+	ck_assert_int_eq(status, 200);
+	ck_assert(names(body, 0) && !names(body, 1) && !names(body, 2));
+	g_free(body);
+}
+END_TEST
+
+START_TEST(metrics)
+{
+	int status;
+	char *body;
+
+	ck_assert_int_eq(status_of(0, "/once/x", NULL), 200);
+	body = adapted_get(a->nodes[0].metrics, "/metrics", &status);
+	ck_assert_int_eq(status, 200);
+	ck_assert(strstr(body, "currantscale_served_total 1") != NULL);
+	ck_assert(strstr(body, "currantscale_first_byte_ms_count 1") != NULL);
+	g_free(body);
+	body = adapted_get(a->nodes[0].admin, "/dump", &status);
+	ck_assert_int_eq(status, 200);
+	ck_assert(strstr(body, "plain-1") != NULL);
+	g_free(body);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		answers,      unframed,	      hostile_requests, streams_resume, streams_cut,
+		chains,	      owner_killed,   owner_stopped,	stop_under_load, versions,
+		leaving_engine, gone_engine,  centre_out,	broken_entries, source_away,
+		addresses,    metrics,
+	};
+	Suite *suite = suite_create("proc_adapter");
+	TCase *tcase = tcase_create("all");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
+		tcase_add_test(tcase, tests[i]);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed > 0;
+}
