--- a/packages/decide/chn_int.h
+++ b/packages/decide/chn_int.h
@@ -23,7 +23,7 @@
 #define CHN_EXPIRY_MARGIN_MS 400 /* before a result runs out, for the call that fetches it */
 #define CHN_COST_GAIN 0.1	/* of the newest call in the mean cost of a piece */
 #define CHN_COST_SHARE 0.5	/* of the measured cost of a piece beyond that in a full call */
-#define CHN_LATE_MAX_MS 4000	/* for a chain that is late: its first results are kept for some 4 s */
+#define CHN_LATE_MAX_MS 3000	/* for a chain that is late: its first results are kept for some 4 s */
 #define CHN_LATE_FACTOR 1.5	/* of the time foretold has to fit into its deadline */
 #define CHN_PROMISE_MARGIN_MS 300 /* beyond the time foretold, within which a late chain is served */
 #define CHN_TRIES_MAX 4		   /* failures of one piece before its chain is given up */
--- /dev/null
+++ b/tests/run_tests.h
@@ -0,0 +1,25 @@
+/* The frame that the tables of cases share. */
+#ifndef TESTS_RUN_TESTS_H
+#define TESTS_RUN_TESTS_H
+
+#include <check.h>
+
+/* Runs the tests of one program; the exit code of main(). */
+static inline int run_tests(const char *name, const TTest *const *tests, size_t n)
+{
+	Suite *suite = suite_create(name);
+	TCase *tcase = tcase_create("all");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tcase, 60);
+	for (size_t i = 0; i < n; i++)
+		tcase_add_test(tcase, tests[i]);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed > 0;
+}
+
+#endif
--- /dev/null
+++ b/tests/unit_chain.c
@@ -0,0 +1,361 @@
+/* The owner of chains under named patterns of load, with a fake clock and upstreams of fixed speed. */
+#include "run_tests.h"
+
+#include "decide/chn.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_MS 5
+#define JOBS_MAX 1000
+#define CALLS_MAX 64
+
+struct running {
+	uint64_t id;
+	uint32_t n;
+	int64_t end_ms;
+};
+
+static struct {
+	struct chn *c;
+	int64_t now_ms;
+	struct running calls[CALLS_MAX];
+	uint32_t n_calls;
+	uint64_t next_handle;
+	uint32_t sent; /* pieces */
+	uint32_t calls_sent;
+	struct {
+		int64_t aim_ms;
+		int64_t ready_ms; /* 0: not ready */
+		int64_t refused_ms;
+		int32_t rank;
+	} jobs[JOBS_MAX];
+} w;
+
+static struct pub_doc *pools(void)
+{
+	static const struct {
+		const char *name;
+		int32_t batch;
+		double piece_ms;
+		int64_t room;
+	} specs[] = {{"soil", 8, 21, 18000000}, {"portal", 8, 21, 1100000}, {"map", 16, 11, 220000}};
+	struct pub_doc *doc = pub_doc_new();
+
+	doc->n_services = G_N_ELEMENTS(specs);
+	doc->services = g_new0(struct pub_service, G_N_ELEMENTS(specs));
+	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
+		doc->services[i].name = g_strdup(specs[i].name);
+		doc->services[i].pool = (struct pub_pool){.present = true,
+							  .slots = 1,
+							  .queue_depth = 2,
+							  .batch_size = specs[i].batch,
+							  .call_ms = 200,
+							  .piece_ms = specs[i].piece_ms,
+							  .room_bytes = specs[i].room,
+							  .handle_ms = 4000};
+	}
+	pub_doc_seal(doc);
+	return doc;
+}
+
+/* engines: of each pool. */
+static void publish(int engines)
+{
+	static const char *const names[] = {"soil", "portal", "map"};
+	struct chn_upstream_doc docs[30];
+	static char ids[30][16];
+	uint32_t n = 0;
+
+	for (int p = 0; p < 3; p++) {
+		for (int i = 0; i < engines; i++) {
+			g_snprintf(ids[n], sizeof(ids[n]), "%s-%d", names[p], i);
+			docs[n] = (struct chn_upstream_doc){.id = ids[n],
+							    .service = names[p],
+							    .address = "10.0.0.1:1",
+							    .data_centre = "a",
+							    .region = "r",
+							    .usable = true};
+			n++;
+		}
+	}
+	chn_set_upstreams(w.c, docs, n, w.now_ms);
+}
+
+static void start(int engines)
+{
+	struct pub_doc *doc = pools();
+
+	memset(&w, 0, sizeof(w));
+	w.c = chn_new();
+	w.now_ms = 10000;
+	chn_set_pools(w.c, doc);
+	pub_doc_unref(doc);
+	publish(engines);
+}
+
+static double piece_ms(const char *upstream)
+{
+	return upstream[0] == 'm' ? 11 : 21;
+}
+
+static void take(GArray *out)
+{
+	for (guint i = 0; i < out->len; i++) {
+		const struct chn_cmd *cmd = &g_array_index(out, struct chn_cmd, i);
+		if (cmd->kind == CHN_CMD_CALL) {
+			ck_assert_uint_lt(w.n_calls, CALLS_MAX);
+			w.calls[w.n_calls++] = (struct running){
+				cmd->call, cmd->n_pieces,
+				w.now_ms + 200 + (int64_t)(piece_ms(cmd->upstream) * cmd->n_pieces)};
+			w.sent += cmd->n_pieces;
+			w.calls_sent++;
+		} else if (cmd->kind == CHN_CMD_READY) {
+			w.jobs[cmd->job].ready_ms = w.now_ms;
+		} else if (cmd->kind == CHN_CMD_REFUSE) {
+			w.jobs[cmd->job].refused_ms = w.now_ms;
+		}
+	}
+	g_array_unref(out);
+}
+
+static void submit(uint64_t id, int64_t aim_ms, int64_t deadline_ms, int32_t rank)
+{
+	struct chn_stage_doc stages[] = {
+		{(char *)"soil", 0, 1, 8000},
+		{(char *)"portal", 1, 4, 60000},
+		{(char *)"map", 2, 10, 6000},
+	};
+	const struct chn_job_doc doc = {.id = id,
+					.asker = "n",
+					.attempt = "x",
+					.key = "k",
+					.stages = stages,
+					.n_stages = 3,
+					.aim_at_ms = w.now_ms + aim_ms,
+					.deadline_at_ms = w.now_ms + deadline_ms,
+					.rank = rank,
+					.data_centre = "a"};
+	GArray *out = chn_out_new();
+
+	w.jobs[id].aim_ms = w.now_ms + aim_ms;
+	w.jobs[id].rank = rank;
+	chn_submit(w.c, &doc, NULL, 0, w.now_ms, out);
+	take(out);
+}
+
+static void end_call(uint32_t i)
+{
+	struct chn_result results[32] = {0};
+	char handles[32][32];
+	struct running call = w.calls[i];
+	GArray *out = chn_out_new();
+
+	w.calls[i] = w.calls[--w.n_calls];
+	for (uint32_t k = 0; k < call.n; k++) {
+		g_snprintf(handles[k], sizeof(handles[k]), "10.0.0.1:1/%" G_GUINT64_FORMAT,
+			   w.next_handle++);
+		results[k] = (struct chn_result){CHN_OK, handles[k]};
+	}
+	chn_call_done(w.c, call.id, results, call.n, 0, w.now_ms, out);
+	take(out);
+}
+
+/* The engine has begun with each request 150 ms after its results were there. */
+static void end_jobs(uint64_t n)
+{
+	for (uint64_t id = 0; id < n; id++) {
+		if (w.jobs[id].ready_ms > 0 && w.now_ms == w.jobs[id].ready_ms + 150) {
+			GArray *out = chn_out_new();
+			chn_end(w.c, id, w.now_ms, out);
+			take(out);
+		}
+	}
+}
+
+static void pass(int64_t ms, uint64_t n)
+{
+	for (int64_t end_ms = w.now_ms + ms; w.now_ms < end_ms;) {
+		w.now_ms += STEP_MS;
+		for (uint32_t i = w.n_calls; i > 0; i--) {
+			if (w.calls[i - 1].end_ms <= w.now_ms)
+				end_call(i - 1);
+		}
+		end_jobs(n);
+		if (w.now_ms % CHN_TICK_MS == 0) {
+			GArray *out = chn_out_new();
+			chn_tick(w.c, w.now_ms, out);
+			take(out);
+		}
+	}
+}
+
+struct tally {
+	uint32_t in_time;
+	uint32_t late;
+	uint32_t refused_at_once;
+	uint32_t refused_later;
+};
+
+static struct tally count(uint64_t n, int32_t rank)
+{
+	struct tally t = {0};
+
+	for (uint64_t id = 0; id < n; id++) {
+		if (rank >= 0 && w.jobs[id].rank != rank)
+			continue;
+		if (w.jobs[id].ready_ms > 0) {
+			if (w.jobs[id].ready_ms + CHN_FIRST_TOKEN_MS <= w.jobs[id].aim_ms)
+				t.in_time++;
+			else
+				t.late++;
+		} else if (w.jobs[id].refused_ms > 0 &&
+			   w.jobs[id].refused_ms <= w.jobs[id].aim_ms - 1700) {
+			t.refused_at_once++;
+		} else {
+			t.refused_later++;
+		}
+	}
+	return t;
+}
+
+/* A single chain takes no longer than its calls. */
+START_TEST(one_chain)
+{
+	start(3);
+	submit(0, 2000, 6000, 0);
+	pass(3000, 1);
+	ck_assert_int_gt(w.jobs[0].ready_ms, 0);
+	ck_assert_int_le(w.jobs[0].ready_ms - 10000, 221 + 284 + 310 + 3 * STEP_MS);
+	ck_assert_uint_eq(chn_count_jobs(w.c), 0);
+}
+END_TEST
+
+/* Chains that come together share calls. */
+START_TEST(calls_fill_up)
+{
+	start(1);
+	for (uint64_t id = 0; id < 8; id++)
+		submit(id, 6000, 12000, 0);
+	pass(12000, 8);
+	ck_assert_uint_eq(count(8, -1).in_time + count(8, -1).late, 8);
+	ck_assert_uint_eq(w.sent, 8 * 15);
+	/* one piece of the first pool, then all that wait: far fewer calls than 24 */
+	ck_assert_uint_le(w.calls_sent, 15);
+}
+END_TEST
+
+/* rate: chains a second over 20 s; nearly all in time while the pools can carry them. */
+static struct tally load(double rate, int engines, bool ranks)
+{
+	uint64_t n = (uint64_t)(rate * 20);
+
+	start(engines);
+	for (uint64_t id = 0; id < n && id < JOBS_MAX; id++) {
+		submit(id, 2000, 6000, ranks ? (int32_t)(id % 2) : 0);
+		pass((int64_t)(1000 / rate) / STEP_MS * STEP_MS, n);
+	}
+	pass(10000, n);
+	return count(n, -1);
+}
+
+START_TEST(calm_load)
+{
+	struct tally t = load(6, 4, false);
+
+	ck_assert_uint_ge(t.in_time, 118);
+	ck_assert_uint_eq(t.refused_at_once + t.refused_later, 0);
+}
+END_TEST
+
+/* Twice what the pools carry: much is in time, and what isn't served is refused at once. */
+START_TEST(twice_the_load)
+{
+	struct tally t = load(20, 2, false);
+	if (g_getenv("CS_TALLY"))
+		g_printerr("in time %u late %u at once %u later %u\n", t.in_time, t.late, t.refused_at_once, t.refused_later);
+
+	ck_assert_msg(t.in_time >= 100, "%u in time", t.in_time);
+	ck_assert_msg(t.refused_at_once >= 100, "%u refused at once", t.refused_at_once);
+	ck_assert_msg(t.refused_later <= 20, "%u refused after work on them", t.refused_later);
+}
+END_TEST
+
+/* Under too much load the more urgent half is served better. */
+START_TEST(rank_under_load)
+{
+	struct tally urgent;
+	struct tally other;
+
+	load(20, 2, true);
+	urgent = count(400, 0);
+	other = count(400, 1);
+	ck_assert_msg(urgent.in_time > other.in_time, "%u %u", urgent.in_time, other.in_time);
+}
+END_TEST
+
+/* A pool that loses its engines' answers goes on with those that are left. */
+START_TEST(broken_calls)
+{
+	GArray *out;
+
+	start(2);
+	submit(0, 4000, 8000, 0);
+	out = chn_out_new();
+	chn_call_failed(w.c, w.calls[0].id, CHN_CALL_FAILED, w.now_ms, out);
+	w.n_calls = 0;
+	take(out);
+	pass(4000, 1);
+	ck_assert_int_gt(w.jobs[0].ready_ms, 0);
+}
+END_TEST
+
+/* What stands travels with a chain to its next owner, which does none of it again. */
+START_TEST(hand_over)
+{
+	struct chn *old;
+	GArray *out = chn_out_new();
+	uint32_t before = 0;
+
+	start(2);
+	submit(0, 4000, 8000, 0);
+	pass(300, 1); /* the first stage is done, the second runs */
+	old = w.c;
+	chn_set_handing(old, true);
+	while (w.n_calls > 0)
+		end_call(0);
+	w.now_ms += CHN_TICK_MS;
+	chn_tick(old, w.now_ms, out);
+	ck_assert_uint_eq(chn_count_jobs(old), 0);
+	for (guint i = 0; i < out->len; i++) {
+		struct chn_cmd *cmd = &g_array_index(out, struct chn_cmd, i);
+		GArray *next = chn_out_new();
+		if (cmd->kind != CHN_CMD_HAND) {
+			g_array_unref(next);
+			continue;
+		}
+		struct pub_doc *doc = pools();
+		w.c = chn_new();
+		chn_set_pools(w.c, doc);
+		pub_doc_unref(doc);
+		publish(2);
+		before = w.sent;
+		ck_assert_uint_eq(cmd->n_done, 5);
+		chn_submit(w.c, &cmd->doc, cmd->done, cmd->n_done, w.now_ms, next);
+		take(next);
+	}
+	g_array_unref(out);
+	pass(1000, 1);
+	ck_assert_int_gt(w.jobs[0].ready_ms, 0);
+	ck_assert_uint_eq(w.sent - before, 10);
+	chn_free(old);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {one_chain,       calls_fill_up, calm_load, twice_the_load,
+				      rank_under_load, broken_calls,  hand_over};
+
+	return run_tests("unit_chain", tests, G_N_ELEMENTS(tests));
+}
--- /dev/null
+++ b/tests/unit_fleet.c
@@ -0,0 +1,271 @@
+/* Membership by gossip, budgets, and the choice of an upstream. */
+#include "run_tests.h"
+
+#include "decide/bud.h"
+#include "decide/fle.h"
+#include "decide/sel.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define T0 100000
+#define NODES 12
+
+static struct fle *nodes[NODES];
+static struct rnd rnd;
+
+static struct fle_record record(int i, uint64_t incarnation)
+{
+	struct fle_record r = {.incarnation = incarnation, .ready = true};
+
+	g_snprintf(r.peer_address, sizeof(r.peer_address), "10.0.0.%d:1", i);
+	g_snprintf(r.caller_address, sizeof(r.caller_address), "10.0.0.%d:2", i);
+	return r;
+}
+
+static void start_node(int i, uint64_t incarnation, int64_t now_ms)
+{
+	struct fle_record r = record(i, incarnation);
+
+	fle_free(nodes[i]);
+	nodes[i] = fle_new(&r, now_ms);
+	fle_set_self(nodes[i], true, false);
+}
+
+static void start(void)
+{
+	rnd.state = 7;
+	for (int i = 0; i < NODES; i++)
+		start_node(i, (uint64_t)(1000 + i), T0);
+}
+
+static void stop(void)
+{
+	for (int i = 0; i < NODES; i++) {
+		fle_free(nodes[i]);
+		nodes[i] = NULL;
+	}
+}
+
+/* A round of all that run; cut: no message passes between the first half and the rest. */
+static void round_of_gossip(int64_t now_ms, uint32_t dead, bool cut)
+{
+	const char *const seeds[] = {"10.0.0.0:1", "10.0.0.7:1"};
+
+	for (int i = 0; i < NODES; i++) {
+		char targets[8][FLE_NAME_BYTES];
+		struct fle_record records[FLE_RECORDS_MAX];
+		uint32_t n;
+		uint32_t n_records;
+		if (dead & (1U << i))
+			continue;
+		fle_round(nodes[i], now_ms);
+		n = fle_targets(nodes[i], seeds, 2, &rnd, targets, 8, now_ms);
+		n_records = fle_fill(nodes[i], records, FLE_RECORDS_MAX, &rnd, now_ms);
+		for (uint32_t k = 0; k < n; k++) {
+			int to = atoi(targets[k] + strlen("10.0.0."));
+			if ((dead & (1U << to)) || (cut && (i < NODES / 2) != (to < NODES / 2)))
+				continue;
+			fle_take(nodes[to], records, n_records, now_ms);
+		}
+	}
+}
+
+static void run_rounds(int from, int to, uint32_t dead, bool cut)
+{
+	for (int i = from; i < to; i++)
+		round_of_gossip(T0 + i * FLE_BEAT_MS, dead, cut);
+}
+
+static int64_t at(int round)
+{
+	return T0 + round * FLE_BEAT_MS;
+}
+
+static void expect_owner(int owner, uint32_t dead, int64_t now_ms)
+{
+	char address[FLE_NAME_BYTES];
+
+	g_snprintf(address, sizeof(address), "10.0.0.%d:1", owner);
+	for (int i = 0; i < NODES; i++) {
+		if (!(dead & (1U << i)))
+			ck_assert_str_eq(
+				fle_owner(nodes[i], NULL, now_ms)->record.peer_address, address);
+	}
+}
+
+START_TEST(finds_all_through_seeds)
+{
+	start();
+	run_rounds(0, 6, 0, false);
+	for (int i = 0; i < NODES; i++)
+		ck_assert_uint_eq(fle_count_alive(nodes[i], at(6)), NODES);
+	expect_owner(0, 0, at(6));
+	stop();
+}
+END_TEST
+
+START_TEST(notices_the_dead_and_keeps_the_rest)
+{
+	start();
+	run_rounds(0, 8, 0, false);
+	run_rounds(8, 18, 1, false);
+	for (int i = 1; i < NODES; i++)
+		ck_assert_uint_eq(fle_count_alive(nodes[i], at(18)), NODES - 1);
+	expect_owner(1, 1, at(18));
+	/* it starts anew: alive again, but it takes nothing over from those that run longer */
+	start_node(0, 5000, at(18));
+	run_rounds(18, 26, 0, false);
+	ck_assert_uint_eq(fle_count_alive(nodes[5], at(26)), NODES);
+	expect_owner(1, 0, at(26));
+	stop();
+}
+END_TEST
+
+START_TEST(heals_after_a_cut)
+{
+	start();
+	run_rounds(0, 8, 0, false);
+	run_rounds(8, 40, 0, true);
+	ck_assert_uint_eq(fle_count_alive(nodes[0], at(40)), NODES / 2);
+	ck_assert_uint_eq(fle_count_alive(nodes[NODES - 1], at(40)), NODES / 2);
+	run_rounds(40, 56, 0, false);
+	for (int i = 0; i < NODES; i++)
+		ck_assert_uint_eq(fle_count_alive(nodes[i], at(56)), NODES);
+	stop();
+}
+END_TEST
+
+START_TEST(outbids_its_own_past)
+{
+	struct fle_record past = record(3, 9999);
+
+	start();
+	fle_take(nodes[3], &past, 1, T0);
+	run_rounds(0, 8, 0, false);
+	ck_assert_uint_eq(fle_find(nodes[0], "10.0.0.3:1")->record.incarnation, 10000);
+	stop();
+}
+END_TEST
+
+START_TEST(a_stopping_node_owns_nothing)
+{
+	start();
+	run_rounds(0, 6, 0, false);
+	fle_set_self(nodes[0], false, true);
+	run_rounds(6, 12, 0, false);
+	expect_owner(1, 0, at(12));
+	stop();
+}
+END_TEST
+
+START_TEST(budget_slides)
+{
+	const struct bud_limit limit = {.ratio = 0.2, .slack = 14, .nodes = 7, .headroom = 1.0};
+	struct bud b;
+	uint32_t sent = 0;
+
+	bud_init(&b, 10000);
+	bud_add_requests(&b, 50, T0);
+	while (bud_allows(&b, &limit, 1, T0)) {
+		bud_add_repeats(&b, 1, T0);
+		sent++;
+	}
+	ck_assert_uint_eq(sent, 12); /* 0.2 x 50 + 14 / 7 */
+	ck_assert(!bud_allows(&b, &limit, 1, T0 + 9000));
+	ck_assert(bud_allows(&b, &limit, 1, T0 + 10500));
+	ck_assert_uint_eq(bud_repeats(&b, T0 + 10500), 0);
+}
+END_TEST
+
+/* No second sees more than the rate and the depth together, whatever the spacing. */
+START_TEST(tokens_bound_each_second)
+{
+	struct bud_tokens t = {0};
+	int64_t taken[400];
+	uint32_t n = 0;
+
+	for (int64_t ms = T0; ms < T0 + 20000 && n < 400; ms += 7) {
+		if (bud_take(&t, 4.0, 1.0, ms))
+			taken[n++] = ms;
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t within = 0;
+		for (uint32_t k = i; k < n && taken[k] < taken[i] + 1000; k++)
+			within++;
+		ck_assert_uint_le(within, 5);
+	}
+	ck_assert_uint_ge(n, 75);
+}
+END_TEST
+
+static const struct {
+	const char *name;
+	struct sel_request request;
+	struct sel_candidate candidates[3];
+	int picked;
+} picks[] = {
+	{"nearest", {0}, {{.id = "a", .distance = SEL_OTHER_REGION}, {.id = "b"}, {.id = "c", .distance = SEL_OTHER_REGION}}, 1},
+	{"busy one spills", {0}, {{.id = "a", .in_flight = 3}, {.id = "b", .distance = SEL_SAME_REGION}}, 1},
+	{"failing one is left", {0}, {{.id = "a", .failed = 0.5}, {.id = "b", .distance = SEL_OTHER_REGION}}, 1},
+	{"silent one is left", {0}, {{.id = "a", .blocked = true}, {.id = "b", .distance = SEL_OTHER_REGION, .in_flight = 5}}, 1},
+	{"silent one is better than none", {0}, {{.id = "a", .blocked = true}, {.id = "b", .tried = true}}, 0},
+	{"nothing is left", {0}, {{.id = "a", .tried = true}, {.id = "b", .cold = true}, {.id = "c", .full = true}}, -1},
+};
+
+START_TEST(picks_upstreams)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(picks); i++) {
+		uint32_t n = 0;
+		while (n < 3 && picks[i].candidates[n].id)
+			n++;
+		ck_assert_msg(sel_pick(&picks[i].request, picks[i].candidates, n) == picks[i].picked,
+			      "%s", picks[i].name);
+	}
+}
+END_TEST
+
+/* Requests of a session meet one engine from every node; sessions spread over all engines. */
+START_TEST(sessions_stay_and_spread)
+{
+	struct sel_candidate engines[9];
+	uint32_t load[9] = {0};
+	char ids[9][8];
+
+	for (int i = 0; i < 9; i++) {
+		g_snprintf(ids[i], sizeof(ids[i]), "e%d", i);
+		engines[i] = (struct sel_candidate){.id = ids[i]};
+	}
+	for (uint64_t session = 1; session <= 900; session++) {
+		const struct sel_request request = {.is_generation = true,
+						    .prefix = 1 + session % 4,
+						    .prefix_ms = 65,
+						    .session = session * 7919,
+						    .session_ms = 98};
+		int first = -1;
+		for (int from = 0; from < 3; from++) {
+			for (int k = 0; k < 9; k++)
+				engines[k].distance =
+					k / 3 == from ? SEL_SAME_CENTRE : SEL_OTHER_REGION;
+			int picked = sel_pick(&request, engines, 9);
+			if (from == 0)
+				first = picked;
+			load[picked]++;
+		}
+		ck_assert_int_ge(first, 0);
+	}
+	for (int i = 0; i < 9; i++)
+		ck_assert_msg(load[i] > 150 && load[i] < 600, "%s got %u of 2700", ids[i], load[i]);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		finds_all_through_seeds, notices_the_dead_and_keeps_the_rest, heals_after_a_cut,
+		outbids_its_own_past,	 a_stopping_node_owns_nothing,	      budget_slides,
+		tokens_bound_each_second, picks_upstreams,		      sessions_stay_and_spread,
+	};
+
+	return run_tests("unit_fleet", tests, G_N_ELEMENTS(tests));
+}
