--- a/packages/decide/chn.c
+++ b/packages/decide/chn.c
@@ -622,8 +622,7 @@
 {
 	for (uint32_t i = 0; i < s->n_pieces; i++) {
 		const struct upstream *u = s->pieces[i].maker;
-		if (u && (double)u->room_used >
-				 CHN_SCARCE_SHARE * (double)u->pool->doc.room_bytes)
+		if (u && (double)u->room_used > CHN_SCARCE_SHARE * (double)u->pool->doc.room_bytes)
 			return true;
 	}
 	return false;
--- a/packages/decide/chn_admit.c
+++ b/packages/decide/chn_admit.c
@@ -43,7 +43,8 @@
 	return n;
 }
 
-/* Pieces that have to be done in the pool before those of job: of all chains, or of those that go first. */
+/* Pieces that have to be done in the pool before those of job: of all chains, or of those that go
+ * first. */
 static uint32_t pieces_ahead(const struct chn *c, const struct job *job, const struct pool *pool,
 			     bool all)
 {
@@ -91,8 +92,9 @@
 	job->expect_at_ms = foretell(c, job, true, now_ms);
 	in_ms = job->expect_at_ms - now_ms;
 	job->promise_at_ms = job->expect_at_ms + CHN_PROMISE_MARGIN_MS;
-	if (in_ms <= CHN_LATE_MAX_MS && now_ms + (int64_t)(in_ms * CHN_LATE_FACTOR) +
-						CHN_DEADLINE_MARGIN_MS <= job->deadline_at_ms)
+	if (in_ms <= CHN_LATE_MAX_MS &&
+	    now_ms + (int64_t)(in_ms * CHN_LATE_FACTOR) + CHN_DEADLINE_MARGIN_MS <=
+		    job->deadline_at_ms)
 		return NULL;
 	/* by then the queue has shrunk to what a late chain may wait behind */
 	*retry_ms = CLAMP(in_ms - CHN_LATE_MAX_MS / 2, CHN_RETRY_MIN_MS, CHN_RETRY_MAX_MS);
--- a/packages/decide/chn_call.c
+++ b/packages/decide/chn_call.c
@@ -146,10 +146,24 @@
 	}
 }
 
+/* How one call is to be filled. */
+struct call_plan {
+	uint32_t limit; /* pieces */
+	bool near_only; /* besides the first chain: other upstreams idle for those of other centres */
+};
+
+static const char *home_of(const struct entry *e);
+
+static bool is_near(const struct upstream *u, const struct entry *e)
+{
+	return strcmp(u->data_centre, home_of(e)) == 0;
+}
+
 /* Fills one call in the order of the entries; false when nothing fits. */
-static bool form_call(struct chn *c, struct upstream *u, const GArray *entries, uint32_t limit,
-		      int64_t now_ms, GArray *out)
+static bool form_call(struct chn *c, struct upstream *u, const GArray *entries,
+		      const struct call_plan *plan, int64_t now_ms, GArray *out)
 {
+	uint32_t limit = plan->limit;
 	struct call *call = g_new0(struct call, 1);
 	struct chn_cmd cmd = {.kind = CHN_CMD_CALL};
 
@@ -158,7 +172,7 @@
 	cmd.pieces = g_new0(struct chn_piece, limit);
 	for (guint i = 0; i < entries->len && call->n < limit; i++) {
 		const struct entry *e = &g_array_index(entries, struct entry, i);
-		if (!may_serve(u, e->job))
+		if (!may_serve(u, e->job) || (i > 0 && plan->near_only && !is_near(u, e)))
 			continue;
 		add_entry(call, &cmd, e, fitting(u, e, call, limit, now_ms), now_ms);
 	}
@@ -277,7 +291,11 @@
 					    now_ms, &n_idle);
 		if (!u)
 			break;
-		if (!form_call(c, u, entries, call_limit(pool, entries, n_idle), now_ms, out))
+		const struct call_plan plan = {
+			.limit = call_limit(pool, entries, n_idle),
+			.near_only = n_idle > 1,
+		};
+		if (!form_call(c, u, entries, &plan, now_ms, out))
 			g_hash_table_add(tried, u);
 		drop_started(entries);
 	}
--- a/packages/decide/chn_hand.c
+++ b/packages/decide/chn_hand.c
@@ -115,7 +115,8 @@
 	}
 }
 
-static void adopt_result(struct chn *c, struct job *job, const struct chn_done *done, int64_t now_ms)
+static void adopt_result(struct chn *c, struct job *job, const struct chn_done *done,
+			 int64_t now_ms)
 {
 	struct upstream *u = g_hash_table_lookup(c->upstreams, done->upstream);
 	struct stage *s;
--- a/packages/decide/chn_int.h
+++ b/packages/decide/chn_int.h
@@ -6,7 +6,7 @@
 
 /* A pool's work of the stages after this one, in ms: ordering alone depends on it. */
 #define CHN_STAGE_SHARE_MS 600
-#define CHN_RANK_MS 200 /* of latest start that one rank is worth: most of a call */
+#define CHN_RANK_MS 200	       /* of latest start that one rank is worth: most of a call */
 #define CHN_ROOM_SHARE 1.0     /* of the announced room that is planned with */
 #define CHN_OVERDUE_FACTOR 2   /* times the expected time, after which pieces go elsewhere */
 #define CHN_OVERDUE_MS 200     /* besides: transport and the upstream's own jitter */
@@ -14,19 +14,22 @@
 #define CHN_SLOW_PROBE_MS 3000 /* between two calls to a slow upstream */
 #define CHN_RATIO_GAIN 0.3     /* of the newest call in the mean ratio */
 #define CHN_FULL_PAUSE_MS 60   /* before an upstream that refused is asked again */
-#define CHN_ROOM_PAUSE_MS 200   /* before one that had no room at all is asked again */
+#define CHN_ROOM_PAUSE_MS 200  /* before one that had no room at all is asked again */
 #define CHN_BAD_PAUSE_MS 500   /* after a failure; doubles with each in a row */
 #define CHN_BAD_PAUSE_MAX_MS 4000
-#define CHN_FETCHED_MS 60	/* after the sending of a call to an idle upstream, it holds its inputs */
-#define CHN_SCARCE_SHARE 0.4	/* of the room in use, from which inputs are given up once fetched */
-#define CHN_SHARED_MS 2000	/* an upstream had calls of another owner lately */
+#define CHN_FETCHED_MS 60 /* after the sending of a call to an idle upstream, it holds its inputs  \
+			   */
+#define CHN_SCARCE_SHARE 0.4 /* of the room in use, from which inputs are given up once fetched */
+#define CHN_SHARED_MS 2000   /* an upstream had calls of another owner lately */
 #define CHN_EXPIRY_MARGIN_MS 400 /* before a result runs out, for the call that fetches it */
-#define CHN_COST_GAIN 0.1	/* of the newest call in the mean cost of a piece */
-#define CHN_COST_SHARE 0.5	/* of the measured cost of a piece beyond that in a full call */
-#define CHN_LATE_MAX_MS 3000	/* for a chain that is late: its first results are kept for some 4 s */
-#define CHN_LATE_FACTOR 1.5	/* of the time foretold has to fit into its deadline */
-#define CHN_PROMISE_MARGIN_MS 300 /* beyond the time foretold, within which a late chain is served */
-#define CHN_TRIES_MAX 4		   /* failures of one piece before its chain is given up */
+#define CHN_COST_GAIN 0.1	 /* of the newest call in the mean cost of a piece */
+#define CHN_COST_SHARE 0.5	 /* of the measured cost of a piece beyond that in a full call */
+#define CHN_LATE_MAX_MS 3000 /* for a chain that is late: its first results are kept for some 4 s  \
+			      */
+#define CHN_LATE_FACTOR 1.5  /* of the time foretold has to fit into its deadline */
+#define CHN_PROMISE_MARGIN_MS                                                                      \
+	300		/* beyond the time foretold, within which a late chain is served */
+#define CHN_TRIES_MAX 4 /* failures of one piece before its chain is given up */
 #define CHN_DEADLINE_MARGIN_MS 250 /* of the deadline for the way back and the first token */
 #define CHN_RETRY_MIN_MS 250
 #define CHN_RETRY_MAX_MS 5000
@@ -69,10 +72,11 @@
 	int64_t aim_at_ms;
 	int64_t deadline_at_ms;
 	int32_t rank;
-	bool late;	/* it can't be in time any more */
-	int64_t expect_at_ms; /* when it was expected to be ready, at admission */
-	int64_t promise_at_ms; /* until when it is to be ready: its aim, or later if it was taken as late */
-	bool delivered; /* its results were handed over; they are held until chn_end() */
+	bool late;	       /* it can't be in time any more */
+	int64_t expect_at_ms;  /* when it was expected to be ready, at admission */
+	int64_t promise_at_ms; /* until when it is to be ready: its aim, or later if it was taken as
+				  late */
+	bool delivered;	       /* its results were handed over; they are held until chn_end() */
 	int64_t delivered_ms;
 };
 
@@ -107,8 +111,8 @@
 	int64_t shared_ms; /* when it last had calls of another owner; 0: never */
 	int64_t room_used;
 	int64_t room_foreign; /* held there by what another owner left, as refusals for room show */
-	int64_t foreign_ms;   /* when it was noted: it runs out with the time that results are kept */
-	GPtrArray *frees;     /* handles to be given up */
+	int64_t foreign_ms; /* when it was noted: it runs out with the time that results are kept */
+	GPtrArray *frees;   /* handles to be given up */
 };
 
 struct pool {
--- a/packages/decide/include/decide/chn.h
+++ b/packages/decide/include/decide/chn.h
@@ -69,12 +69,12 @@
 };
 
 enum chn_cmd_kind {
-	CHN_CMD_CALL,	/* send pieces to an upstream */
-	CHN_CMD_FREE,	/* give up results at their maker */
-	CHN_CMD_READY,	/* all results of a chain stand */
-	CHN_CMD_REFUSE, /* the chain is given up; its request has not run and may come back */
-	CHN_CMD_ADMIT,	/* the chain was taken; for the log alone */
-	CHN_CMD_HAND,	/* the chain goes to another owner, with the results that stand */
+	CHN_CMD_CALL,	  /* send pieces to an upstream */
+	CHN_CMD_FREE,	  /* give up results at their maker */
+	CHN_CMD_READY,	  /* all results of a chain stand */
+	CHN_CMD_REFUSE,	  /* the chain is given up; its request has not run and may come back */
+	CHN_CMD_ADMIT,	  /* the chain was taken; for the log alone */
+	CHN_CMD_HAND,	  /* the chain goes to another owner, with the results that stand */
 	CHN_CMD_PROGRESS, /* a stage is done: the asker is told which results stand */
 };
 
@@ -109,10 +109,10 @@
 	char *asker;
 	char *data_centre; /* of READY: where most bytes of the results lie; NULL: anywhere */
 	int64_t retry_after_ms;
-	const char *reason; /* of REFUSE: a constant */
-	bool late;	    /* of ADMIT and READY: it can't be in time */
-	int64_t expect_in_ms; /* of ADMIT, READY and REFUSE: the time that was foretold for it */
-	int64_t aim_in_ms;    /* of ADMIT and READY: left until its aim */
+	const char *reason;	/* of REFUSE: a constant */
+	bool late;		/* of ADMIT and READY: it can't be in time */
+	int64_t expect_in_ms;	/* of ADMIT, READY and REFUSE: the time that was foretold for it */
+	int64_t aim_in_ms;	/* of ADMIT and READY: left until its aim */
 	struct chn_job_doc doc; /* of HAND: owned by the command */
 	/* of HAND and PROGRESS */
 	struct chn_done *done;
--- a/packages/emul/include/emul/pse.h
+++ b/packages/emul/include/emul/pse.h
@@ -18,16 +18,16 @@
 /* What an engine does with requests from now on. */
 enum pse_fault {
 	PSE_SOUND,
-	PSE_SHED,      /* refuses as full */
-	PSE_LOSE,      /* runs it and closes without an answer */
-	PSE_MUTE,      /* runs it and says nothing */
-	PSE_FAIL,      /* runs it and answers 500 */
-	PSE_CUT,       /* breaks off in the middle of the answer */
-	PSE_UNFRAMED,  /* answers without a length, and closes */
+	PSE_SHED,	    /* refuses as full */
+	PSE_LOSE,	    /* runs it and closes without an answer */
+	PSE_MUTE,	    /* runs it and says nothing */
+	PSE_FAIL,	    /* runs it and answers 500 */
+	PSE_CUT,	    /* breaks off in the middle of the answer */
+	PSE_UNFRAMED,	    /* answers without a length, and closes */
 	PSE_UNFRAMED_RESET, /* the same, and resets in the middle */
-	PSE_OTHER,     /* gives the answer of another request first */
-	PSE_TWICE,     /* gives its answer twice */
-	PSE_WRONG,     /* says that another engine has the address */
+	PSE_OTHER,	    /* gives the answer of another request first */
+	PSE_TWICE,	    /* gives its answer twice */
+	PSE_WRONG,	    /* says that another engine has the address */
 };
 
 struct pse_engine_options {
@@ -35,9 +35,9 @@
 	const char *service;
 	const char *zone;
 	enum pse_kind kind;
-	int64_t work_ms;   /* of a request, of a call, or before the first event */
-	int64_t gap_ms;	   /* between events */
-	uint32_t events;   /* of a stream */
+	int64_t work_ms;      /* of a request, of a call, or before the first event */
+	int64_t gap_ms;	      /* between events */
+	uint32_t events;      /* of a stream */
 	uint32_t results_max; /* that a pool's engine has room for */
 };
 
@@ -46,8 +46,9 @@
 	uint32_t arrivals;
 	uint32_t runs;
 	uint32_t most_runs; /* of one attempt */
-	uint32_t bad;	    /* requests that the rules don't allow: no id, a key passed on, a time over the caller's */
-	uint32_t held;	    /* results that were not given up */
+	uint32_t bad;  /* requests that the rules don't allow: no id, a key passed on, a time over
+			  the caller's */
+	uint32_t held; /* results that were not given up */
 };
 
 enum pse_store_fault { PSE_STORE_SOUND, PSE_STORE_BUSY, PSE_STORE_SILENT, PSE_STORE_FORGOT };
--- a/packages/emul/pse.c
+++ b/packages/emul/pse.c
@@ -140,12 +140,11 @@
 	pthread_mutex_lock(&p->lock);
 	e = g_hash_table_lookup(p->engines, id);
 	if (state)
-		value = g_strdup_printf("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-					"\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
-					"\"coldLeftMs\":0,\"sequence\":%" G_GUINT64_FORMAT
-					",\"born\":1}",
-					e->service, hts_address(e->listener), e->zone, state,
-					++p->sequence);
+		value = g_strdup_printf(
+			"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+			"\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+			"\"coldLeftMs\":0,\"sequence\":%" G_GUINT64_FORMAT ",\"born\":1}",
+			e->service, hts_address(e->listener), e->zone, state, ++p->sequence);
 	pthread_mutex_unlock(&p->lock);
 	pse_put(p, key, value);
 	g_free(key);
--- a/packages/emul/pse_engine.c
+++ b/packages/emul/pse_engine.c
@@ -216,7 +216,8 @@
 	uv_timer_init(&e->p->loop, &run->timer);
 	run->timer.data = run;
 	g_hash_table_insert(e->open, request, run);
-	uv_timer_start(&run->timer, on_event, (uint64_t)(start_ms + e->options.work_ms - now_ms), 0);
+	uv_timer_start(&run->timer, on_event, (uint64_t)(start_ms + e->options.work_ms - now_ms),
+		       0);
 }
 
 static void free_results(struct pse_engine *e, struct hts_request *request)
--- a/packages/emul/pse_store.c
+++ b/packages/emul/pse_store.c
@@ -29,8 +29,8 @@
 				 (json_int_t)item->revision, "deleted", 1);
 	value = g_base64_encode((const guchar *)item->value, strlen(item->value));
 	json = json_pack("{s:s, s:s, s:I, s:I, s:i}", "key", item->key, "value", value, "revision",
-			 (json_int_t)item->revision, "created", (json_int_t)item->revision, "leaseId",
-			 0);
+			 (json_int_t)item->revision, "created", (json_int_t)item->revision,
+			 "leaseId", 0);
 	g_free(value);
 	return json;
 }
@@ -66,8 +66,9 @@
 			break;
 		json_array_append_new(list, to_json(g_hash_table_lookup(items, key)));
 	}
-	pse_answer_json(request, 200, json_pack("{s:o, s:b, s:I}", "items", list, "hasMore", (int)more,
-						"at", (json_int_t)p->log->len));
+	pse_answer_json(request, 200,
+			json_pack("{s:o, s:b, s:I}", "items", list, "hasMore", (int)more, "at",
+				  (json_int_t)p->log->len));
 	g_list_free(keys);
 	g_hash_table_destroy(items);
 }
@@ -104,8 +105,8 @@
 {
 	struct pse *p = arg;
 	const char *question = strchr(request->target, '?');
-	GHashTable *query = g_uri_parse_params(question ? question + 1 : "", -1, "&",
-					       G_URI_PARAMS_NONE, NULL);
+	GHashTable *query =
+		g_uri_parse_params(question ? question + 1 : "", -1, "&", G_URI_PARAMS_NONE, NULL);
 
 	pthread_mutex_lock(&p->lock);
 	if (p->store_fault == PSE_STORE_BUSY)
--- a/packages/http/htc.c
+++ b/packages/http/htc.c
@@ -204,11 +204,12 @@
 static int on_body(http_parser *p, const char *at, size_t len)
 {
 	struct conn *c = p->data;
+	struct htc_call *call = c->call;
 
-	if (c->skipping || !c->call)
+	if (c->skipping || !call)
 		return 0;
-	c->call->ops.on_data(c->call->arg, at, len);
-	return c->call ? 0 : -1;
+	call->ops.on_data(call->arg, at, len);
+	return c->call ? 0 : -1; /* cancelled from within */
 }
 
 static int on_message(http_parser *p)
--- a/packages/http/hts.c
+++ b/packages/http/hts.c
@@ -208,8 +208,8 @@
 
 	c->keep = c->keep && !c->server->draining && !c->server->freed;
 	c->bodyless = status == 204 || status == 304 || strcmp(c->request->method, "HEAD") == 0;
-	c->chunked = length_bytes == HTS_LENGTH_UNKNOWN && c->parser.http_minor >= 1 &&
-		     !c->bodyless;
+	c->chunked =
+		length_bytes == HTS_LENGTH_UNKNOWN && c->parser.http_minor >= 1 && !c->bodyless;
 	c->until_close = length_bytes < 0 && !c->chunked;
 	if (c->until_close)
 		c->keep = false;
@@ -638,9 +638,7 @@
 	case CONN_BUSY:
 		break;
 	case CONN_CLOSING:
-		if (c->writes == 0 && age_ms > HTS_LINGER_MS)
-			close_conn(c);
-		else if (age_ms > limits->idle_timeout_ms)
+		if ((c->writes == 0 && age_ms > HTS_LINGER_MS) || age_ms > limits->idle_timeout_ms)
 			close_conn(c);
 		break;
 	}
--- a/packages/model/include/model/pub.h
+++ b/packages/model/include/model/pub.h
@@ -106,6 +106,7 @@
 	uint32_t n_accounts;
 	struct pub_limits limits;
 	GHashTable *by_key; /* key -> struct pub_account */
+	char *source;	    /* its text as it was published, for other nodes; NULL: not kept */
 	int refs;
 };
 
--- a/packages/model/pub.c
+++ b/packages/model/pub.c
@@ -56,6 +56,7 @@
 		g_strfreev(doc->accounts[i].regions);
 	}
 	g_free(doc->accounts);
+	g_free(doc->source);
 	if (doc->by_key)
 		g_hash_table_destroy(doc->by_key);
 	g_free(doc);
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -46,6 +46,9 @@
 typedef struct Peer__ChainDone Peer__ChainDone;
 typedef struct Peer__ChainHand Peer__ChainHand;
 typedef struct Peer__ChainProgress Peer__ChainProgress;
+typedef struct Peer__PublishedAsk Peer__PublishedAsk;
+typedef struct Peer__PublishedUpstream Peer__PublishedUpstream;
+typedef struct Peer__PublishedReply Peer__PublishedReply;
 typedef struct Peer__ChainReply Peer__ChainReply;
 typedef struct Peer__ChainEnd Peer__ChainEnd;
 typedef struct Peer__Message Peer__Message;
@@ -661,6 +664,65 @@
     , 0, 0,NULL }
 
 
+/*
+ * A starting node that can't read the source asks another one for what that holds.
+ */
+struct  Peer__PublishedAsk
+{
+  ProtobufCMessage base;
+};
+#define PEER__PUBLISHED_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__published_ask__descriptor) \
+     }
+
+
+struct  Peer__PublishedUpstream
+{
+  ProtobufCMessage base;
+  char *id;
+  char *service;
+  char *address;
+  char *data_centre;
+  protobuf_c_boolean leaving;
+  int64_t cold_left_ms;
+  int64_t slots;
+  int64_t born_ms;
+  int64_t sequence;
+  int64_t revision;
+};
+#define PEER__PUBLISHED_UPSTREAM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__published_upstream__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Peer__PublishedReply
+{
+  ProtobufCMessage base;
+  /*
+   * the configuration as the source gave it
+   */
+  ProtobufCBinaryData doc;
+  /*
+   * of the source, up to which the sender has heard
+   */
+  int64_t revision;
+  /*
+   * since the sender last heard from the source
+   */
+  int64_t age_ms;
+  size_t n_upstreams;
+  Peer__PublishedUpstream **upstreams;
+  /*
+   * data centres out of service
+   */
+  size_t n_out;
+  char **out;
+};
+#define PEER__PUBLISHED_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__published_reply__descriptor) \
+    , {0,NULL}, 0, 0, 0,NULL, 0,NULL }
+
+
 struct  Peer__ChainReply
 {
   ProtobufCMessage base;
@@ -717,7 +779,9 @@
   PEER__MESSAGE__KIND_CHAIN_REPLY = 52,
   PEER__MESSAGE__KIND_CHAIN_END = 53,
   PEER__MESSAGE__KIND_CHAIN_HAND = 54,
-  PEER__MESSAGE__KIND_CHAIN_PROGRESS = 55
+  PEER__MESSAGE__KIND_CHAIN_PROGRESS = 55,
+  PEER__MESSAGE__KIND_PUBLISHED_ASK = 56,
+  PEER__MESSAGE__KIND_PUBLISHED_REPLY = 57
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -761,6 +825,8 @@
     Peer__ChainEnd *chain_end;
     Peer__ChainHand *chain_hand;
     Peer__ChainProgress *chain_progress;
+    Peer__PublishedAsk *published_ask;
+    Peer__PublishedReply *published_reply;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -1357,6 +1423,63 @@
 void   peer__chain_progress__free_unpacked
                      (Peer__ChainProgress *message,
                       ProtobufCAllocator *allocator);
+/* Peer__PublishedAsk methods */
+void   peer__published_ask__init
+                     (Peer__PublishedAsk         *message);
+size_t peer__published_ask__get_packed_size
+                     (const Peer__PublishedAsk   *message);
+size_t peer__published_ask__pack
+                     (const Peer__PublishedAsk   *message,
+                      uint8_t             *out);
+size_t peer__published_ask__pack_to_buffer
+                     (const Peer__PublishedAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PublishedAsk *
+       peer__published_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__published_ask__free_unpacked
+                     (Peer__PublishedAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__PublishedUpstream methods */
+void   peer__published_upstream__init
+                     (Peer__PublishedUpstream         *message);
+size_t peer__published_upstream__get_packed_size
+                     (const Peer__PublishedUpstream   *message);
+size_t peer__published_upstream__pack
+                     (const Peer__PublishedUpstream   *message,
+                      uint8_t             *out);
+size_t peer__published_upstream__pack_to_buffer
+                     (const Peer__PublishedUpstream   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PublishedUpstream *
+       peer__published_upstream__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__published_upstream__free_unpacked
+                     (Peer__PublishedUpstream *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__PublishedReply methods */
+void   peer__published_reply__init
+                     (Peer__PublishedReply         *message);
+size_t peer__published_reply__get_packed_size
+                     (const Peer__PublishedReply   *message);
+size_t peer__published_reply__pack
+                     (const Peer__PublishedReply   *message,
+                      uint8_t             *out);
+size_t peer__published_reply__pack_to_buffer
+                     (const Peer__PublishedReply   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PublishedReply *
+       peer__published_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__published_reply__free_unpacked
+                     (Peer__PublishedReply *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__ChainReply methods */
 void   peer__chain_reply__init
                      (Peer__ChainReply         *message);
@@ -1509,6 +1632,15 @@
 typedef void (*Peer__ChainProgress_Closure)
                  (const Peer__ChainProgress *message,
                   void *closure_data);
+typedef void (*Peer__PublishedAsk_Closure)
+                 (const Peer__PublishedAsk *message,
+                  void *closure_data);
+typedef void (*Peer__PublishedUpstream_Closure)
+                 (const Peer__PublishedUpstream *message,
+                  void *closure_data);
+typedef void (*Peer__PublishedReply_Closure)
+                 (const Peer__PublishedReply *message,
+                  void *closure_data);
 typedef void (*Peer__ChainReply_Closure)
                  (const Peer__ChainReply *message,
                   void *closure_data);
@@ -1556,6 +1688,9 @@
 extern const ProtobufCMessageDescriptor peer__chain_done__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_hand__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_progress__descriptor;
+extern const ProtobufCMessageDescriptor peer__published_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__published_upstream__descriptor;
+extern const ProtobufCMessageDescriptor peer__published_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_end__descriptor;
 extern const ProtobufCMessageDescriptor peer__message__descriptor;
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -1402,6 +1402,141 @@
   assert(message->base.descriptor == &peer__chain_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__published_ask__init
+                     (Peer__PublishedAsk         *message)
+{
+  static const Peer__PublishedAsk init_value = PEER__PUBLISHED_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__published_ask__get_packed_size
+                     (const Peer__PublishedAsk *message)
+{
+  assert(message->base.descriptor == &peer__published_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__published_ask__pack
+                     (const Peer__PublishedAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__published_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__published_ask__pack_to_buffer
+                     (const Peer__PublishedAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__published_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PublishedAsk *
+       peer__published_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PublishedAsk *)
+     protobuf_c_message_unpack (&peer__published_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__published_ask__free_unpacked
+                     (Peer__PublishedAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__published_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__published_upstream__init
+                     (Peer__PublishedUpstream         *message)
+{
+  static const Peer__PublishedUpstream init_value = PEER__PUBLISHED_UPSTREAM__INIT;
+  *message = init_value;
+}
+size_t peer__published_upstream__get_packed_size
+                     (const Peer__PublishedUpstream *message)
+{
+  assert(message->base.descriptor == &peer__published_upstream__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__published_upstream__pack
+                     (const Peer__PublishedUpstream *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__published_upstream__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__published_upstream__pack_to_buffer
+                     (const Peer__PublishedUpstream *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__published_upstream__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PublishedUpstream *
+       peer__published_upstream__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PublishedUpstream *)
+     protobuf_c_message_unpack (&peer__published_upstream__descriptor,
+                                allocator, len, data);
+}
+void   peer__published_upstream__free_unpacked
+                     (Peer__PublishedUpstream *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__published_upstream__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__published_reply__init
+                     (Peer__PublishedReply         *message)
+{
+  static const Peer__PublishedReply init_value = PEER__PUBLISHED_REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__published_reply__get_packed_size
+                     (const Peer__PublishedReply *message)
+{
+  assert(message->base.descriptor == &peer__published_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__published_reply__pack
+                     (const Peer__PublishedReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__published_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__published_reply__pack_to_buffer
+                     (const Peer__PublishedReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__published_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PublishedReply *
+       peer__published_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PublishedReply *)
+     protobuf_c_message_unpack (&peer__published_reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__published_reply__free_unpacked
+                     (Peer__PublishedReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__published_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__chain_reply__init
                      (Peer__ChainReply         *message)
 {
@@ -3963,6 +4098,269 @@
   (ProtobufCMessageInit) peer__chain_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+#define peer__published_ask__field_descriptors NULL
+#define peer__published_ask__field_indices_by_name NULL
+#define peer__published_ask__number_ranges NULL
+const ProtobufCMessageDescriptor peer__published_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PublishedAsk",
+  "PublishedAsk",
+  "Peer__PublishedAsk",
+  "peer",
+  sizeof(Peer__PublishedAsk),
+  0,
+  peer__published_ask__field_descriptors,
+  peer__published_ask__field_indices_by_name,
+  0,  peer__published_ask__number_ranges,
+  (ProtobufCMessageInit) peer__published_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__published_upstream__field_descriptors[10] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_left_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, cold_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__published_upstream__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  7,   /* field[7] = born_ms */
+  5,   /* field[5] = cold_left_ms */
+  3,   /* field[3] = data_centre */
+  0,   /* field[0] = id */
+  4,   /* field[4] = leaving */
+  9,   /* field[9] = revision */
+  8,   /* field[8] = sequence */
+  1,   /* field[1] = service */
+  6,   /* field[6] = slots */
+};
+static const ProtobufCIntRange peer__published_upstream__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor peer__published_upstream__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PublishedUpstream",
+  "PublishedUpstream",
+  "Peer__PublishedUpstream",
+  "peer",
+  sizeof(Peer__PublishedUpstream),
+  10,
+  peer__published_upstream__field_descriptors,
+  peer__published_upstream__field_indices_by_name,
+  1,  peer__published_upstream__number_ranges,
+  (ProtobufCMessageInit) peer__published_upstream__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__published_reply__field_descriptors[5] =
+{
+  {
+    "doc",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedReply, doc),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedReply, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedReply, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__PublishedReply, n_upstreams),
+    offsetof(Peer__PublishedReply, upstreams),
+    &peer__published_upstream__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "out",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__PublishedReply, n_out),
+    offsetof(Peer__PublishedReply, out),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__published_reply__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = doc */
+  4,   /* field[4] = out */
+  1,   /* field[1] = revision */
+  3,   /* field[3] = upstreams */
+};
+static const ProtobufCIntRange peer__published_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__published_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PublishedReply",
+  "PublishedReply",
+  "Peer__PublishedReply",
+  "peer",
+  sizeof(Peer__PublishedReply),
+  5,
+  peer__published_reply__field_descriptors,
+  peer__published_reply__field_indices_by_name,
+  1,  peer__published_reply__number_ranges,
+  (ProtobufCMessageInit) peer__published_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__chain_reply__field_descriptors[6] =
 {
   {
@@ -4104,7 +4502,7 @@
   (ProtobufCMessageInit) peer__chain_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[29] =
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[31] =
 {
   {
     "from_vm",
@@ -4454,6 +4852,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "published_ask",
+    56,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, published_ask),
+    &peer__published_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "published_reply",
+    57,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, published_reply),
+    &peer__published_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
   23,   /* field[23] = beat */
@@ -4474,6 +4896,8 @@
   15,   /* field[15] = offer_ack */
   16,   /* field[16] = owner */
   17,   /* field[17] = owner_ask */
+  29,   /* field[29] = published_ask */
+  30,   /* field[30] = published_reply */
   11,   /* field[11] = release */
   12,   /* field[12] = release_ack */
   7,   /* field[7] = section_ask */
@@ -4493,7 +4917,7 @@
   { 30, 14 },
   { 40, 18 },
   { 50, 23 },
-  { 0, 29 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -4503,7 +4927,7 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  29,
+  31,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
   5,  peer__message__number_ranges,
--- a/packages/serve/include/serve/adp.h
+++ b/packages/serve/include/serve/adp.h
@@ -92,6 +92,8 @@
 struct adp_feed_ops {
 	char *(*read_target)(const char *after_key);
 	char *(*watch_target)(int64_t after_revision, int64_t wait_ms);
+	/* A configuration's text, as pub_doc.source holds it. NULL with *why set by the callee. */
+	struct pub_doc *(*read_doc)(const char *text, size_t len, char **why);
 	enum adp_feed_result (*read_reply)(int status, const char *body, size_t len, bool is_watch,
 					   struct adp_feed_reply *reply);
 };
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -8,8 +8,8 @@
 #include <sys/stat.h>
 
 #define SETTLE_MS 600 /* six rounds of gossip to all seeds: the fleet is known by then */
-#define JOINED_MIN 3 /* members, the node itself among them, after which it needs not settle */
-#define GAP_MS 1000    /* between two ticks: the process was suspended */
+#define JOINED_MIN 3  /* members, the node itself among them, after which it needs not settle */
+#define GAP_MS 1000   /* between two ticks: the process was suspended */
 #define MS_PER_S 1000.0
 /*
  * A planned stop. Callers keep an address for the time that the answer named, and a round or two
@@ -157,6 +157,7 @@
 	}
 	s->last_tick_ms = now_ms;
 	srv_feed_tick(s->feed, now_ms);
+	srv_copy_tick(s, now_ms);
 	if (pvw_tick(s->view, now_ms)) {
 		log_info("upstreams_lapsed", NULL);
 		srv_chain_view_changed(s);
--- a/packages/serve/srv_chain.c
+++ b/packages/serve/srv_chain.c
@@ -11,9 +11,9 @@
 #include <string.h>
 
 #define HAND_OVER_MS 300 /* another owner has been known for so long */
-#define TAKEN_MS 350	/* for the owner's word that it has the chain */
-#define ASK_AGAIN_MAX 6 /* owners asked for one chain */
-#define CALL_FACTOR 8	/* times the expected time, after which a call is dropped */
+#define TAKEN_MS 350	 /* for the owner's word that it has the chain */
+#define ASK_AGAIN_MAX 6	 /* owners asked for one chain */
+#define CALL_FACTOR 8	 /* times the expected time, after which a call is dropped */
 #define CALL_MIN_MS 4000
 #define CONNECT_MS 700
 #define REPLY_BYTES_MAX (1024 * 1024)
@@ -164,8 +164,8 @@
 	g_free(w->done_list);
 }
 
-static void fill_wire(struct wire_ask *w, const struct chn_job_doc *doc, const struct chn_done *done,
-		      uint32_t n_done, int64_t now_ms)
+static void fill_wire(struct wire_ask *w, const struct chn_job_doc *doc,
+		      const struct chn_done *done, uint32_t n_done, int64_t now_ms)
 {
 	peer__chain_ask__init(&w->ask);
 	fill_done(w, done, n_done);
@@ -370,8 +370,8 @@
 
 static void log_call(const struct pool_call *pc, const char *outcome, int64_t now_ms)
 {
-	log_info("pool_call", "{s:I, s:s, s:s, s:i, s:I, s:I, s:i, s:s, s:i, s:i, s:i, s:i}", "call",
-		 (json_int_t)pc->id, "upstream", pc->upstream->id, "address",
+	log_info("pool_call", "{s:I, s:s, s:s, s:i, s:I, s:I, s:i, s:s, s:i, s:i, s:i, s:i}",
+		 "call", (json_int_t)pc->id, "upstream", pc->upstream->id, "address",
 		 pc->upstream->address, "pieces", (int)pc->n, "expect_ms",
 		 (json_int_t)pc->expect_ms, "took_ms", (json_int_t)(now_ms - pc->sent_ms), "status",
 		 pc->status, "outcome", outcome, "late", (int)pc->faults[ADP_PIECE_LATE], "gone",
@@ -762,8 +762,9 @@
 	hand.asker = cmd->asker;
 	message.kind_case = PEER__MESSAGE__KIND_CHAIN_HAND;
 	message.chain_hand = &hand;
-	log_info("chain_handed_over", "{s:I, s:s, s:s, s:i}", "chain", (json_int_t)cmd->job, "asker",
-		 cmd->asker, "owner", owner->record.peer_address, "results", (int)cmd->n_done);
+	log_info("chain_handed_over", "{s:I, s:s, s:s, s:i}", "chain", (json_int_t)cmd->job,
+		 "asker", cmd->asker, "owner", owner->record.peer_address, "results",
+		 (int)cmd->n_done);
 	srv_mesh_send(s, owner->record.peer_address, &message);
 	clear_wire(&wire);
 }
--- a/packages/serve/srv_leg.c
+++ b/packages/serve/srv_leg.c
@@ -9,9 +9,10 @@
 #define NOT_RUN_MAX 3	    /* refusals after which the service counts as full */
 #define HEDGE_AIM_SHARE 0.5 /* of the aim, after which a silent call is hedged */
 #define HEDGE_MIN_MS 100
-#define FIRST_EVENT_MS 1500 /* of a resumable stream: a cold engine's long prompt is read by then  \
-			     */
-#define STALL_GAPS 3	    /* longest pauses of the route, after which a stream is resumed */
+#define FIRST_EVENT_MS                                                                             \
+	1500	     /* of a resumable stream: a cold engine's long prompt is read by then         \
+		      */
+#define STALL_GAPS 3 /* longest pauses of the route, after which a stream is resumed */
 #define STALL_MIN_MS 600
 #define URGENCY_STEP 2
 #define URGENCY_MAX 9
--- a/packages/serve/srv_look.c
+++ b/packages/serve/srv_look.c
@@ -146,7 +146,8 @@
 			 (int)fle_count_alive(s->fleet, now_ms), "upstreams",
 			 (int)g_hash_table_size(s->view->upstreams), "owner",
 			 fle_owner(s->fleet, NULL, now_ms)->record.peer_address, "chains",
-			 (int)chn_count_jobs(s->chains), "requests", s->front ? (int)hts_count_busy(s->front) : 0);
+			 (int)chn_count_jobs(s->chains), "requests",
+			 s->front ? (int)hts_count_busy(s->front) : 0);
 }
 
 static json_t *dump(struct srv *s)
--- a/packages/serve/srv_mesh.c
+++ b/packages/serve/srv_mesh.c
@@ -7,8 +7,9 @@
 
 #include <string.h>
 
-#define MESSAGE_TTL_MS 60000 /* wall clocks may differ by seconds; every message bears a late use  \
-			      */
+#define MESSAGE_TTL_MS                                                                             \
+	60000 /* wall clocks may differ by seconds; every message bears a late use                 \
+	       */
 #define TROUBLES_MAX 8
 #define TARGETS_MAX 8
 #define SEEDS_MAX 8
@@ -154,10 +155,17 @@
 {
 	struct srv *s = arg;
 
-	if (message->kind_case == PEER__MESSAGE__KIND_BEAT)
+	switch (message->kind_case) {
+	case PEER__MESSAGE__KIND_BEAT:
 		take_beat(s, message->from_vm, message->beat);
-	else
+		break;
+	case PEER__MESSAGE__KIND_PUBLISHED_ASK:
+	case PEER__MESSAGE__KIND_PUBLISHED_REPLY:
+		srv_copy_message(s, message);
+		break;
+	default:
 		srv_chain_message(s, message);
+	}
 }
 
 static void on_readable(uv_poll_t *poll, int status, int events)
--- a/tests/adapted.c
+++ b/tests/adapted.c
@@ -55,10 +55,11 @@
 	g_string_append_printf(text, "source_address: %s\nseeds:\n", pse_store_address(a->pse));
 	for (uint32_t k = 0; k < a->n_nodes && k < 3; k++)
 		g_string_append_printf(text, "  - %s\n", a->nodes[k].admin);
-	g_string_append(text, "data_centres:\n  - {name: a1, region: r}\n  - {name: b1, region: r}\n"
-			      "lookup_ttl_s: \"5\"\nstop_grace_s: \"8\"\nretry_ratio: \"0.2\"\n"
-			      "retry_window_s: \"10\"\nretry_slack: \"400\"\ncold_factor: \"1.5\"\n"
-			      "cold_slack: \"5\"\n");
+	g_string_append(text,
+			"data_centres:\n  - {name: a1, region: r}\n  - {name: b1, region: r}\n"
+			"lookup_ttl_s: \"5\"\nstop_grace_s: \"8\"\nretry_ratio: \"0.2\"\n"
+			"retry_window_s: \"10\"\nretry_slack: \"400\"\ncold_factor: \"1.5\"\n"
+			"cold_slack: \"5\"\n");
 	ck_assert(g_file_set_contents(path, text->str, (gssize)text->len, NULL));
 	g_string_free(text, TRUE);
 	return path;
@@ -72,8 +73,8 @@
 	posix_spawn_file_actions_t actions;
 
 	posix_spawn_file_actions_init(&actions);
-	posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log, O_WRONLY | O_CREAT | O_APPEND,
-					 0600);
+	posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log,
+					 O_WRONLY | O_CREAT | O_APPEND, 0600);
 	posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
 	ck_assert_int_eq(posix_spawn(&a->nodes[i].pid, argv[0], &actions, NULL, argv, environ), 0);
 	posix_spawn_file_actions_destroy(&actions);
@@ -107,19 +108,24 @@
 
 static const char config[] =
 	"{\"version\":%d,\"routes\":["
-	"{\"name\":\"once\",\"host\":\"h.example\",\"pathPrefix\":\"/once/\",\"kind\":\"non_idempotent\","
+	"{\"name\":\"once\",\"host\":\"h.example\",\"pathPrefix\":\"/once/"
+	"\",\"kind\":\"non_idempotent\","
 	"\"timeoutMs\":1500,\"targetLatencyMs\":300,\"priority\":1,\"service\":\"plain\","
 	"\"maxAttempts\":1},"
-	"{\"name\":\"safe\",\"host\":\"h.example\",\"pathPrefix\":\"/safe/\",\"kind\":\"idempotent\","
+	"{\"name\":\"safe\",\"host\":\"h.example\",\"pathPrefix\":\"/safe/"
+	"\",\"kind\":\"idempotent\","
 	"\"timeoutMs\":1500,\"targetLatencyMs\":300,\"priority\":1,\"service\":\"plain\","
 	"\"maxAttempts\":2},"
-	"{\"name\":\"tell\",\"host\":\"h.example\",\"pathPrefix\":\"/tell/\",\"kind\":\"streaming\","
+	"{\"name\":\"tell\",\"host\":\"h.example\",\"pathPrefix\":\"/tell/"
+	"\",\"kind\":\"streaming\","
 	"\"timeoutMs\":6000,\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"model\","
 	"\"maxAttempts\":1,\"gapAimMs\":200},"
-	"{\"name\":\"resume\",\"host\":\"h.example\",\"pathPrefix\":\"/resume/\",\"kind\":\"streaming\","
+	"{\"name\":\"resume\",\"host\":\"h.example\",\"pathPrefix\":\"/resume/"
+	"\",\"kind\":\"streaming\","
 	"\"timeoutMs\":6000,\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"model\","
 	"\"maxAttempts\":2,\"resumable\":true,\"gapAimMs\":200},"
-	"{\"name\":\"chain\",\"host\":\"h.example\",\"pathPrefix\":\"/chain/\",\"kind\":\"streaming\","
+	"{\"name\":\"chain\",\"host\":\"h.example\",\"pathPrefix\":\"/chain/"
+	"\",\"kind\":\"streaming\","
 	"\"timeoutMs\":6000,\"targetLatencyMs\":2000,\"priority\":1,\"service\":\"model\","
 	"\"maxAttempts\":1,\"stages\":[{\"service\":\"first\",\"after\":[],\"bytes\":1000},"
 	"{\"service\":\"second\",\"after\":[0],\"bytes\":1000}]},"
@@ -129,9 +135,11 @@
 	"\"services\":[{\"name\":\"plain\",\"healthPath\":\"/h\",\"maxConns\":100},"
 	"{\"name\":\"model\",\"healthPath\":\"/h\",\"maxConns\":100,\"engine\":{\"slots\":8}},"
 	"{\"name\":\"first\",\"healthPath\":\"/h\",\"maxConns\":100,\"pieces\":{\"slots\":1,"
-	"\"queueDepth\":2,\"batchSize\":4,\"callMs\":60,\"itemMs\":1,\"headroomMb\":1,\"handleS\":4}},"
+	"\"queueDepth\":2,\"batchSize\":4,\"callMs\":60,\"itemMs\":1,\"headroomMb\":1,\"handleS\":"
+	"4}},"
 	"{\"name\":\"second\",\"healthPath\":\"/h\",\"maxConns\":100,\"pieces\":{\"slots\":1,"
-	"\"queueDepth\":2,\"batchSize\":4,\"callMs\":60,\"itemMs\":1,\"headroomMb\":1,\"handleS\":4}}],"
+	"\"queueDepth\":2,\"batchSize\":4,\"callMs\":60,\"itemMs\":1,\"headroomMb\":1,\"handleS\":"
+	"4}}],"
 	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutMs\":1000,"
 	"\"idleTimeoutMs\":15000},"
 	"\"tenants\":[{\"name\":\"big\",\"apiKeys\":[\"key-1\",\"key-2\"],\"priority\":1}]}";
@@ -155,13 +163,31 @@
 	static const struct pse_engine_options engines[] = {
 		{.id = "plain-1", .service = "plain", .zone = "a1", .work_ms = 5},
 		{.id = "plain-2", .service = "plain", .zone = "b1", .work_ms = 5},
-		{.id = "model-1", .service = "model", .zone = "a1", .kind = PSE_STREAM, .work_ms = 20,
-		 .gap_ms = 20, .events = 6},
-		{.id = "model-2", .service = "model", .zone = "b1", .kind = PSE_STREAM, .work_ms = 20,
-		 .gap_ms = 20, .events = 6},
-		{.id = "first-1", .service = "first", .zone = "a1", .kind = PSE_POOL, .work_ms = 60,
+		{.id = "model-1",
+		 .service = "model",
+		 .zone = "a1",
+		 .kind = PSE_STREAM,
+		 .work_ms = 20,
+		 .gap_ms = 20,
+		 .events = 6},
+		{.id = "model-2",
+		 .service = "model",
+		 .zone = "b1",
+		 .kind = PSE_STREAM,
+		 .work_ms = 20,
+		 .gap_ms = 20,
+		 .events = 6},
+		{.id = "first-1",
+		 .service = "first",
+		 .zone = "a1",
+		 .kind = PSE_POOL,
+		 .work_ms = 60,
 		 .results_max = 100},
-		{.id = "second-1", .service = "second", .zone = "b1", .kind = PSE_POOL, .work_ms = 60,
+		{.id = "second-1",
+		 .service = "second",
+		 .zone = "b1",
+		 .kind = PSE_POOL,
+		 .work_ms = 60,
 		 .results_max = 100},
 	};
 
--- a/tests/proc_adapter.c
+++ b/tests/proc_adapter.c
@@ -1,4 +1,5 @@
-/* The adapter's whole path: real nodes between callers and the emulator's stand-in of the platform. */
+/* The adapter's whole path: real nodes between callers and the emulator's stand-in of the platform.
+ */
 #include "adapted.h"
 
 #include "base/clk.h"
@@ -89,10 +90,10 @@
 		set_faults(cases[i].first, cases[i].second);
 		for (uint32_t node = 0; node < a->n_nodes; node++) {
 			adapted_send(a, node, "GET", cases[i].target, NULL, &answer);
-			ck_assert_msg(answer.status == cases[i].status && answer.whole &&
-					      (!cases[i].part ||
-					       strstr(answer.text->str, cases[i].part)),
-				      "%s, node %u: %s", cases[i].name, node, answer.text->str);
+			ck_assert_msg(
+				answer.status == cases[i].status && answer.whole &&
+					(!cases[i].part || strstr(answer.text->str, cases[i].part)),
+				"%s, node %u: %s", cases[i].name, node, answer.text->str);
 			adapted_clear(&answer);
 		}
 		if (cases[i].once)
@@ -305,8 +306,8 @@
 	ck_assert_int_lt(clk_now_ms() - began_ms, 8000);
 	for (int i = 0; i < MANY; i++) {
 		g_thread_join(threads[i]);
-		ck_assert_msg(senders[i].answer.status == 200 && senders[i].answer.whole, "%d: %s", i,
-			      senders[i].answer.text->str);
+		ck_assert_msg(senders[i].answer.status == 200 && senders[i].answer.whole, "%d: %s",
+			      i, senders[i].answer.text->str);
 		adapted_clear(&senders[i].answer);
 	}
 }
@@ -388,9 +389,10 @@
 /* An entry that can't be read names no engine, and the others hold. */
 START_TEST(broken_entries)
 {
-	static const char *const values[] = {"", "{", "[]", "{\"service\":3}",
-					     "{\"service\":\"plain\",\"address\":\"x\",\"zone\":\"a1\","
-					     "\"state\":\"odd\",\"slots\":1,\"coldLeftMs\":0}"};
+	static const char *const values[] = {
+		"", "{", "[]", "{\"service\":3}",
+		"{\"service\":\"plain\",\"address\":\"x\",\"zone\":\"a1\","
+		"\"state\":\"odd\",\"slots\":1,\"coldLeftMs\":0}"};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
 		char *key = g_strdup_printf("servers/broken-%zu", i);
@@ -428,6 +430,25 @@
 }
 END_TEST
 
+/* A node that starts while the source is away serves by what another one holds. */
+START_TEST(starts_without_source)
+{
+	static const enum pse_store_fault faults[] = {PSE_STORE_BUSY, PSE_STORE_SILENT};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		pse_set_store_fault(a->pse, faults[i]);
+		adapted_signal(a, 2, SIGKILL);
+		adapted_start_node(a, 2);
+		adapted_wait_ready(a, 2);
+		ck_assert_int_eq(status_of(2, "/once/x", NULL), 200);
+		pse_set_store_fault(a->pse, PSE_STORE_SOUND);
+		adapted_configure(a, 40 + (int)i, "/public/", i == 0 ? "/one/" : "/two/");
+		clk_sleep_ms(IN_FORCE_MS + 1500);
+		ck_assert_int_eq(status_of(2, i == 0 ? "/one/x" : "/two/x", NULL), 200);
+	}
+}
+END_TEST
+
 static bool names(const char *body, uint32_t node)
 {
 	return strstr(body, a->nodes[node].front) != NULL;
@@ -475,10 +496,11 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		answers,      unframed,	      hostile_requests, streams_resume, streams_cut,
-		chains,	      owner_killed,   owner_stopped,	stop_under_load, versions,
-		leaving_engine, gone_engine,  centre_out,	broken_entries, source_away,
-		addresses,    metrics,
+		answers,	 unframed,	 hostile_requests, streams_resume,
+		streams_cut,	 chains,	 owner_killed,	   owner_stopped,
+		stop_under_load, versions,	 leaving_engine,   gone_engine,
+		centre_out,	 broken_entries, source_away,	   starts_without_source,
+		addresses,	 metrics,
 	};
 	Suite *suite = suite_create("proc_adapter");
 	TCase *tcase = tcase_create("all");
--- a/tests/unit_chain.c
+++ b/tests/unit_chain.c
@@ -1,4 +1,5 @@
-/* The owner of chains under named patterns of load, with a fake clock and upstreams of fixed speed. */
+/* The owner of chains under named patterns of load, with a fake clock and upstreams of fixed speed.
+ */
 #include "run_tests.h"
 
 #include "decide/chn.h"
@@ -39,7 +40,8 @@
 		int32_t batch;
 		double piece_ms;
 		int64_t room;
-	} specs[] = {{"soil", 8, 21, 18000000}, {"portal", 8, 21, 1100000}, {"map", 16, 11, 220000}};
+	} specs[] = {
+		{"soil", 8, 21, 18000000}, {"portal", 8, 21, 1100000}, {"map", 16, 11, 220000}};
 	struct pub_doc *doc = pub_doc_new();
 
 	doc->n_services = G_N_ELEMENTS(specs);
@@ -107,7 +109,8 @@
 			ck_assert_uint_lt(w.n_calls, CALLS_MAX);
 			w.calls[w.n_calls++] = (struct running){
 				cmd->call, cmd->n_pieces,
-				w.now_ms + 200 + (int64_t)(piece_ms(cmd->upstream) * cmd->n_pieces)};
+				w.now_ms + 200 +
+					(int64_t)(piece_ms(cmd->upstream) * cmd->n_pieces)};
 			w.sent += cmd->n_pieces;
 			w.calls_sent++;
 		} else if (cmd->kind == CHN_CMD_READY) {
@@ -273,7 +276,8 @@
 {
 	struct tally t = load(20, 2, false);
 	if (g_getenv("CS_TALLY"))
-		g_printerr("in time %u late %u at once %u later %u\n", t.in_time, t.late, t.refused_at_once, t.refused_later);
+		g_printerr("in time %u late %u at once %u later %u\n", t.in_time, t.late,
+			   t.refused_at_once, t.refused_later);
 
 	ck_assert_msg(t.in_time >= 100, "%u in time", t.in_time);
 	ck_assert_msg(t.refused_at_once >= 100, "%u refused at once", t.refused_at_once);
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -89,8 +89,8 @@
 	g_snprintf(address, sizeof(address), "10.0.0.%d:1", owner);
 	for (int i = 0; i < NODES; i++) {
 		if (!(dead & (1U << i)))
-			ck_assert_str_eq(
-				fle_owner(nodes[i], NULL, now_ms)->record.peer_address, address);
+			ck_assert_str_eq(fle_owner(nodes[i], NULL, now_ms)->record.peer_address,
+					 address);
 	}
 }
 
@@ -205,12 +205,32 @@
 	struct sel_candidate candidates[3];
 	int picked;
 } picks[] = {
-	{"nearest", {0}, {{.id = "a", .distance = SEL_OTHER_REGION}, {.id = "b"}, {.id = "c", .distance = SEL_OTHER_REGION}}, 1},
-	{"busy one spills", {0}, {{.id = "a", .in_flight = 3}, {.id = "b", .distance = SEL_SAME_REGION}}, 1},
-	{"failing one is left", {0}, {{.id = "a", .failed = 0.5}, {.id = "b", .distance = SEL_OTHER_REGION}}, 1},
-	{"silent one is left", {0}, {{.id = "a", .blocked = true}, {.id = "b", .distance = SEL_OTHER_REGION, .in_flight = 5}}, 1},
-	{"silent one is better than none", {0}, {{.id = "a", .blocked = true}, {.id = "b", .tried = true}}, 0},
-	{"nothing is left", {0}, {{.id = "a", .tried = true}, {.id = "b", .cold = true}, {.id = "c", .full = true}}, -1},
+	{"nearest",
+	 {0},
+	 {{.id = "a", .distance = SEL_OTHER_REGION},
+	  {.id = "b"},
+	  {.id = "c", .distance = SEL_OTHER_REGION}},
+	 1},
+	{"busy one spills",
+	 {0},
+	 {{.id = "a", .in_flight = 3}, {.id = "b", .distance = SEL_SAME_REGION}},
+	 1},
+	{"failing one is left",
+	 {0},
+	 {{.id = "a", .failed = 0.5}, {.id = "b", .distance = SEL_OTHER_REGION}},
+	 1},
+	{"silent one is left",
+	 {0},
+	 {{.id = "a", .blocked = true}, {.id = "b", .distance = SEL_OTHER_REGION, .in_flight = 5}},
+	 1},
+	{"silent one is better than none",
+	 {0},
+	 {{.id = "a", .blocked = true}, {.id = "b", .tried = true}},
+	 0},
+	{"nothing is left",
+	 {0},
+	 {{.id = "a", .tried = true}, {.id = "b", .cold = true}, {.id = "c", .full = true}},
+	 -1},
 };
 
 START_TEST(picks_upstreams)
@@ -219,7 +239,8 @@
 		uint32_t n = 0;
 		while (n < 3 && picks[i].candidates[n].id)
 			n++;
-		ck_assert_msg(sel_pick(&picks[i].request, picks[i].candidates, n) == picks[i].picked,
+		ck_assert_msg(sel_pick(&picks[i].request, picks[i].candidates, n) ==
+				      picks[i].picked,
 			      "%s", picks[i].name);
 	}
 }
@@ -262,9 +283,15 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		finds_all_through_seeds, notices_the_dead_and_keeps_the_rest, heals_after_a_cut,
-		outbids_its_own_past,	 a_stopping_node_owns_nothing,	      budget_slides,
-		tokens_bound_each_second, picks_upstreams,		      sessions_stay_and_spread,
+		finds_all_through_seeds,
+		notices_the_dead_and_keeps_the_rest,
+		heals_after_a_cut,
+		outbids_its_own_past,
+		a_stopping_node_owns_nothing,
+		budget_slides,
+		tokens_bound_each_second,
+		picks_upstreams,
+		sessions_stay_and_spread,
 	};
 
 	return run_tests("unit_fleet", tests, G_N_ELEMENTS(tests));
--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -67,13 +67,17 @@
 	const char *body;
 } readings[] = {
 	{"a length", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", NULL, "abc"},
-	{"chunks", "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+	{"chunks",
+	 "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+	 "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
 	 NULL, "abc"},
 	{"no body", "GET /x HTTP/1.1\r\nHost: h\r\n\r\n", NULL, ""},
-	{"two lengths", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
-	 "400", NULL},
+	{"two lengths",
+	 "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400",
+	 NULL},
 	{"a length beside chunks",
-	 "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	 "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
+	 "chunked\r\n\r\n0\r\n\r\n",
 	 "400", NULL},
 	{"two hosts", "GET /x HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", "400", NULL},
 	{"no request", "hello\r\n\r\n", "400", NULL},
@@ -101,8 +105,8 @@
 		}
 		turn(20);
 		answer = raw_read(fd, WAIT_MS);
-		ck_assert_msg(strstr(answer->str, readings[i].status ? readings[i].status : "200") !=
-				      NULL,
+		ck_assert_msg(strstr(answer->str,
+				     readings[i].status ? readings[i].status : "200") != NULL,
 			      "%s: %s", readings[i].name, answer->str);
 		g_string_free(answer, TRUE);
 		close(fd);
@@ -283,25 +287,28 @@
 	const char *body;
 	uint32_t kept; /* connections afterwards */
 } answers[] = {
-	{"a length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", LEAVE_OPEN, HTC_DONE, "ok", 1},
+	{"a length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", LEAVE_OPEN, HTC_DONE, "ok",
+	 1},
 	{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 	 LEAVE_OPEN, HTC_DONE, "ok", 1},
-	{"closing", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", LEAVE_OPEN,
-	 HTC_DONE, "ok", 0},
+	{"closing", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+	 LEAVE_OPEN, HTC_DONE, "ok", 0},
 	{"an end instead of a length", "HTTP/1.1 200 OK\r\n\r\nok", CLOSE, HTC_DONE, "ok", 0},
 	{"a reset instead of an end", "HTTP/1.1 200 OK\r\n\r\nok", RESET, HTC_BROKEN, NULL, 0},
 	{"cut short", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", CLOSE, HTC_BROKEN, "ok", 0},
-	{"a chunk cut short", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", CLOSE,
-	 HTC_BROKEN, "ok", 0},
+	{"a chunk cut short", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	 CLOSE, HTC_BROKEN, "ok", 0},
 	{"no answer", "", CLOSE, HTC_BROKEN, "", 0},
 	{"not the protocol", "220 hello\r\n\r\n", LEAVE_OPEN, HTC_MALFORMED, "", 0},
 	{"bytes behind it", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n",
 	 LEAVE_OPEN, HTC_DONE, "ok", 0},
 	{"another's first",
-	 "HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
-	 LEAVE_OPEN, HTC_DONE, "ok", 1},
-	{"continue first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	 "HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 "
+	 "OK\r\nContent-Length: 2\r\n\r\nok",
 	 LEAVE_OPEN, HTC_DONE, "ok", 1},
+	{"continue first",
+	 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", LEAVE_OPEN,
+	 HTC_DONE, "ok", 1},
 };
 
 static void give_answer(int listener, const char *text, enum closing closing)
@@ -419,9 +426,15 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		reads,		 keeps_limits,		  notices_who_leaves,
-		answers_pipelined_in_turn, drains,	  takes_answers,
-		knows_what_was_not_sent, once_takes_fresh_connections, cancels_by_close,
+		reads,
+		keeps_limits,
+		notices_who_leaves,
+		answers_pipelined_in_turn,
+		drains,
+		takes_answers,
+		knows_what_was_not_sent,
+		once_takes_fresh_connections,
+		cancels_by_close,
 	};
 
 	return run_tests("unit_http", tests, G_N_ELEMENTS(tests));
--- a/tests/unit_view.c
+++ b/tests/unit_view.c
@@ -173,9 +173,12 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		versions_never_go_back,	 older_entries_are_passed_over,
-		lapses_after_an_outage,	 a_leaving_one_isnt_kept_after_an_outage,
-		a_read_drops_what_it_does_not_name, centres_return_cold,
+		versions_never_go_back,
+		older_entries_are_passed_over,
+		lapses_after_an_outage,
+		a_leaving_one_isnt_kept_after_an_outage,
+		a_read_drops_what_it_does_not_name,
+		centres_return_cold,
 	};
 
 	return run_tests("unit_view", tests, G_N_ELEMENTS(tests));
