Split the chains' two sides into files; lint the platform's folder

Cause: srv_chain.c had 930 lines with both sides, the calls and the wire in it.

Change: srv_chain_ask.c, srv_chain.c, srv_chain_call.c, srv_chain_wire.c; no decision changed. The linter and the installer know of platform/, libuv and http-parser.

--- /dev/null
+++ b/packages/serve/srv_chain_wire.c
@@ -0,0 +1,94 @@
+/* Chains as they travel between nodes. */
+#include "srv_chain_int.h"
+
+void chain_fill_done(struct wire_ask *w, const struct chn_done *done, uint32_t n)
+{
+	w->done = g_new0(Peer__ChainDone, n + 1);
+	w->done_list = g_new0(Peer__ChainDone *, n + 1);
+	for (uint32_t i = 0; i < n; i++) {
+		peer__chain_done__init(&w->done[i]);
+		w->done[i].stage = done[i].stage;
+		w->done[i].index = done[i].index;
+		w->done[i].upstream = done[i].upstream;
+		w->done[i].handle = done[i].handle;
+		w->done_list[i] = &w->done[i];
+	}
+	w->ask.done = w->done_list;
+	w->ask.n_done = n;
+}
+
+void chain_clear_wire(struct wire_ask *w)
+{
+	g_free(w->done);
+	g_free(w->done_list);
+}
+
+void chain_fill_wire(struct wire_ask *w, const struct chn_job_doc *doc, const struct chn_done *done,
+		     uint32_t n_done, int64_t now_ms)
+{
+	peer__chain_ask__init(&w->ask);
+	chain_fill_done(w, done, n_done);
+	w->ask.n_stages = MIN(doc->n_stages, PUB_STAGES_MAX);
+	for (size_t i = 0; i < w->ask.n_stages; i++) {
+		peer__chain_stage__init(&w->stages[i]);
+		w->stages[i].service = doc->stages[i].service;
+		w->stages[i].after = doc->stages[i].after;
+		w->stages[i].pieces = doc->stages[i].pieces;
+		w->stages[i].result_bytes = doc->stages[i].result_bytes;
+		w->list[i] = &w->stages[i];
+	}
+	w->ask.id = doc->id;
+	w->ask.attempt = (char *)doc->attempt;
+	w->ask.key = (char *)(doc->key ? doc->key : "");
+	w->ask.stages = w->list;
+	w->ask.aim_ms = doc->aim_at_ms - now_ms;
+	w->ask.deadline_ms = doc->deadline_at_ms - now_ms;
+	w->ask.rank = doc->rank;
+	w->ask.data_centre = (char *)doc->data_centre;
+	w->ask.regions = (char **)doc->regions;
+	w->ask.n_regions = doc->regions ? g_strv_length((char **)doc->regions) : 0;
+}
+
+/* The same the other way; borrows from the message. Free regions with g_free(). */
+void chain_read_wire(const Peer__ChainAsk *wire, const char *asker, struct chn_stage_doc *stages,
+		     struct chn_job_doc *doc, int64_t now_ms)
+{
+	char **regions = NULL;
+
+	for (size_t i = 0; i < wire->n_stages && i < PUB_STAGES_MAX; i++)
+		stages[i] = (struct chn_stage_doc){
+			.service = wire->stages[i]->service,
+			.after = wire->stages[i]->after,
+			.pieces = wire->stages[i]->pieces,
+			.result_bytes = wire->stages[i]->result_bytes,
+		};
+	if (wire->n_regions > 0) {
+		regions = g_new0(char *, wire->n_regions + 1);
+		for (size_t i = 0; i < wire->n_regions; i++)
+			regions[i] = wire->regions[i];
+	}
+	*doc = (struct chn_job_doc){
+		.id = wire->id,
+		.asker = asker,
+		.attempt = wire->attempt,
+		.key = wire->key,
+		.stages = stages,
+		.n_stages = (uint32_t)MIN(wire->n_stages, PUB_STAGES_MAX),
+		.aim_at_ms = now_ms + wire->aim_ms,
+		.deadline_at_ms = now_ms + wire->deadline_ms,
+		.rank = wire->rank,
+		.data_centre = wire->data_centre,
+		.regions = regions,
+	};
+}
+
+/* Free with g_free(). */
+struct chn_done *chain_read_done(Peer__ChainDone *const *wire, size_t n)
+{
+	struct chn_done *done = g_new0(struct chn_done, n + 1);
+
+	for (size_t i = 0; i < n; i++)
+		done[i] = (struct chn_done){wire[i]->stage, wire[i]->index, wire[i]->upstream,
+					    wire[i]->handle};
+	return done;
+}
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -4,7 +4,7 @@
 set -eu
 packages="build-essential cmake ninja-build pkg-config clang clang-format clang-tidy cppcheck libclang-rt-14-dev
 libglib2.0-dev libjansson-dev libyaml-dev liburcu-dev libzmq3-dev libmicrohttpd-dev
-libneon27-gnutls-dev libprotobuf-c-dev libxxhash-dev libgsl-dev check librapidcheck-dev
+libneon27-gnutls-dev libprotobuf-c-dev libuv1-dev libhttp-parser-dev libxxhash-dev libgsl-dev check librapidcheck-dev
 ${EXTRA_PACKAGES:-}"
 missing=""
 for package in $packages; do
