--- a/packages/decide/chn_int.h
+++ b/packages/decide/chn_int.h
@@ -6,7 +6,7 @@
 
 /* A pool's work of the stages after this one, in ms: ordering alone depends on it. */
 #define CHN_STAGE_SHARE_MS 600
-#define CHN_RANK_MS 200	       /* of latest start that one rank is worth: most of a call */
+#define CHN_RANK_MS 600	       /* of latest start that one rank is worth: most of a call */
 #define CHN_ROOM_SHARE 1.0     /* of the announced room that is planned with */
 #define CHN_OVERDUE_FACTOR 2   /* times the expected time, after which pieces go elsewhere */
 #define CHN_OVERDUE_MS 200     /* besides: transport and the upstream's own jitter */
