Name the request in the owner's log lines

Cause: the owner's lines named the chain by a number that no other line held, so a late request could not be followed from its id.

--- a/packages/decide/chn.c
+++ b/packages/decide/chn.c
@@ -131,6 +131,7 @@
 		.kind = CHN_CMD_REFUSE,
 		.job = job->id,
 		.asker = g_strdup(job->asker),
+		.attempt = g_strdup(job->attempt),
 		.reason = reason,
 		.retry_after_ms = retry_ms,
 		.late = job->late,
@@ -175,6 +176,7 @@
 		.kind = CHN_CMD_READY,
 		.job = job->id,
 		.asker = g_strdup(job->asker),
+		.attempt = g_strdup(job->attempt),
 		.late = job->late,
 		.expect_in_ms = job->expect_at_ms - now_ms,
 		.aim_in_ms = job->aim_at_ms - now_ms,
@@ -224,6 +226,7 @@
 		.kind = CHN_CMD_ADMIT,
 		.job = job->id,
 		.asker = g_strdup(job->asker),
+		.attempt = g_strdup(job->attempt),
 		.late = job->late,
 		.expect_in_ms = job->expect_at_ms - now_ms,
 		.aim_in_ms = job->aim_at_ms - now_ms,
@@ -747,6 +750,7 @@
 	g_strfreev(cmd->handles);
 	chn_hand_clear(cmd);
 	g_free(cmd->asker);
+	g_free(cmd->attempt);
 	g_free(cmd->data_centre);
 	*cmd = (struct chn_cmd){0};
 }
--- a/packages/decide/chn_call.c
+++ b/packages/decide/chn_call.c
@@ -150,7 +150,8 @@
 struct call_plan {
 	guint first;	/* the entry for which the upstream was chosen */
 	uint32_t limit; /* pieces */
-	bool near_only; /* besides the first chain: other upstreams idle for those of other centres */
+	bool near_only; /* besides the first chain: other upstreams idle for those of other centres
+			 */
 };
 
 static const char *home_of(const struct entry *e);
@@ -292,8 +293,8 @@
 
 	for (guint i = 0; i < pool->upstreams->len; i++) {
 		const struct upstream *u = g_ptr_array_index(pool->upstreams, i);
-		upstreams += u->usable && u->bad_until_ms <= now_ms &&
-			     strcmp(u->data_centre, home) == 0;
+		upstreams +=
+			u->usable && u->bad_until_ms <= now_ms && strcmp(u->data_centre, home) == 0;
 	}
 	for (guint i = 0; i < entries->len; i++) {
 		const struct entry *other = &g_array_index(entries, struct entry, i);
--- a/packages/decide/chn_hand.c
+++ b/packages/decide/chn_hand.c
@@ -88,6 +88,7 @@
 			continue;
 		s->told = true;
 		cmd.asker = g_strdup(job->asker);
+		cmd.attempt = g_strdup(job->attempt);
 		copy_done(job, (int)i, &cmd);
 		g_array_append_val(out, cmd);
 	}
@@ -95,7 +96,10 @@
 
 static void hand(struct chn *c, struct job *job, GArray *out)
 {
-	struct chn_cmd cmd = {.kind = CHN_CMD_HAND, .job = job->id, .asker = g_strdup(job->asker)};
+	struct chn_cmd cmd = {.kind = CHN_CMD_HAND,
+			      .job = job->id,
+			      .asker = g_strdup(job->asker),
+			      .attempt = g_strdup(job->attempt)};
 
 	copy_doc(job, &cmd.doc);
 	copy_done(job, -1, &cmd);
--- a/packages/decide/include/decide/chn.h
+++ b/packages/decide/include/decide/chn.h
@@ -107,6 +107,7 @@
 	char **handles;	   /* of FREE and READY */
 	uint64_t job;	   /* of READY and REFUSE */
 	char *asker;
+	char *attempt;	   /* of the caller, for the log */
 	char *data_centre; /* of READY: where most bytes of the results lie; NULL: anywhere */
 	int64_t retry_after_ms;
 	const char *reason;	/* of REFUSE: a constant */
--- a/packages/serve/srv_chain.c
+++ b/packages/serve/srv_chain.c
@@ -60,7 +60,7 @@
 					(int)pools[i].busy, "waiting", (int)pools[i].waiting,
 					"pending", (int)pools[i].pending, "backlog_ms",
 					(json_int_t)pools[i].backlog_ms));
-	log_info("chain_refused", "{s:I, s:s, s:s, s:I, s:i, s:o}", "chain", (json_int_t)cmd->job,
+	log_info("chain_refused", "{s:s, s:s, s:s, s:I, s:i, s:o}", "request", cmd->attempt,
 		 "asker", cmd->asker, "reason", cmd->reason, "retry_after_ms",
 		 (json_int_t)cmd->retry_after_ms, "chains", (int)chn_count_jobs(s->chains), "pools",
 		 list);
@@ -68,9 +68,9 @@
 
 static void log_chain(const struct chn_cmd *cmd, const char *event)
 {
-	log_info(event, "{s:I, s:s, s:b, s:I, s:I}", "chain", (json_int_t)cmd->job, "asker",
-		 cmd->asker, "late", (int)cmd->late, "expect_in_ms", (json_int_t)cmd->expect_in_ms,
-		 "aim_in_ms", (json_int_t)cmd->aim_in_ms);
+	log_info(event, "{s:s, s:s, s:b, s:I, s:I}", "request", cmd->attempt, "asker", cmd->asker,
+		 "late", (int)cmd->late, "expect_in_ms", (json_int_t)cmd->expect_in_ms, "aim_in_ms",
+		 (json_int_t)cmd->aim_in_ms);
 }
 
 static void hand_over(struct srv *s, const struct chn_cmd *cmd)
@@ -86,9 +86,8 @@
 	hand.asker = cmd->asker;
 	message.kind_case = PEER__MESSAGE__KIND_CHAIN_HAND;
 	message.chain_hand = &hand;
-	log_info("chain_handed_over", "{s:I, s:s, s:s, s:i}", "chain", (json_int_t)cmd->job,
-		 "asker", cmd->asker, "owner", owner->record.peer_address, "results",
-		 (int)cmd->n_done);
+	log_info("chain_handed_over", "{s:s, s:s, s:s, s:i}", "request", cmd->attempt, "asker",
+		 cmd->asker, "owner", owner->record.peer_address, "results", (int)cmd->n_done);
 	srv_mesh_send(s, owner->record.peer_address, &message);
 	chain_clear_wire(&wire);
 }
@@ -99,6 +98,9 @@
 	Peer__Message message = PEER__MESSAGE__INIT;
 	struct wire_ask wire;
 
+	log_info("chain_stage_done", "{s:s, s:i, s:i, s:s}", "request", cmd->attempt, "stage",
+		 cmd->n_done > 0 ? (int)cmd->done[0].stage : -1, "pieces", (int)cmd->n_done,
+		 "upstream", cmd->n_done > 0 ? cmd->done[0].upstream : "");
 	if (strcmp(cmd->asker, chain_self(s)) == 0)
 		return; /* it dies with the owner */
 	peer__chain_ask__init(&wire.ask);
