Check settings and published documents; hear members by their own messages; costs by size

Cause: the command line knew nothing of adapted nodes. At 65 nodes a record in gossip is passed on every 0.4 s at the mean, so one in a hundred members counted as silent at any time.

--- a/packages/cli/check.c
+++ b/packages/cli/check.c
@@ -1,6 +1,9 @@
 /* currantscale check FILE: every fault of a document, with its place. */
 #include "cli/cli.h"
 #include "model/cfg.h"
+#include "model/pub_check.h"
+#include "plf.h"
+#include "serve/sst.h"
 
 #include <argp.h>
 #include <jansson.h>
@@ -35,7 +38,9 @@
 	.options = options,
 	.parser = parse_arg,
 	.args_doc = "FILE",
-	.doc = "Names every fault of a configuration document.\v"
+	.doc = "Names every fault of a configuration document, of the settings of a node that "
+	       "serves through an adapter, or of a configuration as the platform publishes it "
+	       "(JSON).\v"
 	       "Exit status: 0 when there is none, 1 when there are faults, 2 when FILE can't be "
 	       "read.",
 };
@@ -68,6 +73,44 @@
 		printf("%s: no fault\n", path);
 }
 
+static int check_settings(const char *path)
+{
+	GError *error = NULL;
+	struct sst *set = sst_load(path, &error);
+
+	if (!set) {
+		printf("%s\n", error->message);
+		g_error_free(error);
+		return CLI_EXIT_FAULTS;
+	}
+	printf("%s: no fault\n", path);
+	sst_free(set);
+	return CLI_EXIT_OK;
+}
+
+static int check_published(const char *path, const char *text, gsize len)
+{
+	char *why = NULL;
+	struct pub_doc *doc = plf_ops.feed->read_doc(text, len, &why);
+	GPtrArray *faults;
+	int code;
+
+	if (!doc) {
+		printf("%s: %s\n", path, why ? why : "no JSON object");
+		g_free(why);
+		return CLI_EXIT_FAULTS;
+	}
+	faults = pub_check(doc);
+	for (guint i = 0; i < faults->len; i++)
+		printf("%s: %s\n", path, (const char *)g_ptr_array_index(faults, i));
+	if (faults->len == 0)
+		printf("%s: no fault in version %" G_GINT64_FORMAT "\n", path, doc->version);
+	code = faults->len > 0 ? CLI_EXIT_FAULTS : CLI_EXIT_OK;
+	g_ptr_array_unref(faults);
+	pub_doc_unref(doc);
+	return code;
+}
+
 int cli_check(int argc, char **argv)
 {
 	struct args args = {0};
@@ -81,6 +124,12 @@
 		fprintf(stderr, "currantscale: %s can't be read\n", args.path);
 		return CLI_EXIT_USAGE;
 	}
+	if (text[0] == '{' || sst_is_for(args.path)) {
+		code = text[0] == '{' ? check_published(args.path, text, len)
+				      : check_settings(args.path);
+		g_free(text);
+		return code;
+	}
 	faults = sch_faults_new();
 	cfg_unref(cfg_parse(text, len, faults));
 	if (args.json)
--- a/packages/cli/ops.c
+++ b/packages/cli/ops.c
@@ -200,6 +200,39 @@
 	putchar('\n');
 }
 
+/* A node that serves through an adapter. */
+static void print_adapted(const json_t *dump)
+{
+	const json_t *status = json_object_get(dump, "status");
+	json_t *entry;
+	size_t i;
+
+	printf("%s: %s%s, %lld requests, version %lld, view %lld ms old, owner %s with %lld "
+	       "chains\n"
+	       "  sees:",
+	       text_of(status, "vm"),
+	       json_is_true(json_object_get(status, "ready")) ? "ready" : "not ready",
+	       json_is_true(json_object_get(status, "stopping")) ? ", stopping" : "",
+	       number_of(status, "requests"), number_of(status, "version"),
+	       number_of(status, "view_age_ms"), text_of(status, "owner"),
+	       number_of(status, "chains"));
+	json_array_foreach(json_object_get(dump, "members"), i, entry)
+		printf(" %s(%lld ms)", text_of(entry, "peer"), number_of(entry, "heard_ms"));
+	printf("\n  not used:");
+	json_array_foreach(json_object_get(dump, "upstreams"), i, entry)
+	{
+		if (!json_is_true(json_object_get(entry, "usable")) ||
+		    number_of(entry, "blocked_ms") > 0)
+			printf(" %s", text_of(entry, "upstream"));
+	}
+	printf("\n  pools:");
+	json_array_foreach(json_object_get(dump, "pools"), i, entry)
+		printf(" %s(%lld busy of %lld, %lld waiting, %lld ms)", text_of(entry, "pool"),
+		       number_of(entry, "busy"), number_of(entry, "upstreams"),
+		       number_of(entry, "waiting"), number_of(entry, "backlog_ms"));
+	putchar('\n');
+}
+
 static void print_node(const json_t *dump)
 {
 	const json_t *state = json_object_get(dump, "decisions");
@@ -253,6 +286,8 @@
 		json_t *dump = ask_json(http, args.nodes[i], "/dump", args.key);
 		if (!dump)
 			code = fail(args.nodes[i]);
+		else if (!args.json && json_object_get(dump, "members"))
+			print_adapted(dump);
 		else if (!args.json)
 			print_node(dump);
 		if (dump)
--- a/packages/decide/fle.c
+++ b/packages/decide/fle.c
@@ -99,7 +99,10 @@
 
 bool fle_is_alive(const struct fle *f, const struct fle_member *m, int64_t now_ms)
 {
-	return m == &f->self || now_ms - m->heard_ms <= FLE_SILENT_MS;
+	int64_t silent_ms =
+		FLE_SILENT_MS + FLE_SILENT_MS_PER_MEMBER * (int64_t)g_hash_table_size(f->members);
+
+	return m == &f->self || now_ms - m->heard_ms <= silent_ms;
 }
 
 /* Members that are alive, or all, in random order; free with g_ptr_array_unref(). */
@@ -174,6 +177,14 @@
 	return n;
 }
 
+void fle_heard(struct fle *f, const char *peer_address, int64_t now_ms)
+{
+	struct fle_member *m = g_hash_table_lookup(f->members, peer_address);
+
+	if (m)
+		m->heard_ms = now_ms;
+}
+
 void fle_excuse_gap(struct fle *f, int64_t gap_ms)
 {
 	GHashTableIter iter;
--- a/packages/decide/include/decide/fle.h
+++ b/packages/decide/include/decide/fle.h
@@ -17,13 +17,15 @@
 #endif
 
 #define FLE_NAME_BYTES 64
-#define FLE_BEAT_MS 300	     /* between two rounds of gossip */
-#define FLE_FANOUT 2	     /* members told in a round */
-#define FLE_RECORDS_MAX 24   /* in a message: 1.5 KB, so that a round at 410 nodes stays small */
-#define FLE_SILENT_MS 1800   /* six rounds: three hops of gossip, with two of them lost */
-#define FLE_FORGET_MS 30000  /* beyond all times that callers keep an address */
-#define FLE_SEED_EVERY 4     /* rounds between two messages to a seed: heals a split fleet */
-#define FLE_JOIN_ROUNDS 20   /* after a start: to all seeds, since most links are still to be made \
+#define FLE_BEAT_MS 300	    /* between two rounds of gossip */
+#define FLE_FANOUT 2	    /* members told in a round */
+#define FLE_RECORDS_MAX 24  /* in a message: 1.5 KB, so that a round at 410 nodes stays small */
+#define FLE_SILENT_MS_PER_MEMBER 12 /* besides: the larger the fleet, the rarer each is heard of */
+#define FLE_SILENT_MS 1800  /* six rounds: three hops of gossip, with two of them lost */
+#define FLE_FORGET_MS 30000 /* beyond all times that callers keep an address */
+#define FLE_SEED_EVERY 4    /* rounds between two messages to a seed: heals a split fleet */
+#define FLE_JOIN_ROUNDS                                                                            \
+	20		     /* after a start: to all seeds, since most links are still to be made \
 			      */
 #define FLE_JOIN_BEAT_MS 100 /* between these rounds: the fleet is known before callers come */
 #define FLE_MEMBERS_MAX 4096
@@ -67,6 +69,9 @@
 uint32_t fle_targets(struct fle *f, const char *const *seeds, uint32_t n_seeds, struct rnd *rnd,
 		     char (*targets)[FLE_NAME_BYTES], uint32_t room, int64_t now_ms);
 
+/* A message came from the member itself: it lives, whatever gossip says. */
+void fle_heard(struct fle *f, const char *peer_address, int64_t now_ms);
+
 /* The process was suspended: nothing that was heard before is older than it was then. */
 void fle_excuse_gap(struct fle *f, int64_t gap_ms);
 
--- a/packages/decide/sel.c
+++ b/packages/decide/sel.c
@@ -11,11 +11,13 @@
 #define SEL_INPUTS_MS 60.0 /* of inputs that cross to another data centre, their price included */
 #define SEL_BUSY_MS 40.0   /* of each request that this node has there already */
 #define SEL_STREAM_MS 5.0  /* the same where many run at a time */
-#define SEL_SESSION 4.0 /* times what reading a session's part anew takes: it has a price besides  \
-			 */
-#define SEL_PREFIX 0.3	/* the same of a part that many sessions share: soon every engine holds it \
-			 */
-#define SEL_TIE_MS 4.0	/* spreads equal ones, the same for all nodes */
+#define SEL_SESSION                                                                                \
+	4.0 /* times what reading a session's part anew takes: it has a price besides              \
+	     */
+#define SEL_PREFIX                                                                                 \
+	0.3	       /* the same of a part that many sessions share: soon every engine holds it  \
+			*/
+#define SEL_TIE_MS 4.0 /* spreads equal ones, the same for all nodes */
 
 static double unit(uint64_t key, const char *id)
 {
--- /dev/null
+++ b/packages/model/pub_check.c
@@ -0,0 +1,84 @@
+#include "model/pub_check.h"
+
+#include <string.h>
+
+static void add(GPtrArray *faults, const char *format, const char *a, const char *b)
+{
+	char *text = g_strdup_printf("%s %s: ", a, b);
+
+	g_ptr_array_add(faults, g_strconcat(text, format, NULL));
+	g_free(text);
+}
+
+static void check_shares(const struct pub_doc *doc, const struct pub_route *r, GPtrArray *faults)
+{
+	double total = 0;
+
+	for (uint32_t i = 0; i < r->n_shares; i++) {
+		total += r->shares[i].weight;
+		if (!pub_service_of(doc, r->shares[i].service))
+			add(faults, "it is sent to a service that is not published", "route",
+			    r->name);
+	}
+	if (total <= 0)
+		add(faults, "its services have no weight", "route", r->name);
+}
+
+static void check_stages(const struct pub_doc *doc, const struct pub_route *r, GPtrArray *faults)
+{
+	for (uint32_t i = 0; i < r->n_stages; i++) {
+		const struct pub_service *s = pub_service_of(doc, r->stages[i].service);
+		if (!s || !s->pool.present)
+			add(faults, "a stage's service is no pool", "route", r->name);
+		if (r->stages[i].after >> i != 0)
+			add(faults, "a stage needs itself or a later one", "route", r->name);
+	}
+}
+
+static void check_route(const struct pub_doc *doc, const struct pub_route *r, GPtrArray *faults)
+{
+	size_t len = strlen(r->path_prefix);
+
+	if (len == 0 || r->path_prefix[0] != '/' || r->path_prefix[len - 1] != '/')
+		add(faults, "its prefix does not begin and end with a slash", "route", r->name);
+	if (r->timeout_ms <= 0)
+		add(faults, "it has no timeout", "route", r->name);
+	if (r->max_upstreams < 1)
+		add(faults, "it may be sent to no upstream", "route", r->name);
+	check_shares(doc, r, faults);
+	check_stages(doc, r, faults);
+}
+
+static void check_service(const struct pub_service *s, GPtrArray *faults)
+{
+	if (s->pool.present && (s->pool.batch_size < 1 || s->pool.slots < 1))
+		add(faults, "its calls hold no piece, or it takes no call", "service", s->name);
+	if (s->cold_ms > 0 && s->cold_per_s <= 0)
+		add(faults, "it starts cold and bears nothing then", "service", s->name);
+}
+
+static void check_accounts(const struct pub_doc *doc, GPtrArray *faults)
+{
+	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (uint32_t i = 0; i < doc->n_accounts; i++) {
+		for (char **key = doc->accounts[i].keys; key && *key; key++) {
+			if (!g_hash_table_add(keys, *key))
+				add(faults, "one of its keys stands twice", "account",
+				    doc->accounts[i].name);
+		}
+	}
+	g_hash_table_destroy(keys);
+}
+
+GPtrArray *pub_check(const struct pub_doc *doc)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+
+	for (uint32_t i = 0; i < doc->n_routes; i++)
+		check_route(doc, &doc->routes[i], faults);
+	for (uint32_t i = 0; i < doc->n_services; i++)
+		check_service(&doc->services[i], faults);
+	check_accounts(doc, faults);
+	return faults;
+}
--- a/packages/serve/srv_mesh.c
+++ b/packages/serve/srv_mesh.c
@@ -155,6 +155,7 @@
 {
 	struct srv *s = arg;
 
+	fle_heard(s->fleet, message->from_vm, clk_now_ms());
 	switch (message->kind_case) {
 	case PEER__MESSAGE__KIND_BEAT:
 		take_beat(s, message->from_vm, message->beat);
--- /dev/null
+++ b/tests/bench_adapted.c
@@ -0,0 +1,184 @@
+/*
+ * Costs of the adapted path's decisions and messages by size of the fleet: a round of gossip, the
+ * choice of an upstream, an event at the owner of chains. Run by hand; docs/CAPACITY.md has the
+ * figures.
+ */
+#include "base/clk.h"
+#include "decide/chn.h"
+#include "decide/fle.h"
+#include "decide/sel.h"
+#include "peer/peer.pb-c.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define ROUNDS 200
+
+static double elapsed_us(int64_t began_us, int n)
+{
+	return (double)(clk_now_us() - began_us) / n;
+}
+
+static size_t packed_bytes(const struct fle_record *records, uint32_t n)
+{
+	Peer__Member members[FLE_RECORDS_MAX];
+	Peer__Member *list[FLE_RECORDS_MAX];
+	Peer__Beat beat = PEER__BEAT__INIT;
+
+	for (uint32_t i = 0; i < n; i++) {
+		peer__member__init(&members[i]);
+		members[i].peer_address = (char *)records[i].peer_address;
+		members[i].caller_address = (char *)records[i].caller_address;
+		members[i].data_centre = (char *)records[i].data_centre;
+		members[i].region = (char *)records[i].region;
+		members[i].incarnation = records[i].incarnation;
+		members[i].beat = records[i].beat;
+		members[i].ready = true;
+		list[i] = &members[i];
+	}
+	beat.members = list;
+	beat.n_members = n;
+	return peer__beat__get_packed_size(&beat);
+}
+
+static struct fle_record record(uint32_t i)
+{
+	struct fle_record r = {.incarnation = 1791053166295 + i, .beat = 1000 + i, .ready = true};
+
+	g_snprintf(r.peer_address, sizeof(r.peer_address), "10.%u.%u.%u:7120", i / 200, i % 7,
+		   i % 200);
+	g_snprintf(r.caller_address, sizeof(r.caller_address), "10.%u.%u.%u:8460", i / 200, i % 7,
+		   i % 200);
+	g_strlcpy(r.data_centre, "zapad-trnava", sizeof(r.data_centre));
+	g_strlcpy(r.region, "zapad", sizeof(r.region));
+	return r;
+}
+
+static void bench_gossip(uint32_t nodes)
+{
+	struct fle_record self = record(0);
+	struct fle *f = fle_new(&self, 1000);
+	struct fle_record out[FLE_RECORDS_MAX];
+	char targets[8][FLE_NAME_BYTES];
+	struct rnd rnd = {1};
+	uint32_t n = 0;
+	uint32_t n_targets = 0;
+	int64_t began_us;
+
+	for (uint32_t i = 1; i < nodes; i++) {
+		struct fle_record r = record(i);
+		fle_take(f, &r, 1, 1000);
+	}
+	began_us = clk_now_us();
+	for (int i = 0; i < ROUNDS; i++) {
+		fle_round(f, 1000);
+		n_targets += fle_targets(f, NULL, 0, &rnd, targets, 8, 1000);
+		n = fle_fill(f, out, FLE_RECORDS_MAX, &rnd, 1000);
+	}
+	printf("gossip, %u nodes: %.1f us a round, %zu bytes a message, %.2f messages a round\n",
+	       nodes, elapsed_us(began_us, ROUNDS), packed_bytes(out, n),
+	       (double)n_targets / ROUNDS);
+	fle_free(f);
+}
+
+static void bench_choice(uint32_t engines)
+{
+	struct sel_candidate *list = g_new0(struct sel_candidate, engines);
+	struct sel_request request = {
+		.is_generation = true, .prefix = 1, .prefix_ms = 65, .session_ms = 98};
+	int64_t began_us;
+	int sum = 0;
+
+	for (uint32_t i = 0; i < engines; i++)
+		list[i].id = g_strdup_printf("i-%08x", i * 2654435761U);
+	began_us = clk_now_us();
+	for (int i = 0; i < ROUNDS; i++) {
+		request.session = (uint64_t)i + 1;
+		sum += sel_pick(&request, list, engines);
+	}
+	printf("choice, %u engines: %.1f us (%d)\n", engines, elapsed_us(began_us, ROUNDS),
+	       sum > 0);
+	for (uint32_t i = 0; i < engines; i++)
+		g_free((char *)list[i].id);
+	g_free(list);
+}
+
+static struct pub_doc *pools(void)
+{
+	static const char *const names[] = {"a", "b", "c"};
+	struct pub_doc *doc = pub_doc_new();
+
+	doc->n_services = 3;
+	doc->services = g_new0(struct pub_service, 3);
+	for (int i = 0; i < 3; i++) {
+		doc->services[i].name = g_strdup(names[i]);
+		doc->services[i].pool = (struct pub_pool){.present = true,
+							  .slots = 1,
+							  .batch_size = 8,
+							  .call_ms = 200,
+							  .piece_ms = 20,
+							  .room_bytes = 100000000,
+							  .handle_ms = 4000};
+	}
+	pub_doc_seal(doc);
+	return doc;
+}
+
+/* Chains that wait in the owner's queues while one more is submitted and refused or taken. */
+static void bench_owner(uint32_t engines, uint32_t chains)
+{
+	static const char *const names[] = {"a", "b", "c"};
+	struct chn_upstream_doc *docs = g_new0(struct chn_upstream_doc, engines);
+	struct pub_doc *doc = pools();
+	struct chn *c = chn_new();
+	struct chn_stage_doc stages[] = {
+		{(char *)"a", 0, 1, 8000}, {(char *)"b", 1, 4, 60000}, {(char *)"c", 2, 10, 6000}};
+	int64_t began_us;
+
+	for (uint32_t i = 0; i < engines; i++)
+		docs[i] = (struct chn_upstream_doc){.id = g_strdup_printf("u%u", i),
+						    .service = names[i % 3],
+						    .address = "10.0.0.1:1",
+						    .data_centre = "x",
+						    .region = "r",
+						    .usable = true};
+	chn_set_pools(c, doc);
+	chn_set_upstreams(c, docs, engines, 1000);
+	began_us = clk_now_us();
+	for (uint32_t i = 0; i < chains; i++) {
+		const struct chn_job_doc job = {.id = i,
+						.asker = "n",
+						.attempt = "x",
+						.key = "k",
+						.stages = stages,
+						.n_stages = 3,
+						.aim_at_ms = 1000000,
+						.deadline_at_ms = 2000000,
+						.data_centre = "x"};
+		GArray *out = chn_out_new();
+		chn_submit(c, &job, NULL, 0, 1000, out);
+		g_array_unref(out);
+	}
+	printf("owner, %u pool engines: %.1f us a chain while up to %u wait\n", engines,
+	       elapsed_us(began_us, (int)chains), chn_count_jobs(c));
+	chn_free(c);
+	pub_doc_unref(doc);
+	for (uint32_t i = 0; i < engines; i++)
+		g_free((char *)docs[i].id);
+	g_free(docs);
+}
+
+int main(void)
+{
+	static const uint32_t nodes[] = {7, 70, 410};
+	static const uint32_t engines[] = {9, 140, 1600, 6100};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++)
+		bench_gossip(nodes[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(engines); i++)
+		bench_choice(engines[i]);
+	bench_owner(13, 30);
+	bench_owner(51, 300);
+	bench_owner(300, 1000);
+	return 0;
+}
--- a/tests/proc_cli.c
+++ b/tests/proc_cli.c
@@ -90,6 +90,8 @@
 	{"drain -k bad ADMIN", 3, ""},
 	{"drain -k ops-key ADMIN2", 0, "draining"},
 	{"check EXAMPLES/association.yaml", 0, "no fault"},
+	{"check EXAMPLES/adapted-node.yaml", 0, "no fault"},
+	{"check EXAMPLES/node.yaml", 1, ""},
 	{"emulate EXAMPLES/none.yaml", 2, ""},
 };
 
