--- a/packages/serve/srv_feed.c
+++ b/packages/serve/srv_feed.c
@@ -291,9 +291,9 @@
 	return feed->good_ms > 0 ? now_ms - feed->good_ms : -1;
 }
 
-bool srv_feed_is_blind(const struct srv_feed *feed)
+bool srv_feed_is_away(const struct srv_feed *feed)
 {
-	return !feed->have_read && feed->good_ms == 0;
+	return feed->fails > 0 || feed->good_ms == 0;
 }
 
 int64_t srv_feed_revision(const struct srv_feed *feed)
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -101,6 +101,7 @@
 	int64_t started_ms;
 	int64_t last_tick_ms;
 	int64_t stop_began_ms;	    /* 0: none */
+	int64_t copy_revision; /* of the newest copy taken */
 	int64_t copy_asked_ms;	    /* when another node was last asked for what it holds */
 	int64_t not_owner_since_ms; /* another node owns the chains; 0: this one does */
 	bool is_ready;
@@ -127,8 +128,8 @@
 int64_t srv_feed_age_ms(const struct srv_feed *feed, int64_t now_ms);
 int64_t srv_feed_revision(const struct srv_feed *feed);
 
-/* True while the source has not been read in full since the start, and does not answer. */
-bool srv_feed_is_blind(const struct srv_feed *feed);
+/* True while the source has given no answer since the start, or its last call failed. */
+bool srv_feed_is_away(const struct srv_feed *feed);
 
 /* srv_copy.c: what another node holds of the source, for one that starts while it is away. */
 void srv_copy_tick(struct srv *s, int64_t now_ms);
--- a/tests/adapted.c
+++ b/tests/adapted.c
@@ -52,7 +52,8 @@
 			       n->front, n->ready, n->lookup);
 	g_string_append_printf(text, "admin_address: %s\nmetrics_address: %s\npeer_address: %s\n",
 			       n->admin, n->metrics, n->peer);
-	g_string_append_printf(text, "source_address: %s\nseeds:\n", pse_store_address(a->pse));
+	g_string_append_printf(text, "source_address: %s\nseeds:\n",
+			       n->is_cut_off ? "127.0.0.1:1" : pse_store_address(a->pse));
 	for (uint32_t k = 0; k < a->n_nodes && k < 3; k++)
 		g_string_append_printf(text, "  - %s\n", a->nodes[k].admin);
 	g_string_append(text,
--- a/tests/adapted.h
+++ b/tests/adapted.h
@@ -5,6 +5,7 @@
 #include "emul/pse.h"
 
 #include <glib.h>
+#include <stdbool.h>
 #include <sys/types.h>
 
 #define ADAPTED_NODES_MAX 8
@@ -17,7 +18,8 @@
 	char admin[ADAPTED_ADDRESS_BYTES];
 	char metrics[ADAPTED_ADDRESS_BYTES];
 	char peer[ADAPTED_ADDRESS_BYTES];
-	pid_t pid; /* 0: not running */
+	bool is_cut_off; /* from the source, from its next start on */
+	pid_t pid;	 /* 0: not running */
 };
 
 struct adapted {
--- a/tests/proc_adapter.c
+++ b/tests/proc_adapter.c
@@ -449,6 +449,30 @@
 }
 END_TEST
 
+/* News reach a node that the source never answers: versions, engines that leave, data centres. */
+START_TEST(cut_off_from_source)
+{
+	uint32_t before;
+
+	adapted_signal(a, 2, SIGKILL);
+	a->nodes[2].is_cut_off = true;
+	adapted_start_node(a, 2);
+	adapted_wait_ready(a, 2);
+	adapted_configure(a, 50, "/once/", "/new/");
+	pse_publish(a->pse, "plain-1", "draining");
+	clk_sleep_ms(IN_FORCE_MS + 1000); /* by way of another node */
+	ck_assert_int_eq(status_of(2, "/once/x", NULL), 404);
+	before = arrivals("plain-1");
+	for (int i = 0; i < MANY; i++)
+		ck_assert_int_eq(status_of(2, "/new/x", NULL), 200);
+	ck_assert_uint_eq(arrivals("plain-1"), before);
+	pse_publish(a->pse, "plain-1", NULL);
+	pse_put(a->pse, "op/evacuate/b1", "{}");
+	clk_sleep_ms(IN_FORCE_MS + 1000);
+	ck_assert_int_eq(status_of(2, "/new/x", NULL), 503);
+}
+END_TEST
+
 static bool names(const char *body, uint32_t node)
 {
 	return strstr(body, a->nodes[node].front) != NULL;
@@ -496,11 +520,25 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		answers,	 unframed,	 hostile_requests, streams_resume,
-		streams_cut,	 chains,	 owner_killed,	   owner_stopped,
-		stop_under_load, versions,	 leaving_engine,   gone_engine,
-		centre_out,	 broken_entries, source_away,	   starts_without_source,
-		addresses,	 metrics,
+		answers,
+		unframed,
+		hostile_requests,
+		streams_resume,
+		streams_cut,
+		chains,
+		owner_killed,
+		owner_stopped,
+		stop_under_load,
+		versions,
+		leaving_engine,
+		gone_engine,
+		centre_out,
+		broken_entries,
+		source_away,
+		starts_without_source,
+		cut_off_from_source,
+		addresses,
+		metrics,
 	};
 	Suite *suite = suite_create("proc_adapter");
 	TCase *tcase = tcase_create("all");
