--- a/packages/cli/emulate.c
+++ b/packages/cli/emulate.c
@@ -56,7 +56,8 @@
 	.options = options,
 	.parser = parse_arg,
 	.args_doc = "FILE",
-	.doc = "Publishes a configuration document and emulates its upstreams until SIGTERM. A FILE "
+	.doc = "Publishes a configuration document and emulates its upstreams until SIGTERM. A "
+	       "FILE "
 	       "of JSON is a configuration as the users' platform publishes it: its store and "
 	       "engines in the data centres a1, b1 and c1 are emulated.\v"
 	       "Prints one line of JSON: the address of the platform and of its controls, and the "
--- a/packages/decide/chn_int.h
+++ b/packages/decide/chn_int.h
@@ -4,37 +4,43 @@
 
 #include "decide/chn.h"
 
-/* A pool's work of the stages after this one, in ms: ordering alone depends on it. */
-#define CHN_STAGE_SHARE_MS 600
-#define CHN_RANK_MS 600	       /* of latest start that one rank is worth: most of a call */
-#define CHN_ROOM_SHARE 1.0     /* of the announced room that is planned with */
-#define CHN_OVERDUE_FACTOR 2   /* times the expected time, after which pieces go elsewhere */
-#define CHN_OVERDUE_MS 200     /* besides: transport and the upstream's own jitter */
-#define CHN_SLOW_RATIO 2.5     /* of the expected time: an upstream is slow */
-#define CHN_SLOW_PROBE_MS 3000 /* between two calls to a slow upstream */
-#define CHN_RATIO_GAIN 0.3     /* of the newest call in the mean ratio */
-#define CHN_FULL_PAUSE_MS 60   /* before an upstream that refused is asked again */
-#define CHN_ROOM_PAUSE_MS 200  /* before one that had no room at all is asked again */
-#define CHN_BAD_PAUSE_MS 500   /* after a failure; doubles with each in a row */
-#define CHN_BAD_PAUSE_MAX_MS 4000
-#define CHN_FETCHED_MS 60 /* after the sending of a call to an idle upstream, it holds its inputs  \
-			   */
-#define CHN_SCARCE_SHARE 0.4 /* of the room in use, from which inputs are given up once fetched */
-#define CHN_SHARED_MS 2000   /* an upstream had calls of another owner lately */
-#define CHN_EXPIRY_MARGIN_MS 400 /* before a result runs out, for the call that fetches it */
-#define CHN_COST_GAIN 0.1	 /* of the newest call in the mean cost of a piece */
-#define CHN_COST_SHARE 0.5	 /* of the measured cost of a piece beyond that in a full call */
-#define CHN_LATE_MAX_MS 3000 /* for a chain that is late: its first results are kept for some 4 s  \
-			      */
-#define CHN_LATE_FACTOR 1.5  /* of the time foretold has to fit into its deadline */
-#define CHN_PROMISE_MARGIN_MS                                                                      \
-	300		/* beyond the time foretold, within which a late chain is served */
-#define CHN_FAR_SCORE 2.0 /* of an upstream in another data centre than the inputs; a slow one has 2.5 */
-#define CHN_NEAR_MIN 3 /* upstreams beside the inputs, from which one of them ends soon */
-#define CHN_TRIES_MAX 4 /* failures of one piece before its chain is given up */
-#define CHN_DEADLINE_MARGIN_MS 250 /* of the deadline for the way back and the first token */
-#define CHN_RETRY_MIN_MS 250
-#define CHN_RETRY_MAX_MS 5000
+/* Order of the queues. */
+#define CHN_STAGE_SHARE_MS 600 /* a stage with its wait under load, as the users' days show */
+#define CHN_RANK_MS 600	       /* that one rank is worth: a stage */
+
+/* Calls. */
+#define CHN_OVERDUE_FACTOR                                                                         \
+	2 /* times the expected time, then pieces go elsewhere: calls vary by 20% */
+#define CHN_OVERDUE_MS 200 /* besides: there and back between regions, and a lost packet */
+#define CHN_FETCHED_MS 60  /* until inputs are fetched: two ways between regions */
+#define CHN_RATIO_GAIN 0.3 /* of the newest call: three calls tell a slow upstream */
+#define CHN_COST_GAIN 0.1  /* of the newest call: a second of a pool under load */
+#define CHN_COST_SHARE 0.5 /* of the measured cost of a piece: calls fill up as queues grow */
+#define CHN_FAR_SCORE 2.0  /* of an upstream in another data centre; a slow one has 2.5 */
+#define CHN_NEAR_MIN 3	   /* upstreams of which one ends its call soon: a third of a call */
+
+/* Upstreams that are slow, refuse or fail. */
+#define CHN_SLOW_RATIO 2.5	  /* of the expected time: beyond what load explains */
+#define CHN_SLOW_PROBE_MS 3000	  /* between two calls to a slow one: the shortest slowness seen */
+#define CHN_FULL_PAUSE_MS 60	  /* after a refusal: a fifth of a call */
+#define CHN_ROOM_PAUSE_MS 200	  /* after a call without room for any piece: most of a call */
+#define CHN_BAD_PAUSE_MS 500	  /* after a failure; doubles with each in a row */
+#define CHN_BAD_PAUSE_MAX_MS 4000 /* an entry lapses after three heartbeats, some 4 s */
+#define CHN_SHARED_MS 2000	  /* since another owner's call: longer than a hand-over */
+
+/* Room for results. */
+#define CHN_ROOM_SHARE 1.0   /* of what is announced: sizes are announced as they are */
+#define CHN_SCARCE_SHARE 0.4 /* in use, from which inputs are given up early: a call's results */
+#define CHN_EXPIRY_MARGIN_MS 400 /* before a result runs out: the call that fetches it */
+
+/* Admission. */
+#define CHN_LATE_MAX_MS 3000	   /* for a late chain: its first results are kept for some 4 s */
+#define CHN_LATE_FACTOR 1.5	   /* of the time foretold: its error at nine in ten */
+#define CHN_PROMISE_MARGIN_MS 300  /* beyond the time foretold: a call */
+#define CHN_DEADLINE_MARGIN_MS 250 /* for the way back and the first token */
+#define CHN_TRIES_MAX 4		   /* failures of one piece: each costs a call */
+#define CHN_RETRY_MIN_MS 250	   /* told to callers: a call */
+#define CHN_RETRY_MAX_MS 5000	   /* beyond it, few have time left to come back */
 
 enum piece_state { PIECE_WAITING, PIECE_RUNNING, PIECE_DONE };
 
--- a/packages/decide/include/decide/fle.h
+++ b/packages/decide/include/decide/fle.h
@@ -20,11 +20,12 @@
 #define FLE_BEAT_MS 300	   /* between two rounds of gossip */
 #define FLE_FANOUT 2	   /* members told in a round */
 #define FLE_RECORDS_MAX 24 /* in a message: 1.5 KB, so that a round at 410 nodes stays small */
-#define FLE_SILENT_MS_PER_MEMBER 12 /* besides: the larger the fleet, the rarer each is heard of   \
-				     */
-#define FLE_SILENT_MS 1800	    /* six rounds: three hops of gossip, with two of them lost */
-#define FLE_FORGET_MS 30000	    /* beyond all times that callers keep an address */
-#define FLE_SEED_EVERY 4	    /* rounds between two messages to a seed: heals a split fleet */
+#define FLE_SILENT_MS_PER_MEMBER                                                                   \
+	12		    /* besides: the larger the fleet, the rarer each is heard of           \
+			     */
+#define FLE_SILENT_MS 1800  /* six rounds: three hops of gossip, with two of them lost */
+#define FLE_FORGET_MS 30000 /* beyond all times that callers keep an address */
+#define FLE_SEED_EVERY 4    /* rounds between two messages to a seed: heals a split fleet */
 #define FLE_JOIN_ROUNDS                                                                            \
 	20		     /* after a start: to all seeds, since most links are still to be made \
 			      */
--- a/packages/decide/include/decide/sel.h
+++ b/packages/decide/include/decide/sel.h
@@ -20,12 +20,11 @@
 	enum sel_distance distance; /* from the node */
 	bool beside_inputs;	    /* most bytes of the request's inputs lie there */
 	uint32_t in_flight;	    /* of this node */
-	int64_t slots;
-	bool tried;    /* by this request */
-	bool blocked;  /* failed lately; used only when nothing else is left */
-	bool cold;     /* cold and this node's share of what it bears is spent */
-	bool full;     /* no connection of this node's share is left */
-	double failed; /* recent share of failures, 0..1 */
+	bool tried;		    /* by this request */
+	bool blocked;		    /* failed lately; used only when nothing else is left */
+	bool cold;		    /* cold and this node's share of what it bears is spent */
+	bool full;		    /* no connection of this node's share is left */
+	double failed;		    /* recent share of failures, 0..1 */
 };
 
 struct sel_request {
--- a/packages/serve/include/serve/adp.h
+++ b/packages/serve/include/serve/adp.h
@@ -136,8 +136,6 @@
 	bool (*run_reply)(const char *body, size_t len, struct adp_result *results, uint32_t n);
 	const char *free_target;
 	char *(*free_body)(const char *const *handles, uint32_t n);
-	/* host:port of the upstream that made a result; NULL when it is no handle. Caller frees. */
-	char *(*handle_address)(const char *handle);
 	const char *media_type; /* of bodies */
 };
 
--- a/packages/serve/srv_chain.c
+++ b/packages/serve/srv_chain.c
@@ -50,21 +50,10 @@
 
 static void log_refusal(struct srv *s, const struct chn_cmd *cmd)
 {
-	struct chn_pool_state pools[8];
-	uint32_t n = chn_pool_states(s->chains, pools, G_N_ELEMENTS(pools));
-	json_t *list = json_array();
-
-	for (uint32_t i = 0; i < n; i++)
-		json_array_append_new(
-			list, json_pack("{s:s, s:i, s:i, s:i, s:i, s:I}", "pool", pools[i].service,
-					"upstreams", (int)pools[i].upstreams, "busy",
-					(int)pools[i].busy, "waiting", (int)pools[i].waiting,
-					"pending", (int)pools[i].pending, "backlog_ms",
-					(json_int_t)pools[i].backlog_ms));
 	log_info("chain_refused", "{s:s, s:s, s:s, s:I, s:i, s:o}", "request", cmd->attempt,
 		 "asker", cmd->asker, "reason", cmd->reason, "retry_after_ms",
 		 (json_int_t)cmd->retry_after_ms, "chains", (int)chn_count_jobs(s->chains), "pools",
-		 list);
+		 srv_put_pools(s));
 }
 
 static void log_chain(const struct chn_cmd *cmd, const char *event)
--- a/packages/serve/srv_copy.c
+++ b/packages/serve/srv_copy.c
@@ -12,9 +12,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BLIND_MS 700  /* without the source: it answers in milliseconds when it is there */
-#define AGAIN_MS 400  /* between two nodes that are asked by one that knows nothing yet */
-#define NEWS_MS 1000  /* the same by one that was cut off: half of the time that a change may take \
+#define BLIND_MS 700 /* without the source: it answers in milliseconds when it is there */
+#define AGAIN_MS 400 /* between two nodes that are asked by one that knows nothing yet */
+#define NEWS_MS                                                                                    \
+	1000	      /* the same by one that was cut off: half of the time that a change may take \
 		       */
 #define FRESH_MS 3000 /* age of a view that is believed when it misses an entry */
 
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -101,7 +101,7 @@
 	int64_t started_ms;
 	int64_t last_tick_ms;
 	int64_t stop_began_ms;	    /* 0: none */
-	int64_t copy_revision; /* of the newest copy taken */
+	int64_t copy_revision;	    /* of the newest copy taken */
 	int64_t copy_asked_ms;	    /* when another node was last asked for what it holds */
 	int64_t not_owner_since_ms; /* another node owns the chains; 0: this one does */
 	bool is_ready;
@@ -187,7 +187,6 @@
 	const struct pub_service *service;
 	const char *service_name;
 	char *const *regions;
-	char *const *more_regions;
 	const char *data_centre; /* of the inputs; NULL: none */
 	struct sel_request select;
 	const char *const *tried; /* ids, ends with NULL */
@@ -205,4 +204,7 @@
 bool srv_look_start(struct srv *s, GError **error);
 void srv_look_stop(struct srv *s);
 
+/* The queues of the pools, as JSON. */
+json_t *srv_put_pools(const struct srv *s);
+
 #endif
--- a/packages/serve/srv_look.c
+++ b/packages/serve/srv_look.c
@@ -118,7 +118,7 @@
 	return list;
 }
 
-static json_t *put_pools(struct srv *s)
+json_t *srv_put_pools(const struct srv *s)
 {
 	struct chn_pool_state pools[POOLS_MAX];
 	uint32_t n = chn_pool_states(s->chains, pools, POOLS_MAX);
@@ -156,7 +156,7 @@
 
 	fle_each(s->fleet, put_member, members);
 	return json_pack("{s:o, s:o, s:o, s:o}", "status", status(s), "members", members,
-			 "upstreams", put_upstreams(s, clk_now_ms()), "pools", put_pools(s));
+			 "upstreams", put_upstreams(s, clk_now_ms()), "pools", srv_put_pools(s));
 }
 
 static void on_admin(void *arg, struct hts_request *request)
--- a/packages/serve/srv_ups.c
+++ b/packages/serve/srv_ups.c
@@ -196,7 +196,7 @@
 
 	if (strcmp(doc->service, want->service_name) != 0 || !pvw_is_usable(s->view, entry))
 		return false;
-	if (!pub_allows(want->regions, region) || !pub_allows(want->more_regions, region))
+	if (!pub_allows(want->regions, region))
 		return false;
 	*u = srv_ups_get(s, doc->id, doc->address);
 	if (!*u)
@@ -207,7 +207,6 @@
 		.beside_inputs =
 			want->data_centre && strcmp(want->data_centre, doc->data_centre) == 0,
 		.in_flight = (*u)->in_flight,
-		.slots = doc->slots,
 		.tried = is_tried(want->tried, doc->id),
 		.blocked = (*u)->blocked_until_ms > now_ms,
 		.full = (*u)->in_flight >= connection_share(s, want->service, now_ms),
--- a/tests/proc_adapter.c
+++ b/tests/proc_adapter.c
@@ -307,8 +307,8 @@
 	}
 	for (int i = 0; i < MANY; i++) {
 		g_thread_join(threads[i]);
-		ck_assert_msg(senders[i].answer.status == 200 && senders[i].answer.whole, "%d: %s", i,
-			      senders[i].answer.text->str);
+		ck_assert_msg(senders[i].answer.status == 200 && senders[i].answer.whole, "%d: %s",
+			      i, senders[i].answer.text->str);
 		adapted_clear(&senders[i].answer);
 	}
 }
@@ -557,7 +557,8 @@
 		streams_cut,
 		chains,
 		owner_killed,
-		owner_stopped, owners_lost_in_a_row,
+		owner_stopped,
+		owners_lost_in_a_row,
 		stop_under_load,
 		versions,
 		leaving_engine,
--- a/tests/unit_chain.c
+++ b/tests/unit_chain.c
@@ -275,9 +275,6 @@
 START_TEST(twice_the_load)
 {
 	struct tally t = load(20, 2, false);
-	if (g_getenv("CS_TALLY"))
-		g_printerr("in time %u late %u at once %u later %u\n", t.in_time, t.late,
-			   t.refused_at_once, t.refused_later);
 
 	ck_assert_msg(t.in_time >= 100, "%u in time", t.in_time);
 	ck_assert_msg(t.refused_at_once >= 100, "%u refused at once", t.refused_at_once);
--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -50,6 +50,26 @@
 	last = NULL;
 }
 
+static void turn(int64_t ms);
+
+static void close_handle(uv_handle_t *handle, void *arg)
+{
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+/* Every handle's memory goes with its close callback. */
+static void stop(struct htc_origin *origin)
+{
+	hts_free(server);
+	server = NULL;
+	htc_origin_free(origin);
+	turn(20);
+	uv_walk(&loop, close_handle, NULL);
+	turn(5);
+	uv_loop_close(&loop);
+}
+
 static void turn(int64_t ms)
 {
 	int64_t end_ms = clk_now_ms() + ms;
@@ -110,8 +130,7 @@
 			      "%s: %s", readings[i].name, answer->str);
 		g_string_free(answer, TRUE);
 		close(fd);
-		hts_free(server);
-		turn(20);
+		stop(NULL);
 	}
 }
 END_TEST
@@ -155,6 +174,7 @@
 	g_free(head);
 	g_free(long_head);
 	g_free(long_body);
+	stop(NULL);
 }
 END_TEST
 
@@ -171,6 +191,7 @@
 	close(fd);
 	turn(50);
 	ck_assert_uint_eq(gone, 1);
+	stop(NULL);
 }
 END_TEST
 
@@ -196,6 +217,7 @@
 	ck_assert(strstr(answer->str, "one") < strstr(answer->str, "two"));
 	g_string_free(answer, TRUE);
 	close(fd);
+	stop(NULL);
 }
 END_TEST
 
@@ -223,6 +245,7 @@
 	g_string_free(answer, TRUE);
 	close(idle);
 	close(busy);
+	stop(NULL);
 }
 END_TEST
 
@@ -351,23 +374,27 @@
 			      htc_count(origin));
 		g_string_free(got.body, TRUE);
 		close(listener);
+		stop(origin);
 	}
 }
 END_TEST
 
 START_TEST(knows_what_was_not_sent)
 {
+	struct htc_origin *origin;
 	char address[64];
 	int listener = hsv_listen("127.0.0.1:0", NULL);
 
 	uv_loop_init(&loop);
 	hsv_bound_address(listener, address);
 	close(listener);
+	origin = htc_origin_new(&loop, address);
 	memset(&got, 0, sizeof(got));
-	begin(htc_origin_new(&loop, address), false);
+	begin(origin, false);
 	turn(50);
 	ck_assert_int_eq(got.ended, 1);
 	ck_assert_int_eq(got.end, HTC_NOT_SENT);
+	stop(origin);
 }
 END_TEST
 
@@ -376,6 +403,7 @@
 {
 	char address[64];
 	struct htc_origin *origin;
+	struct htc_call *call;
 	int listener = hsv_listen("127.0.0.1:0", NULL);
 	static const char ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
@@ -393,10 +421,13 @@
 	ck_assert_uint_eq(htc_opened(origin), 2);
 	give_answer(listener, ok, LEAVE_OPEN);
 	turn(20);
-	begin(origin, false);
+	call = begin(origin, false);
 	turn(20);
 	ck_assert_uint_eq(htc_opened(origin), 2);
+	htc_cancel(call);
 	g_string_free(got.body, TRUE);
+	close(listener);
+	stop(origin);
 }
 END_TEST
 
@@ -404,6 +435,7 @@
 {
 	char address[64];
 	char block[512];
+	struct htc_origin *origin;
 	struct htc_call *call;
 	int listener = hsv_listen("127.0.0.1:0", NULL);
 	int fd;
@@ -411,7 +443,8 @@
 	uv_loop_init(&loop);
 	hsv_bound_address(listener, address);
 	memset(&got, 0, sizeof(got));
-	call = begin(htc_origin_new(&loop, address), false);
+	origin = htc_origin_new(&loop, address);
+	call = begin(origin, false);
 	turn(20);
 	fd = accept(listener, NULL, NULL);
 	ck_assert_int_gt(recv(fd, block, sizeof(block), 0), 0);
@@ -420,6 +453,7 @@
 	ck_assert_int_eq(recv(fd, block, sizeof(block), 0), 0);
 	ck_assert_int_eq(got.ended, 0);
 	close(fd);
+	stop(origin);
 }
 END_TEST
 
