Soak adapted nodes with random faults, judged by callers and engines

Cause: faults came one at a time in proc_adapter; nothing played them in series and at once.

Change: proc_soak (make soak SEED=n MINUTES=m SIZE=nodes): callers go on while nodes are killed, paused and started, engines misbehave in nine ways, the source is busy, silent or forgetful and versions change. Judged: nothing that runs once ran twice, a refusal did not run, streams have each event once, answers are whole and their own, and all works again after the last fault.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # A front for CMake. `make demo` and `make check` install what they lack and do everything.
-.PHONY: all deps build demo experiment plots check format lint proto clean storm
+.PHONY: all deps build demo experiment plots check format lint proto clean storm soak
 
 SEED ?= 1
 
@@ -41,6 +41,11 @@
 clean:
 	rm -rf build build-*
 
+# Random faults on adapted nodes, judged while they come: make soak SEED=n MINUTES=m SIZE=nodes
+SIZE ?= 4
+soak: build
+	@SOAK_SEED=$(SEED) SOAK_SECONDS=$$(( $(MINUTES) * 60 )) SOAK_NODES=$(SIZE) build/tests/proc_soak
+
 # Random faults, two at a time: make storm SEED=n MINUTES=m
 MINUTES ?= 1
 storm: build
--- a/packages/emul/include/emul/pse.h
+++ b/packages/emul/include/emul/pse.h
@@ -75,6 +75,9 @@
 void pse_publish(struct pse *p, const char *id, const char *state);
 void pse_set_fault(struct pse *p, const char *id, enum pse_fault fault);
 void pse_set_store_fault(struct pse *p, enum pse_store_fault fault);
+
+/* Runs of an attempt at all engines together, those of pieces not counted. */
+uint32_t pse_count_runs(struct pse *p, const char *attempt);
 void pse_look(struct pse *p, const char *id, struct pse_seen *seen);
 
 #endif
--- a/packages/emul/pse.c
+++ b/packages/emul/pse.c
@@ -105,6 +105,23 @@
 	pthread_mutex_unlock(&p->lock);
 }
 
+uint32_t pse_count_runs(struct pse *p, const char *attempt)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t n = 0;
+
+	pthread_mutex_lock(&p->lock);
+	g_hash_table_iter_init(&iter, p->engines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pse_engine *e = value;
+		if (e->options.kind != PSE_POOL)
+			n += GPOINTER_TO_UINT(g_hash_table_lookup(e->runs, attempt));
+	}
+	pthread_mutex_unlock(&p->lock);
+	return n;
+}
+
 void pse_add_engine(struct pse *p, const struct pse_engine_options *options)
 {
 	struct pse_engine *e = g_new0(struct pse_engine, 1);
--- a/tests/adapted.c
+++ b/tests/adapted.c
@@ -4,6 +4,7 @@
 #include "base/hcl.h"
 #include "raw.h"
 
+#include <arpa/inet.h>
 #include <check.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
@@ -11,6 +12,7 @@
 #include <spawn.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -256,17 +258,40 @@
 	}
 }
 
-void adapted_send(struct adapted *a, uint32_t node, const char *method, const char *target,
-		  const char *extra, struct adapted_answer *answer)
+static int try_connect(const char *address)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET};
+	char host[ADAPTED_ADDRESS_BYTES];
+	uint16_t port = 0;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	hcl_split_address(address, host, sizeof(host), &port);
+	at.sin_port = htons(port);
+	inet_pton(AF_INET, host, &at.sin_addr);
+	if (connect(fd, (struct sockaddr *)&at, sizeof(at)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+void adapted_try(struct adapted *a, uint32_t node, const char *method, const char *target,
+		 const char *extra, char *attempt, size_t attempt_bytes,
+		 struct adapted_answer *answer)
 {
-	int fd = raw_connect(a->nodes[node].front);
-	char *request = g_strdup_printf("%s %s HTTP/1.1\r\nHost: h.example\r\n"
-					"X-Currantscale-Attempt-Id: attempt-%u\r\n"
-					"X-Currantscale-Deadline-Ms: 5000\r\n"
-					"X-Currantscale-Key: key-1\r\nConnection: close\r\n%s\r\n",
-					method, target, a->next_attempt++, extra ? extra : "");
+	int fd = try_connect(a->nodes[node].front);
+	char *request;
 
 	*answer = (struct adapted_answer){0};
+	g_snprintf(attempt, attempt_bytes, "attempt-%d", g_atomic_int_add(&a->next_attempt, 1));
+	if (fd < 0) {
+		answer->text = g_string_new(NULL);
+		return;
+	}
+	request = g_strdup_printf("%s %s HTTP/1.1\r\nHost: h.example\r\n"
+				  "X-Currantscale-Attempt-Id: %s\r\n"
+				  "X-Currantscale-Deadline-Ms: 5000\r\n"
+				  "X-Currantscale-Key: key-1\r\nConnection: close\r\n%s\r\n",
+				  method, target, attempt, extra ? extra : "");
 	raw_write_text(fd, request);
 	answer->text = raw_read(fd, ANSWER_MS);
 	close(fd);
@@ -274,6 +299,14 @@
 	read_answer(answer);
 }
 
+void adapted_send(struct adapted *a, uint32_t node, const char *method, const char *target,
+		  const char *extra, struct adapted_answer *answer)
+{
+	char attempt[ADAPTED_ADDRESS_BYTES];
+
+	adapted_try(a, node, method, target, extra, attempt, sizeof(attempt), answer);
+}
+
 void adapted_clear(struct adapted_answer *answer)
 {
 	g_string_free(answer->text, TRUE);
--- a/tests/adapted.h
+++ b/tests/adapted.h
@@ -8,7 +8,7 @@
 #include <stdbool.h>
 #include <sys/types.h>
 
-#define ADAPTED_NODES_MAX 8
+#define ADAPTED_NODES_MAX 40
 #define ADAPTED_ADDRESS_BYTES 64
 
 struct adapted_node {
@@ -27,7 +27,7 @@
 	struct pse *pse;
 	struct adapted_node nodes[ADAPTED_NODES_MAX];
 	uint32_t n_nodes;
-	uint32_t next_attempt;
+	gint next_attempt;
 };
 
 /* Starts the stand-in with its engines and configuration, and n nodes that are ready. */
@@ -55,6 +55,11 @@
 		  const char *extra, struct adapted_answer *answer);
 void adapted_clear(struct adapted_answer *answer);
 
+/* The same from any thread, to a node that may not run; attempt gets the request's id. */
+void adapted_try(struct adapted *a, uint32_t node, const char *method, const char *target,
+		 const char *extra, char *attempt, size_t attempt_bytes,
+		 struct adapted_answer *answer);
+
 /* GET from any listener; NULL when there is no whole answer; g_free() the body. */
 char *adapted_get(const char *address, const char *target, int *status);
 
--- /dev/null
+++ b/tests/proc_soak.c
@@ -0,0 +1,275 @@
+/*
+ * A soak of adapted nodes: callers go on while nodes are killed, stopped, paused and started,
+ * engines misbehave, the source goes away and versions change, all at random from a seed. The judge
+ * is what callers got and what engines ran. SOAK_SEED, SOAK_SECONDS and SOAK_NODES set it.
+ */
+#include "adapted.h"
+#include "run_tests.h"
+
+#include "base/clk.h"
+#include "base/rnd.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SECONDS 12 /* of faults: some 17 of them */
+#define NODES 4
+#define CALLERS 6
+#define FAULTS_MS 700 /* between two faults at the mean */
+#define CALM_MS 6000  /* after the last fault: all works again */
+#define EVENTS 6
+
+struct outcome {
+	char attempt[32];
+	char kind; /* 'o' once, 'r' resumed stream, 'c' chain, 's' safe */
+	int status;
+	bool whole;
+	char *body;
+};
+
+static struct adapted *a;
+static GMutex lock; /* guards outcomes, paused and the nodes' states */
+static GArray *outcomes;
+static volatile gint running;
+
+static int64_t setting(const char *name, int64_t fallback)
+{
+	const char *text = g_getenv(name);
+
+	return text ? strtoll(text, NULL, 10) : fallback;
+}
+
+static const struct {
+	char kind;
+	const char *method;
+	const char *target;
+	const char *extra;
+} kinds[] = {
+	{'o', "POST", "/once/x", "Content-Length: 0\r\n"},
+	{'s', "GET", "/safe/x", NULL},
+	{'r', "POST", "/resume/x", "Content-Length: 0\r\n"},
+	{'c', "POST", "/chain/x",
+	 "Content-Length: 0\r\nX-Currantscale-Pieces: 1,3\r\nX-Currantscale-Piece-Key: k\r\n"},
+};
+
+static gpointer call(gpointer arg)
+{
+	struct rnd rnd = {.state = (uint64_t)GPOINTER_TO_UINT(arg) + 1};
+
+	while (g_atomic_int_get(&running)) {
+		size_t k = rnd_below(&rnd, G_N_ELEMENTS(kinds));
+		uint32_t node = (uint32_t)rnd_below(&rnd, a->n_nodes);
+		struct outcome o = {.kind = kinds[k].kind};
+		struct adapted_answer answer;
+		adapted_try(a, node, kinds[k].method, kinds[k].target, kinds[k].extra, o.attempt,
+			    sizeof(o.attempt), &answer);
+		o.status = answer.status;
+		o.whole = answer.whole;
+		o.body = g_strdup(answer.body);
+		adapted_clear(&answer);
+		g_mutex_lock(&lock);
+		g_array_append_val(outcomes, o);
+		g_mutex_unlock(&lock);
+		clk_sleep_ms(5 + (int64_t)rnd_below(&rnd, 30));
+	}
+	return NULL;
+}
+
+static void fault_engine(struct rnd *rnd, enum pse_fault sound_or)
+{
+	static const char *const ids[] = {"plain-1", "plain-2", "model-1", "model-2"};
+
+	pse_set_fault(a->pse, ids[rnd_below(rnd, G_N_ELEMENTS(ids))], sound_or);
+}
+
+/* A node that runs is killed, stopped or paused; one that doesn't starts again. */
+static void fault_node(struct rnd *rnd, bool *paused)
+{
+	uint32_t i = (uint32_t)rnd_below(rnd, a->n_nodes);
+
+	if (a->nodes[i].pid == 0) {
+		adapted_start_node(a, i);
+	} else if (paused[i]) {
+		adapted_signal(a, i, SIGCONT);
+		paused[i] = false;
+	} else if (rnd_below(rnd, 3) == 0) {
+		adapted_signal(a, i, SIGSTOP);
+		paused[i] = true;
+	} else {
+		adapted_signal(a, i, SIGKILL);
+	}
+}
+
+static void set_sound(bool *paused)
+{
+	static const char *const ids[] = {"plain-1", "plain-2", "model-1", "model-2"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		pse_set_fault(a->pse, ids[i], PSE_SOUND);
+	pse_set_store_fault(a->pse, PSE_STORE_SOUND);
+	for (uint32_t i = 0; i < a->n_nodes; i++) {
+		if (a->nodes[i].pid == 0)
+			adapted_start_node(a, i);
+		else if (paused[i])
+			adapted_signal(a, i, SIGCONT);
+		paused[i] = false;
+	}
+}
+
+static void play(struct rnd *rnd, int64_t seconds)
+{
+	static const enum pse_fault faults[] = {PSE_SHED,	    PSE_LOSE,  PSE_MUTE,
+						PSE_FAIL,	    PSE_CUT,   PSE_UNFRAMED,
+						PSE_UNFRAMED_RESET, PSE_OTHER, PSE_WRONG};
+	static const enum pse_store_fault outages[] = {PSE_STORE_BUSY, PSE_STORE_SILENT,
+						       PSE_STORE_FORGOT};
+	bool paused[ADAPTED_NODES_MAX] = {false};
+	int64_t end_ms = clk_now_ms() + seconds * CLK_MS_PER_S;
+	int version = 100;
+
+	while (clk_now_ms() < end_ms) {
+		switch (rnd_below(rnd, 8)) {
+		case 0:
+		case 1:
+			fault_engine(rnd, faults[rnd_below(rnd, G_N_ELEMENTS(faults))]);
+			break;
+		case 2:
+			fault_engine(rnd, PSE_SOUND);
+			break;
+		case 3:
+		case 4:
+			fault_node(rnd, paused);
+			break;
+		case 5:
+			pse_set_store_fault(a->pse, outages[rnd_below(rnd, G_N_ELEMENTS(outages))]);
+			break;
+		case 6:
+			pse_set_store_fault(a->pse, PSE_STORE_SOUND);
+			break;
+		default:
+			version += 1 + (int)rnd_below(rnd, 3);
+			adapted_configure(a, version, "\"timeoutMs\":1500", "\"timeoutMs\":1400");
+		}
+		clk_sleep_ms((int64_t)rnd_below(rnd, 2 * FAULTS_MS));
+	}
+	set_sound(paused);
+}
+
+static bool promises_not_run(int status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+/* Each event once and in order; all of them when the stream is whole. */
+static bool are_events_right(const struct outcome *o)
+{
+	int n = 0;
+
+	for (const char *at = o->body; at && (at = strstr(at, "id: ")); at++) {
+		if (atoi(at + 4) != n++)
+			return false;
+	}
+	return !o->whole || n == EVENTS;
+}
+
+static const char *judge(const struct outcome *o)
+{
+	uint32_t runs = pse_count_runs(a->pse, o->attempt);
+
+	if (o->kind == 'o' && runs > 1)
+		return "ran twice";
+	if (o->kind == 'o' && promises_not_run(o->status) && runs > 0)
+		return "said not to have run, and ran";
+	if (o->kind == 'c' && runs > 1)
+		return "a stream that may not be resumed ran twice";
+	if (o->status == 200 && (o->kind == 'r' || o->kind == 'c') && !are_events_right(o))
+		return "events missing, doubled or out of order";
+	if (o->status == 200 && o->whole && (o->kind == 'o' || o->kind == 's') &&
+	    !(strstr(o->body, o->attempt) &&
+	      strlen(o->body) == strlen("body of ") + strlen(o->attempt)))
+		return "not its own whole answer";
+	return NULL;
+}
+
+static uint32_t judge_all(void)
+{
+	uint32_t broken = 0;
+	uint32_t served = 0;
+
+	for (guint i = 0; i < outcomes->len; i++) {
+		const struct outcome *o = &g_array_index(outcomes, struct outcome, i);
+		const char *fault = judge(o);
+		served += o->status == 200 && o->whole;
+		if (!fault)
+			continue;
+		broken++;
+		printf("BROKEN %s (%c, status %d): %s\n%s\n", o->attempt, o->kind, o->status, fault,
+		       o->body ? o->body : "");
+	}
+	printf("soak: %u requests, %u served whole, %u promises broken\n", outcomes->len, served,
+	       broken);
+	return broken;
+}
+
+/* After the faults every node serves each kind again, and no result is left at a pool. */
+static void expect_calm(void)
+{
+	struct pse_seen first;
+	struct pse_seen second;
+
+	for (uint32_t i = 0; i < a->n_nodes; i++)
+		adapted_wait_ready(a, i);
+	clk_sleep_ms(CALM_MS);
+	for (uint32_t i = 0; i < a->n_nodes; i++) {
+		for (size_t k = 0; k < G_N_ELEMENTS(kinds); k++) {
+			struct adapted_answer answer;
+			adapted_send(a, i, kinds[k].method, kinds[k].target, kinds[k].extra,
+				     &answer);
+			ck_assert_msg(answer.status == 200 && answer.whole, "node %u, %s: %s", i,
+				      kinds[k].target, answer.text->str);
+			adapted_clear(&answer);
+		}
+	}
+	for (int i = 1; i <= 2; i++) {
+		pse_look(a->pse, i == 1 ? "plain-1" : "plain-2", i == 1 ? &first : &second);
+	}
+	ck_assert_uint_eq(first.bad + second.bad, 0);
+}
+
+START_TEST(holds_promises)
+{
+	struct rnd rnd = {.state = (uint64_t)setting("SOAK_SEED", 1)};
+	GThread *callers[CALLERS];
+
+	a = adapted_new((uint32_t)setting("SOAK_NODES", NODES));
+	outcomes = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	g_atomic_int_set(&running, 1);
+	for (guint i = 0; i < CALLERS; i++)
+		callers[i] = g_thread_new("caller", call, GUINT_TO_POINTER(i));
+	play(&rnd, setting("SOAK_SECONDS", SECONDS));
+	g_atomic_int_set(&running, 0);
+	for (guint i = 0; i < CALLERS; i++)
+		g_thread_join(callers[i]);
+	expect_calm();
+	ck_assert_msg(judge_all() == 0, "seed %" G_GINT64_FORMAT, setting("SOAK_SEED", 1));
+	adapted_free(a);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("proc_soak");
+	TCase *tcase = tcase_create("soak");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tcase, (double)setting("SOAK_SECONDS", SECONDS) + 120);
+	tcase_add_test(tcase, holds_promises);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed > 0;
+}
