--- /dev/null
+++ b/packages/decide/chn_cmd.c
@@ -0,0 +1,67 @@
+/* Commands, and the state of the queues for logs and dumps. */
+#include "chn_int.h"
+
+static void fill_state(const struct chn *c, const struct pool *pool, struct chn_pool_state *state)
+{
+	*state = (struct chn_pool_state){.service = pool->service};
+	for (guint i = 0; i < pool->upstreams->len; i++) {
+		const struct upstream *u = g_ptr_array_index(pool->upstreams, i);
+		state->upstreams += u->usable;
+		state->busy += u->calls > 0;
+	}
+	for (guint i = 0; i < c->order->len; i++) {
+		const struct job *job = g_ptr_array_index(c->order, i);
+		for (uint32_t k = 0; k < job->n_stages; k++) {
+			const struct stage *s = &job->stages[k];
+			if (s->pool != pool)
+				continue;
+			state->pending += s->n_pieces - s->n_done;
+			for (uint32_t p = 0; s->open && p < s->n_pieces; p++)
+				state->waiting += s->pieces[p].state == PIECE_WAITING;
+		}
+	}
+	state->backlog_ms = (int64_t)(state->pending * chn_pool_unit_ms(pool, 0));
+}
+
+uint32_t chn_pool_states(const struct chn *c, struct chn_pool_state *states, uint32_t room)
+{
+	GHashTableIter iter;
+	gpointer pool;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&iter, c->pools);
+	while (n < room && g_hash_table_iter_next(&iter, NULL, &pool))
+		fill_state(c, pool, &states[n++]);
+	return n;
+}
+
+static void clear_pieces(struct chn_cmd *cmd)
+{
+	for (uint32_t i = 0; i < cmd->n_pieces; i++) {
+		g_free(cmd->pieces[i].attempt);
+		g_free(cmd->pieces[i].key);
+		g_strfreev(cmd->pieces[i].inputs);
+	}
+	g_free(cmd->pieces);
+}
+
+void chn_cmd_clear(struct chn_cmd *cmd)
+{
+	clear_pieces(cmd);
+	g_free(cmd->upstream);
+	g_free(cmd->address);
+	g_strfreev(cmd->handles);
+	chn_hand_clear(cmd);
+	g_free(cmd->asker);
+	g_free(cmd->attempt);
+	g_free(cmd->data_centre);
+	*cmd = (struct chn_cmd){0};
+}
+
+GArray *chn_out_new(void)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct chn_cmd));
+
+	g_array_set_clear_func(out, (GDestroyNotify)chn_cmd_clear);
+	return out;
+}
--- a/packages/decide/chn_int.h
+++ b/packages/decide/chn_int.h
@@ -167,6 +167,19 @@
 		       int64_t now_ms);
 void chn_tell_progress(const struct job *job, GArray *out);
 
+/* chn.c */
+void chn_free_stage(struct stage *s);
+void chn_drop_job(struct chn *c, struct job *job);
+void chn_refuse(struct chn *c, struct job *job, const char *reason, int64_t retry_ms,
+		int64_t now_ms, GArray *out);
+
+/* chn_result.c: a piece that has to be done again; all pieces of a call. */
+void chn_put_back(struct stage *s, struct piece *piece);
+void chn_put_back_call(struct chn *c, const struct call *call, bool is_failure);
+
+/* chn_ups.c */
+struct pool *chn_add_pool(struct chn *c, const char *service);
+
 /* chn.c */
 void chn_advance(struct job *job, int64_t now_ms, GArray *out);
 
--- /dev/null
+++ b/packages/decide/chn_ups.c
@@ -0,0 +1,114 @@
+/* Pools and upstreams as they are published. */
+#include "chn_int.h"
+
+#include <string.h>
+
+/* Stages that name the pool were admitted before it was published. */
+static void attach_stages(struct chn *c, struct pool *pool)
+{
+	for (guint i = 0; i < c->order->len; i++) {
+		struct job *job = g_ptr_array_index(c->order, i);
+		for (uint32_t k = 0; k < job->n_stages; k++) {
+			if (!job->stages[k].pool &&
+			    strcmp(job->stages[k].service, pool->service) == 0)
+				job->stages[k].pool = pool;
+		}
+	}
+}
+
+struct pool *chn_add_pool(struct chn *c, const char *service)
+{
+	struct pool *pool = g_new0(struct pool, 1);
+
+	pool->service = g_strdup(service);
+	pool->upstreams = g_ptr_array_new();
+	g_hash_table_insert(c->pools, pool->service, pool);
+	attach_stages(c, pool);
+	return pool;
+}
+
+/* A pool that is published no longer stays: chains may still need it. */
+void chn_set_pools(struct chn *c, const struct pub_doc *doc)
+{
+	for (uint32_t i = 0; i < doc->n_services; i++) {
+		const struct pub_service *service = &doc->services[i];
+		struct pool *pool;
+		if (!service->pool.present)
+			continue;
+		pool = g_hash_table_lookup(c->pools, service->name);
+		if (!pool)
+			pool = chn_add_pool(c, service->name);
+		pool->doc = service->pool;
+	}
+}
+
+static struct upstream *add_upstream(struct chn *c, const struct chn_upstream_doc *doc)
+{
+	struct upstream *u = g_new0(struct upstream, 1);
+
+	u->id = g_strdup(doc->id);
+	u->address = g_strdup(doc->address);
+	u->data_centre = g_strdup(doc->data_centre);
+	u->region = g_strdup(doc->region);
+	u->ratio = 1.0;
+	u->frees = g_ptr_array_new_with_free_func(g_free);
+	u->pool = g_hash_table_lookup(c->pools, doc->service);
+	if (!u->pool)
+		u->pool = chn_add_pool(c, doc->service);
+	g_ptr_array_add(u->pool->upstreams, u);
+	g_hash_table_insert(c->upstreams, u->id, u);
+	return u;
+}
+
+/* Results don't outlive their maker. */
+static void lose_results(struct chn *c, const struct upstream *u)
+{
+	for (guint i = 0; i < c->order->len; i++) {
+		struct job *job = g_ptr_array_index(c->order, i);
+		for (uint32_t k = 0; k < job->n_stages; k++) {
+			struct stage *s = &job->stages[k];
+			for (uint32_t p = 0; p < s->n_pieces; p++) {
+				struct piece *piece = &s->pieces[p];
+				if (piece->maker != u)
+					continue;
+				piece->maker = NULL;
+				if (!piece->freed && !job->delivered)
+					chn_put_back(s, piece);
+			}
+		}
+		chn_job_advance(job);
+	}
+}
+
+static gboolean is_dropped(gpointer key, gpointer value, gpointer arg)
+{
+	struct upstream *u = value;
+
+	if (u->listed || u->calls > 0)
+		return FALSE;
+	lose_results(arg, u);
+	g_ptr_array_remove(u->pool->upstreams, u);
+	return TRUE;
+}
+
+void chn_set_upstreams(struct chn *c, const struct chn_upstream_doc *docs, uint32_t n,
+		       int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct upstream *u = value;
+		u->listed = false;
+		u->usable = false;
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		struct upstream *u = g_hash_table_lookup(c->upstreams, docs[i].id);
+		if (!u)
+			u = add_upstream(c, &docs[i]);
+		u->listed = true;
+		u->usable = docs[i].usable;
+	}
+	g_hash_table_foreach_remove(c->upstreams, is_dropped, c);
+}
