--- /dev/null
+++ b/tests/prop_view.cc
@@ -0,0 +1,201 @@
+/* The published view over random news, outages, reads and times: nothing goes back, nothing gone
+ * stays. */
+#include "decide/pvw.h"
+
+#include <map>
+#include <rapidcheck.h>
+#include <string>
+
+namespace
+{
+
+/* The source as it really is. */
+struct Entry {
+	bool leaving;
+	int64_t born_ms;
+};
+
+struct World {
+	pvw *view = pvw_new();
+	int64_t now = 100000;
+	int64_t revision = 1;
+	int64_t version = 1;
+	int64_t next_born = 1000;
+	bool away = false;
+	int64_t returned = 0;
+	std::map<std::string, Entry> source;
+	std::map<std::string, int64_t>
+		left; /* id -> born_ms of a start that said it leaves, as heard */
+
+	~World()
+	{
+		pvw_free(view);
+	}
+};
+
+pub_upstream *to_entry(const std::string &id, const Entry &e)
+{
+	pub_upstream *u = g_new0(pub_upstream, 1);
+
+	u->id = g_strdup(id.c_str());
+	u->service = g_strdup("s");
+	u->address = g_strdup("127.0.0.1:1");
+	u->data_centre = g_strdup("a");
+	u->leaving = e.leaving;
+	u->born_ms = e.born_ms;
+	return u;
+}
+
+std::string any_id()
+{
+	return "u" + std::to_string(*rc::gen::inRange(0, 5));
+}
+
+void hear(World &w, const std::string &id)
+{
+	const Entry &e = w.source.at(id);
+
+	pvw_take_upstream(w.view, to_entry(id, e), w.revision, w.now);
+	if (e.leaving)
+		w.left[id] = e.born_ms;
+}
+
+void write(World &w)
+{
+	std::string id = any_id();
+	bool known = w.source.count(id) > 0;
+	Entry e = {*rc::gen::inRange(0, 4) == 0, w.next_born++}; /* each start has its own */
+
+	if (known && *rc::gen::inRange(0, 3) > 0)
+		e.born_ms = w.source[id].born_ms; /* the same start */
+	if (known && w.source[id].leaving && w.source[id].born_ms == e.born_ms)
+		e.leaving = true; /* who leaves doesn't come back */
+	w.source[id] = e;
+	w.revision++;
+	if (!w.away)
+		hear(w, id);
+}
+
+void remove(World &w)
+{
+	std::string id = any_id();
+
+	if (w.source.erase(id) == 0)
+		return;
+	w.revision++;
+	if (!w.away)
+		pvw_drop_upstream(w.view, id.c_str(), w.revision, w.now);
+}
+
+void read_all(World &w)
+{
+	if (w.away)
+		return;
+	pvw_read_begin(w.view);
+	for (const auto &entry : w.source)
+		hear(w, entry.first);
+	pvw_read_end(w.view, w.revision, w.now);
+}
+
+void set_away(World &w, bool away)
+{
+	if (w.away && !away) {
+		w.returned = w.now;
+		pvw_set_away(w.view, false, w.now);
+		w.away = false;
+		read_all(w); /* what changed meanwhile is read or watched at once */
+		return;
+	}
+	w.away = away;
+	pvw_set_away(w.view, away, w.now);
+}
+
+void publish(World &w, bool newer)
+{
+	pub_doc *doc = pub_doc_new();
+	int64_t before = w.view->doc ? w.view->doc->version : 0;
+
+	doc->version = newer ? ++w.version : *rc::gen::inRange<int64_t>(0, w.version + 1);
+	pub_doc_seal(doc);
+	pvw_take_doc(w.view, doc);
+	RC_ASSERT(w.view->doc->version >= before);
+	RC_ASSERT(!newer || w.view->doc->version == w.version);
+}
+
+/* An old entry comes late, by way of another node. */
+void hear_old(World &w)
+{
+	std::string id = any_id();
+	auto *u = (pvw_upstream *)g_hash_table_lookup(w.view->upstreams, id.c_str());
+
+	if (u && u->revision > 1)
+		pvw_take_upstream(w.view, to_entry(id, {false, 1}), u->revision - 1, w.now);
+}
+
+void check(World &w)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, w.view->upstreams);
+	while (g_hash_table_iter_next(&iter, nullptr, &value)) {
+		auto *u = (pvw_upstream *)value;
+		auto left = w.left.find(u->doc->id);
+		if (left != w.left.end() && left->second == u->doc->born_ms)
+			RC_ASSERT(!pvw_is_usable(w.view, u));
+		/* while the source answers, only a lapse of the last two seconds is kept */
+		if (!w.away && w.source.count(u->doc->id) == 0)
+			RC_ASSERT(w.now - w.returned <= PVW_RETURN_MS);
+	}
+	if (w.away)
+		return;
+	for (const auto &entry : w.source) {
+		auto *u =
+			(pvw_upstream *)g_hash_table_lookup(w.view->upstreams, entry.first.c_str());
+		RC_ASSERT(u != nullptr);
+		RC_ASSERT(pvw_is_usable(w.view, u) == !entry.second.leaving);
+	}
+}
+
+void step(World &w)
+{
+	switch (*rc::gen::weightedElement<int>(
+		{{6, 0}, {3, 1}, {1, 2}, {1, 3}, {2, 4}, {2, 5}, {2, 6}, {6, 7}})) {
+	case 0:
+		return write(w);
+	case 1:
+		return remove(w);
+	case 2:
+		return read_all(w);
+	case 3:
+		return set_away(w, true);
+	case 4:
+		return set_away(w, false);
+	case 5:
+		return publish(w, *rc::gen::arbitrary<bool>());
+	case 6:
+		return hear_old(w);
+	default:
+		w.now += *rc::gen::element<int64_t>(1, 100, 700, 1500, 2500);
+		pvw_tick(w.view, w.now);
+	}
+}
+
+} // namespace
+
+int main()
+{
+	bool good = rc::check("the view follows the source and never goes back", [] {
+		World w;
+		int steps = *rc::gen::inRange(5, 150);
+
+		publish(w, true);
+		read_all(w);
+		for (int i = 0; i < steps; i++) {
+			step(w);
+			pvw_tick(w.view, w.now);
+			check(w);
+		}
+	});
+	return good ? 0 : 1;
+}
