Install what the demo calls, and end it when a node isn't ready

Cause: on a machine from nothing, make demo lacked curl, and its wait for readiness had no end. Seen by reading the README as a newcomer; this machine has curl, so no run shows it.

Ruled out: another client; curl is Debian's and the demo's own users have it.

Change: make demo installs curl if it is missing; a node that isn't ready within 10 s ends the demo.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 	@ninja -C build
 
 demo: build
+	@EXTRA_PACKAGES=curl tools/install.sh
 	@tools/demo.sh
 	@tools/demo_adapted.sh
 
--- a/tools/demo_adapted.sh
+++ b/tools/demo_adapted.sh
@@ -37,7 +37,15 @@
 	pids+=($!)
 done
 for i in 1 2 3; do
-	until [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.31.7.$i:8202/-/readyz" || true)" = 200 ]; do sleep 0.1; done
+	tries=0
+	until [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.31.7.$i:8202/-/readyz" || true)" = 200 ]; do
+		tries=$((tries + 1))
+		if [ "$tries" -gt 100 ]; then
+			echo "demo: FAILED, node $i isn't ready within 10 s"
+			exit 1
+		fi
+		sleep 0.1
+	done
 done
 sleep 1
 echo "demo: 3 adapted nodes are ready; $requests requests, node 3 is killed and node 2 is stopped meanwhile"
