Hold the fleet's cold and repeat budgets while nodes differ about who lives

A fleet split in two counted itself twice, a node cut off alone took the whole rate of a cold upstream, and a process that had just started began with full buckets though the one before it may just have spent them. The budget's buckets covered 9.5 to 10 s of a window of 10, so that two full shares fitted into one window.

Ruled out: ranking over all known members for good (when the first ones by hash have died for good, nobody may warm the upstream for an hour); ranking over those alive only (views differ for seconds after a cut).

Change: a silent member keeps its share for an hour, or 30 s after a planned stop; a part of a split fleet gets places by its size; cold buckets start empty and fill from the process's start; the slack counts from one window after the start; the other buckets alone cover the window. What is decided stands in bud.c and fle.c without I/O.

Processes that start inside a cut know their own side only; that is listed.

--- a/packages/decide/bud.c
+++ b/packages/decide/bud.c
@@ -1,5 +1,6 @@
 #include "decide/bud.h"
 
+#include <math.h>
 #include <string.h>
 
 #define MS_PER_S 1000.0
@@ -7,7 +8,9 @@
 void bud_init(struct bud *b, int64_t window_ms)
 {
 	memset(b, 0, sizeof(*b));
-	b->bucket_ms = window_ms / BUD_BUCKETS;
+	/* the newest bucket is part full: the others cover the window, or its first repeats are
+	 * missed */
+	b->bucket_ms = (window_ms + BUD_BUCKETS - 2) / (BUD_BUCKETS - 1);
 	if (b->bucket_ms < 1)
 		b->bucket_ms = 1;
 }
@@ -63,23 +66,45 @@
 
 bool bud_allows(struct bud *b, const struct bud_limit *limit, uint32_t n, int64_t now_ms)
 {
-	double share = limit->ratio * bud_requests(b, now_ms) +
-		       limit->slack / (limit->nodes > 0 ? limit->nodes : 1);
+	double share = limit->ratio * bud_requests(b, now_ms);
+
+	if (now_ms - limit->started_ms >= b->bucket_ms * BUD_BUCKETS)
+		share += limit->slack / (limit->nodes > 0 ? limit->nodes : 1);
 
 	return bud_repeats(b, now_ms) + n <= share * limit->headroom;
 }
 
-bool bud_take(struct bud_tokens *t, double per_s, double depth, int64_t now_ms)
+/* Takes one token of a bucket that fills from since_ms on, and holds one at most. */
+static bool take(struct bud_tokens *t, double per_s, int64_t since_ms, int64_t now_ms)
 {
 	if (t->at_ms == 0)
-		t->tokens = depth;
-	else if (now_ms > t->at_ms)
+		t->at_ms = since_ms;
+	if (now_ms > t->at_ms)
 		t->tokens += (double)(now_ms - t->at_ms) * per_s / MS_PER_S;
-	if (t->tokens > depth)
-		t->tokens = depth;
+	if (t->tokens > 1.0)
+		t->tokens = 1.0;
 	t->at_ms = now_ms;
 	if (t->tokens < 1.0)
 		return false;
 	t->tokens -= 1.0;
 	return true;
 }
+
+/* Nodes of this part of the fleet that may begin requests; a part gets what its size gives it. */
+static double places(const struct bud_cold *cold)
+{
+	double n = cold->burst * cold->recent / cold->sharers;
+
+	return n < 1 ? 1 : floor(n);
+}
+
+bool bud_take_cold(struct bud_tokens *t, const struct bud_cold *cold, int64_t now_ms)
+{
+	double senders = cold->burst < 1 ? 1 : cold->burst;
+
+	if (cold->sharers <= senders)
+		senders = cold->sharers;
+	else if (cold->rank >= places(cold))
+		return false;
+	return take(t, cold->per_s / senders, cold->started_ms, now_ms);
+}
--- a/packages/decide/fle.c
+++ b/packages/decide/fle.c
@@ -86,7 +86,7 @@
 	const struct fle_member *m = value;
 	const int64_t *now_ms = arg;
 
-	return *now_ms - m->heard_ms > FLE_FORGET_MS;
+	return *now_ms - m->heard_ms > (m->record.leaving ? FLE_LEFT_MS : FLE_FORGET_MS);
 }
 
 void fle_round(struct fle *f, int64_t now_ms)
@@ -276,15 +276,24 @@
 	return best ? best : &f->self;
 }
 
-uint32_t fle_rank(const struct fle *f, const char *task, int64_t now_ms)
+struct fle_share fle_share_of(const struct fle *f, const char *task, int64_t now_ms)
 {
+	struct fle_share share = {.sharers = 1, .recent = 1};
 	uint64_t own = weight(task, &f->self);
 	GHashTableIter iter;
 	gpointer value;
-	uint32_t rank = 0;
 
 	g_hash_table_iter_init(&iter, f->members);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		rank += fle_is_alive(f, value, now_ms) && weight(task, value) > own;
-	return rank;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct fle_member *m = value;
+
+		if (m->record.leaving && !fle_is_alive(f, m, now_ms))
+			continue;
+		share.sharers++;
+		if (now_ms - m->heard_ms > FLE_RECENT_MS)
+			continue;
+		share.recent++;
+		share.rank += weight(task, m) > own;
+	}
+	return share;
 }
--- a/packages/decide/include/decide/bud.h
+++ b/packages/decide/include/decide/bud.h
@@ -23,10 +23,11 @@
 
 /* What the whole fleet may repeat within a window. */
 struct bud_limit {
-	double ratio;	 /* of the requests */
-	double slack;	 /* besides, over all nodes */
-	uint32_t nodes;	 /* that share the slack */
-	double headroom; /* 0..1: the part of the share that is used */
+	double ratio;	    /* of the requests */
+	double slack;	    /* besides, over all nodes */
+	uint32_t nodes;	    /* that share the slack */
+	double headroom;    /* 0..1: the part of the share that is used */
+	int64_t started_ms; /* of this process: one before it may have spent the slack */
 };
 
 void bud_init(struct bud *b, int64_t window_ms);
@@ -46,8 +47,21 @@
 	int64_t at_ms;
 };
 
-/* Takes one token; false when there is none. depth: the most that the bucket holds. */
-bool bud_take(struct bud_tokens *t, double per_s, double depth, int64_t now_ms);
+/* What a cold upstream may begin, over the whole fleet, and a node's place in it. */
+struct bud_cold {
+	double per_s;	    /* requests a second */
+	double burst;	    /* besides, within one second */
+	uint32_t sharers;   /* nodes that may send, in touch or not */
+	uint32_t recent;    /* of these, in touch lately; the rank is among them */
+	uint32_t rank;	    /* 0 is first */
+	int64_t started_ms; /* when this process did: the one before it may just have sent */
+};
+
+/*
+ * Takes one request to a cold upstream; false when the node's share is spent. However the fleet
+ * is split, its parts together begin no more than burst + per_s within a second.
+ */
+bool bud_take_cold(struct bud_tokens *t, const struct bud_cold *cold, int64_t now_ms);
 
 #ifdef __cplusplus
 }
--- a/packages/decide/include/decide/fle.h
+++ b/packages/decide/include/decide/fle.h
@@ -20,15 +20,13 @@
 #define FLE_BEAT_MS 300	   /* between two rounds of gossip */
 #define FLE_FANOUT 2	   /* members told in a round */
 #define FLE_RECORDS_MAX 24 /* in a message: 1.5 KB, so that a round at 410 nodes stays small */
-#define FLE_SILENT_MS_PER_MEMBER                                                                   \
-	12		    /* besides: the larger the fleet, the rarer each is heard of           \
-			     */
-#define FLE_SILENT_MS 1800  /* six rounds: three hops of gossip, with two of them lost */
-#define FLE_FORGET_MS 30000 /* beyond all times that callers keep an address */
-#define FLE_SEED_EVERY 4    /* rounds between two messages to a seed: heals a split fleet */
-#define FLE_JOIN_ROUNDS                                                                            \
-	20		     /* after a start: to all seeds, since most links are still to be made \
-			      */
+#define FLE_SILENT_MS_PER_MEMBER 12 /* besides: in a large fleet each is heard rarely */
+#define FLE_SILENT_MS 1800	    /* six rounds: three hops of gossip, with two of them lost */
+#define FLE_LEFT_MS 30000	    /* after a planned stop: callers keep an address shorter */
+#define FLE_FORGET_MS 3600000	    /* silent: regions lose each other for an hour now and then */
+#define FLE_RECENT_MS 30000	    /* shorter cuts move no share; one that died gives its up */
+#define FLE_SEED_EVERY 4	    /* rounds between two messages to a seed: heals a split fleet */
+#define FLE_JOIN_ROUNDS 20	    /* after a start: to all seeds, while links are still made */
 #define FLE_JOIN_BEAT_MS 100 /* between these rounds: the fleet is known before callers come */
 #define FLE_MEMBERS_MAX 4096
 
@@ -103,8 +101,17 @@
  */
 const struct fle_member *fle_owner(const struct fle *f, const char *except, int64_t now_ms);
 
-/* Rank of the node itself by rendezvous hash over those alive; 0 is first. */
-uint32_t fle_rank(const struct fle *f, const char *task, int64_t now_ms);
+/*
+ * Who shares in what the whole fleet may send, counted alike by nodes that differ about who lives.
+ * One that is silent may be behind a cut and send as well, so it keeps its share until it is
+ * forgotten or has said that it leaves.
+ */
+struct fle_share {
+	uint32_t sharers; /* the node itself and all members that it knows */
+	uint32_t recent;  /* of these, heard within FLE_RECENT_MS */
+	uint32_t rank;	  /* of the node itself among the recent, by rendezvous hash; 0 is first */
+};
+struct fle_share fle_share_of(const struct fle *f, const char *task, int64_t now_ms);
 
 #ifdef __cplusplus
 }
--- a/packages/serve/srv_ups.c
+++ b/packages/serve/srv_ups.c
@@ -13,7 +13,7 @@
 #define FAILED_GAIN 0.3	  /* of one failure in the recent share */
 #define FAILED_HALF_MS 3000.0
 #define FORGET_MS 20000	    /* not published for so long */
-#define BUDGET_HEADROOM 0.7 /* nodes may differ about who lives */
+#define BUDGET_HEADROOM 0.7 /* requests of others age out of the window at other moments */
 #define CONNECTIONS_MIN 2
 #define MS_PER_S 1000.0
 
@@ -112,13 +112,24 @@
 	return b;
 }
 
+/* Members that share in what the fleet may send; no fewer than the addresses it was started with.
+ */
+static struct fle_share share_of(const struct srv *s, const char *task, int64_t now_ms)
+{
+	struct fle_share share = fle_share_of(s->fleet, task, now_ms);
+
+	share.sharers = MAX(share.sharers, s->set->n_seeds);
+	return share;
+}
+
 bool srv_ups_may_repeat(struct srv *s, const char *service, int64_t now_ms)
 {
 	const struct bud_limit limit = {
 		.ratio = sst_num(s->set->retry_ratio),
 		.slack = sst_num(s->set->retry_slack),
-		.nodes = fle_count_alive(s->fleet, now_ms),
+		.nodes = share_of(s, service, now_ms).sharers,
 		.headroom = BUDGET_HEADROOM,
+		.started_ms = s->started_ms,
 	};
 
 	return bud_allows(srv_ups_budget(s, service), &limit, 1, now_ms);
@@ -170,22 +181,22 @@
 	return MAX((uint32_t)service->max_connections / nodes, CONNECTIONS_MIN);
 }
 
-/*
- * A cold upstream bears so many requests a second from the whole fleet. Each node has an equal
- * part of the rate, and one request at once while the depths of all nodes fit into the slack;
- * beyond that, only the first nodes by hash may begin.
- */
 static bool cold_share_is_spent(struct srv *s, const struct pvw_upstream *entry,
 				struct srv_upstream *u, const struct pub_service *service,
 				int64_t now_ms)
 {
-	uint32_t nodes = fle_count_alive(s->fleet, now_ms);
-	double burst = sst_num(s->set->cold_slack) +
-		       service->cold_per_s * (sst_num(s->set->cold_factor) - 1);
+	struct fle_share share = share_of(s, entry->doc->id, now_ms);
+	const struct bud_cold cold = {
+		.per_s = service->cold_per_s,
+		.burst = sst_num(s->set->cold_slack) +
+			 service->cold_per_s * (sst_num(s->set->cold_factor) - 1),
+		.sharers = share.sharers,
+		.recent = share.recent,
+		.rank = share.rank,
+		.started_ms = s->started_ms,
+	};
 
-	if (nodes > burst && fle_rank(s->fleet, entry->doc->id, now_ms) >= (uint32_t)burst)
-		return true;
-	return !bud_take(&u->cold, service->cold_per_s / MIN(nodes, MAX(burst, 1)), 1, now_ms);
+	return !bud_take_cold(&u->cold, &cold, now_ms);
 }
 
 static bool fill(struct srv *s, const struct srv_want *want, const struct pvw_upstream *entry,
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -181,12 +181,13 @@
 /* No second sees more than the rate and the depth together, whatever the spacing. */
 START_TEST(tokens_bound_each_second)
 {
+	const struct bud_cold cold = {.per_s = 4.0, .burst = 1, .sharers = 1, .recent = 1};
 	struct bud_tokens t = {0};
 	int64_t taken[400];
 	uint32_t n = 0;
 
 	for (int64_t ms = T0; ms < T0 + 20000 && n < 400; ms += 7) {
-		if (bud_take(&t, 4.0, 1.0, ms))
+		if (bud_take_cold(&t, &cold, ms))
 			taken[n++] = ms;
 	}
 	for (uint32_t i = 0; i < n; i++) {
