Notice callers that leave the product's own interface while their answer is awaited

Cause: libmicrohttpd doesn't look at a connection that it has suspended. An upstream worked on for a caller that had gone, up to the deadline; DEC_EV_CALLER_GONE came only at the first write.

Ruled out: taking the end of the caller's bytes for its leaving: one that has closed only its sending side is to get its answer.

Change: gon.c watches the sockets of suspended connections beside the library. At the end of the caller's bytes it sends an interim response (102), which a caller that still reads passes over and whose sending makes a closed socket reset; the reset is the news. It writes only while the connection is suspended, under the request's lock, and never to HTTP/1.0.

Test: proc_answer/notices_who_leaves (close, reset, half-close).

--- a/packages/node/ent.c
+++ b/packages/node/ent.c
@@ -124,7 +124,7 @@
 }
 
 /* False when it was answered since it stands in the table: the node may be stopping. */
-static bool suspend(struct hrq *hrq)
+static bool suspend(struct nod *n, struct hrq *hrq)
 {
 	bool suspended = false;
 
@@ -132,6 +132,7 @@
 	if (hrq->state == HRQ_RUNNING) {
 		hrq->suspended = true;
 		MHD_suspend_connection(hrq->conn);
+		gon_watch(n->gone, hrq);
 		suspended = true;
 	}
 	pthread_mutex_unlock(&hrq->lock);
@@ -157,7 +158,7 @@
 		cfg_unref(cfg);
 		return refuse(n, conn, hrq, ERR_DRAINING);
 	}
-	if (!suspend(hrq)) {
+	if (!suspend(n, hrq)) {
 		cfg_unref(cfg);
 		return ent_queue_result(conn, hrq);
 	}
@@ -291,6 +292,7 @@
 	if (!hrq) {
 		hrq = hrq_new(nod_next_id(n), n->set->vm, n->incarnation);
 		hrq->conn = conn;
+		hrq->takes_interim = strcmp(version, MHD_HTTP_VERSION_1_1) == 0;
 		hrq->draining = &n->draining;
 		g_atomic_int_inc(&n->callers);
 		*state = hrq;
--- a/packages/node/include/node/hrq.h
+++ b/packages/node/include/node/hrq.h
@@ -36,7 +36,8 @@
 	pthread_cond_t room;	     /* the caller took bytes of a stream, or is gone */
 	struct MHD_Connection *conn; /* NULL: nobody waits (a forwarded request) */
 	bool suspended;
-	bool gone; /* the caller went away */
+	bool gone;	    /* the caller went away */
+	bool takes_interim; /* HTTP/1.1: interim responses may come before the answer */
 	enum hrq_state state;
 	bool answered; /* the response was queued */
 	GByteArray *body;
--- a/packages/node/include/node/nod.h
+++ b/packages/node/include/node/nod.h
@@ -43,6 +43,7 @@
 	struct fwd *fwd;
 	struct hnd *hnd;
 	struct rel *rel;
+	struct gon *gone;
 	gint callers;  /* atomic: exchanges with callers that have begun and not ended */
 	gint draining; /* atomic: a planned stop has begun */
 	gint stopping; /* atomic, set under table_lock: takes no request any more */
@@ -89,6 +90,13 @@
 /* Listener for callers. ent.c */
 bool ent_start(struct nod *n, GError **error);
 
+/* Tells the decisions which callers leave while their answer is awaited. gon.c */
+struct gon *gon_new(struct nod *n);
+void gon_free(struct gon *g);
+
+/* A caller's connection is suspended. Call with hrq->lock held. */
+void gon_watch(struct gon *g, struct hrq *hrq);
+
 /* Messages with other nodes. msg.c */
 bool msg_start(struct nod *n, GError **error);
 
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -136,6 +136,7 @@
 	n->fwd = fwd_new(n);
 	n->hnd = hnd_new(n);
 	n->rel = rel_new(n);
+	n->gone = gon_new(n);
 	if (!msg_start(n, error) || !ent_start(n, error) || !adn_start(n, error)) {
 		nod_free(n);
 		return NULL;
@@ -210,6 +211,7 @@
 	mcf_stop(n);
 	peer_free(n->peer);
 	n->peer = NULL;
+	gon_free(n->gone);
 	if (n->entry)
 		MHD_stop_daemon(n->entry);
 	if (n->admin)
--- a/tests/proc_answer.c
+++ b/tests/proc_answer.c
@@ -84,19 +84,24 @@
 	fleet_upstream(fleet, "weighbridge-3", json);
 }
 
-static int open_post(const char *path)
+static int open_with(const char *path, const char *headers)
 {
 	int fd = raw_connect(fleet->nodes[0].caller);
 	char *text = g_strdup_printf("POST %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
-				     "Authorization: Bearer driver-key\r\n"
+				     "Authorization: Bearer driver-key\r\n%s"
 				     "Content-Length: 1\r\n\r\nx",
-				     path);
+				     path, headers);
 
 	raw_write_text(fd, text);
 	g_free(text);
 	return fd;
 }
 
+static int open_post(const char *path)
+{
+	return open_with(path, "");
+}
+
 static GString *post(const char *path)
 {
 	int fd = open_post(path);
@@ -459,6 +464,74 @@
 }
 END_TEST
 
+enum departure { CLOSED, RESET, HALF_CLOSED };
+
+static const struct {
+	const char *name;
+	enum departure how;
+	const char *end; /* of the call at the upstream */
+} departures[] = {
+	{"closed", CLOSED, "cancelled"},
+	{"reset", RESET, "cancelled"},
+	{"half-closed", HALF_CLOSED, "complete"},
+};
+
+#define SLOW_MS 800   /* of the upstream; the caller leaves long before */
+#define NOTICE_MS 500 /* a round trip and the steps of a busy machine */
+
+static void depart(int fd, enum departure how)
+{
+	const struct linger reset = {.l_onoff = 1};
+
+	if (how == HALF_CLOSED) {
+		shutdown(fd, SHUT_WR);
+		return;
+	}
+	if (how == RESET)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+}
+
+/* State of the only call at an upstream, "" before there is one. */
+static void read_end(char end[32])
+{
+	json_t *log = fleet_log(fleet);
+	const char *text = json_string_value(json_object_get(json_array_get(log, 0), "end"));
+
+	g_strlcpy(end, text ? text : "", 32);
+	json_decref(log);
+}
+
+static bool has_end(struct fleet *f, void *arg)
+{
+	char end[32];
+
+	read_end(end);
+	return strcmp(end, arg) == 0;
+}
+
+/* Who closes is noticed while the answer is awaited; who half-closes gets it. */
+START_TEST(notices_who_leaves)
+{
+	const int64_t wait_ms = departures[_i].how == HALF_CLOSED ? READ_MS : NOTICE_MS;
+	char json[64];
+	int fd;
+
+	g_snprintf(json, sizeof(json), "{\"straggle_pct\":100,\"straggle_ms\":%d}", SLOW_MS);
+	set_weighbridges(json);
+	fd = open_with(LOOKUP, "Currantscale-Deadline-Ms: 6000\r\n");
+	fleet_wait(fleet, has_end, "running", READ_MS, "the call");
+	depart(fd, departures[_i].how);
+	fleet_wait(fleet, has_end, (void *)departures[_i].end, wait_ms, departures[_i].name);
+	if (departures[_i].how != HALF_CLOSED)
+		return;
+	GString *answer = raw_read(fd, READ_MS);
+	ck_assert_msg(g_str_has_suffix(answer->str, "\r\n\r\n" ANSWER), "%s", answer->str);
+	g_string_free(answer, TRUE);
+	close(fd);
+}
+END_TEST
+
 START_TEST(slow_writers_harm_nobody)
 {
 	static const char *const starts[] = {"P", HEAD, HEAD KEY "Content-Length: 9\r\n\r\nx"};
@@ -500,6 +573,7 @@
 	tcase_add_test(tcase, slow_caller_has_a_bounded_share);
 	tcase_add_checked_fixture(input, set_up, tear_down);
 	tcase_add_loop_test(input, bad_input_harms_nobody, 0, G_N_ELEMENTS(inputs));
+	tcase_add_loop_test(input, notices_who_leaves, 0, G_N_ELEMENTS(departures));
 	tcase_add_test(input, slow_writers_harm_nobody);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
