Serve no stage in half where its pool is short of room for results

With 60 to 78 pieces waiting its calls carried 1 to 5 of 8: the room was held by stages of which a part had run, while the rest waited behind chains that were more urgent; some results ran out ("it waited for longer than its results are kept").

Ruled out: too little admitted (131 chains in 8 s, of which 62 became ready); side stages that run too early (they are held back already); slow upstreams (calls took what was expected).

Change: in a pool whose upstreams hold less than two full calls of a stage's results, a stage of which a part has run goes before all others, and a stage is begun as a whole unless it is the most urgent.

Test: unit_chain/no_stage_is_half_served fails before, and with either of the two rules taken out.

--- a/packages/decide/chn_call.c
+++ b/packages/decide/chn_call.c
@@ -8,6 +8,7 @@
 	struct job *job;
 	struct stage *stage;
 	bool late;
+	bool begun; /* some of its results take room already */
 	int64_t due_ms;
 };
 
@@ -29,12 +30,27 @@
 	return n;
 }
 
+/* Some of its pieces run or have run. */
+static bool has_begun(const struct stage *s)
+{
+	return waiting_pieces(s) < s->n_pieces;
+}
+
+/* Results of the stage fill a good part of an upstream's room: a few calls of them all of it. */
+static bool is_short_of_room(const struct pool *pool, const struct stage *s)
+{
+	return pool->doc.room_bytes > 0 &&
+	       s->result_bytes * pool->doc.batch_size * CHN_ROOM_CALLS > pool->doc.room_bytes;
+}
+
 /* Those that can be in time first; then by the latest start that keeps what they were promised. */
 static gint compare_entries(gconstpointer left, gconstpointer right)
 {
 	const struct entry *a = left;
 	const struct entry *b = right;
 
+	if (a->begun != b->begun)
+		return a->begun ? -1 : 1;
 	if (a->late != b->late)
 		return a->late ? 1 : -1;
 	if (a->due_ms != b->due_ms)
@@ -56,6 +72,7 @@
 				.job = job,
 				.stage = s,
 				.late = job->late,
+				.begun = has_begun(s) && is_short_of_room(pool, s),
 				.due_ms = chn_job_due_ms(job, s),
 			};
 			g_array_append_val(entries, e);
@@ -176,9 +193,15 @@
 		/* the chosen one, then all in their order */
 		const struct entry *e =
 			&g_array_index(entries, struct entry, i == 0 ? plan->first : i - 1);
+		uint32_t n;
 		if (!may_serve(u, e->job) || (i > 0 && plan->near_only && !is_near(u, e)))
 			continue;
-		add_entry(call, &cmd, e, fitting(u, e, call, limit, now_ms), now_ms);
+		n = fitting(u, e, call, limit, now_ms);
+		/* half a stage would take room, and wait for room for the other half */
+		if (i > 0 && !has_begun(e->stage) && n < waiting_pieces(e->stage) &&
+		    is_short_of_room(u->pool, e->stage))
+			continue;
+		add_entry(call, &cmd, e, n, now_ms);
 	}
 	if (call->n == 0) {
 		g_free(call->pieces);
--- a/packages/decide/chn_int.h
+++ b/packages/decide/chn_int.h
@@ -30,6 +30,7 @@
 
 /* Room for results. */
 #define CHN_ROOM_SHARE 1.0   /* of what is announced: sizes are announced as they are */
+#define CHN_ROOM_CALLS 2 /* full calls: the results of as many fit where there is enough room */
 #define CHN_SCARCE_SHARE 0.4 /* in use, from which inputs are given up early: a call's results */
 #define CHN_EXPIRY_MARGIN_MS 400 /* before a result runs out: the call that fetches it */
 
--- a/tests/unit_chain.c
+++ b/tests/unit_chain.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define STEP_MS 5
+#define AT_ONCE_MS 300 /* a call */
 #define JOBS_MAX 1000
 #define CALLS_MAX 64
 
@@ -26,6 +27,7 @@
 	uint32_t sent; /* pieces */
 	uint32_t calls_sent;
 	struct {
+		int64_t asked_ms;
 		int64_t aim_ms;
 		int64_t ready_ms; /* 0: not ready */
 		int64_t refused_ms;
@@ -122,31 +124,39 @@
 	g_array_unref(out);
 }
 
-static void submit(uint64_t id, int64_t aim_ms, int64_t deadline_ms, int32_t rank)
+static void submit_stages(uint64_t id, const struct chn_stage_doc *stages, uint32_t n,
+			  int64_t aim_ms, int64_t deadline_ms, int32_t rank)
 {
-	struct chn_stage_doc stages[] = {
-		{(char *)"soil", 0, 1, 8000},
-		{(char *)"portal", 1, 4, 60000},
-		{(char *)"map", 2, 10, 6000},
-	};
 	const struct chn_job_doc doc = {.id = id,
 					.asker = "n",
 					.attempt = "x",
 					.key = "k",
-					.stages = stages,
-					.n_stages = 3,
+					.stages = (struct chn_stage_doc *)stages,
+					.n_stages = n,
 					.aim_at_ms = w.now_ms + aim_ms,
 					.deadline_at_ms = w.now_ms + deadline_ms,
 					.rank = rank,
 					.data_centre = "a"};
 	GArray *out = chn_out_new();
 
+	w.jobs[id].asked_ms = w.now_ms;
 	w.jobs[id].aim_ms = w.now_ms + aim_ms;
 	w.jobs[id].rank = rank;
 	chn_submit(w.c, &doc, NULL, 0, w.now_ms, out);
 	take(out);
 }
 
+static void submit(uint64_t id, int64_t aim_ms, int64_t deadline_ms, int32_t rank)
+{
+	const struct chn_stage_doc stages[] = {
+		{(char *)"soil", 0, 1, 8000},
+		{(char *)"portal", 1, 4, 60000},
+		{(char *)"map", 2, 10, 6000},
+	};
+
+	submit_stages(id, stages, G_N_ELEMENTS(stages), aim_ms, deadline_ms, rank);
+}
+
 static void end_call(uint32_t i)
 {
 	struct chn_result results[32] = {0};
@@ -213,7 +223,7 @@
 			else
 				t.late++;
 		} else if (w.jobs[id].refused_ms > 0 &&
-			   w.jobs[id].refused_ms <= w.jobs[id].aim_ms - 1700) {
+			   w.jobs[id].refused_ms <= w.jobs[id].asked_ms + AT_ONCE_MS) {
 			t.refused_at_once++;
 		} else {
 			t.refused_later++;
@@ -282,6 +292,47 @@
 }
 END_TEST
 
+#define BIG_BYTES 1500000 /* a dozen fill an upstream's room */
+
+static void submit_big(uint64_t id, uint32_t pieces, int64_t aim_ms, int32_t rank)
+{
+	const struct chn_stage_doc stage = {(char *)"soil", 0, pieces, BIG_BYTES};
+
+	submit_stages(id, &stage, 1, aim_ms, 8000, rank);
+}
+
+/*
+ * A stage of which a part has run holds room and waits for the rest: that goes before what is more
+ * urgent and hasn't begun, and nothing begins with less than all its pieces beside others.
+ */
+START_TEST(no_stage_is_half_served)
+{
+	start(1);
+	submit_big(0, 10, 3000, 2); /* 8 in the first call */
+	pass(100, 3);
+	submit_big(1, 2, 1400, 0);
+	submit_big(2, 2, 1400, 0);
+	pass(268, 3); /* the first call takes 368 ms, and 4 more results fit */
+	ck_assert_uint_eq(w.sent, 8 + 4);
+	pass(300, 3);
+	ck_assert_int_gt(w.jobs[0].ready_ms, 0);
+	ck_assert_int_gt(w.jobs[1].ready_ms, 0);
+	ck_assert_int_eq(w.jobs[2].ready_ms, 0);
+	pass(2000, 3);
+	ck_assert_int_gt(w.jobs[2].ready_ms, 0);
+
+	start(1);
+	submit_big(0, 8, 3000, 0);
+	pass(100, 3);
+	submit_big(1, 3, 1400, 0);
+	submit_big(2, 2, 1500, 0);
+	pass(268, 3); /* of the 4 that fit, the second chain has 3: no half of the third */
+	ck_assert_uint_eq(w.sent, 8 + 3);
+	pass(2000, 3);
+	ck_assert_int_gt(w.jobs[2].ready_ms, 0);
+}
+END_TEST
+
 /* Under too much load the more urgent half is served better. */
 START_TEST(rank_under_load)
 {
@@ -355,8 +406,9 @@
 
 int main(void)
 {
-	const TTest *const tests[] = {one_chain,       calls_fill_up, calm_load, twice_the_load,
-				      rank_under_load, broken_calls,  hand_over};
+	const TTest *const tests[] = {
+		one_chain,	 calls_fill_up, calm_load, twice_the_load, no_stage_is_half_served,
+		rank_under_load, broken_calls,	hand_over};
 
 	return run_tests("unit_chain", tests, G_N_ELEMENTS(tests));
 }
