Give the slack of repeats out over a process's first window

Ruled out: the slack from the start (the process before may just have spent it: prop_fleet fails after 193 cases with the whole headroom given out by age).

After: proc_adapter 21 of 21, unit_fleet 9 of 9, prop_fleet 2,000 cases.

--- a/packages/decide/bud.c
+++ b/packages/decide/bud.c
@@ -64,14 +64,23 @@
 	return sum(b->repeats);
 }
 
-bool bud_allows(struct bud *b, const struct bud_limit *limit, uint32_t n, int64_t now_ms)
+/*
+ * The part of the slack that may be used. The process before this one may have spent its headroom
+ * just before it ended, so what is left beside that is given out over the first window.
+ */
+static double slack_share(const struct bud *b, const struct bud_limit *limit, int64_t now_ms)
 {
-	double share = limit->ratio * bud_requests(b, now_ms);
+	double age = (double)(now_ms - limit->started_ms) / (double)(b->bucket_ms * BUD_BUCKETS);
+
+	return age >= 1 ? limit->headroom : (1 - limit->headroom) * age;
+}
 
-	if (now_ms - limit->started_ms >= b->bucket_ms * BUD_BUCKETS)
-		share += limit->slack / (limit->nodes > 0 ? limit->nodes : 1);
+bool bud_allows(struct bud *b, const struct bud_limit *limit, uint32_t n, int64_t now_ms)
+{
+	double own = limit->ratio * bud_requests(b, now_ms) * limit->headroom;
+	double slack = limit->slack / (limit->nodes > 0 ? limit->nodes : 1);
 
-	return bud_repeats(b, now_ms) + n <= share * limit->headroom;
+	return bud_repeats(b, now_ms) + n <= own + slack * slack_share(b, limit, now_ms);
 }
 
 /* Takes one token of a bucket that fills from since_ms on, and holds one at most. */
