Give results up once they should have been fetched, and make them anew when they are gone

Cause: the pool with large results is bound by its room. Results stayed until the model engine's first event, 110 to 330 ms after the send in the middle and up to 750 ms at one in ten, though it fetches them before it reads the prompt. And a resumed stream of a chain was sent to another engine with results that had been given up at its first event: refused three times, then cut.

Change: 80 ms after the send the asker tells the owner (ChainEnd.fetched); the owner gives the results up where more than 0.4 of the room is in use, at once or when it comes to that, and keeps them elsewhere. A send that lacks its inputs, or follows an engine that broke off, asks for the chain once more, when its time and its route allow another send. The stand-in refuses requests whose inputs are gone.

Tests: unit_chain/fetched_results_make_room; proc_adapter/chain_streams_resume, which was cut before.

--- a/packages/decide/chn.c
+++ b/packages/decide/chn.c
@@ -219,6 +219,39 @@
 	chn_dispatch(c, now_ms, out);
 }
 
+bool chn_is_scarce(const struct stage *s)
+{
+	for (uint32_t i = 0; i < s->n_pieces; i++) {
+		const struct upstream *u = s->pieces[i].maker;
+		if (u && !s->pieces[i].freed &&
+		    (double)u->room_used > CHN_SCARCE_SHARE * (double)u->pool->doc.room_bytes)
+			return true;
+	}
+	return false;
+}
+
+bool chn_job_is_scarce(const struct job *job)
+{
+	for (uint32_t i = 0; i < job->n_stages; i++) {
+		if (chn_is_scarce(&job->stages[i]))
+			return true;
+	}
+	return false;
+}
+
+void chn_fetched(struct chn *c, uint64_t id, int64_t now_ms, GArray *out)
+{
+	struct job *job = g_hash_table_lookup(c->jobs, &id);
+
+	if (!job || !job->delivered)
+		return;
+	job->fetched = true;
+	if (!chn_job_is_scarce(job))
+		return; /* asked again with each tick */
+	chn_drop_job(c, job);
+	chn_dispatch(c, now_ms, out);
+}
+
 void chn_end(struct chn *c, uint64_t id, int64_t now_ms, GArray *out)
 {
 	struct job *job = g_hash_table_lookup(c->jobs, &id);
--- a/packages/decide/chn_int.h
+++ b/packages/decide/chn_int.h
@@ -30,7 +30,7 @@
 
 /* Room for results. */
 #define CHN_ROOM_SHARE 1.0   /* of what is announced: sizes are announced as they are */
-#define CHN_ROOM_CALLS 2 /* full calls: the results of as many fit where there is enough room */
+#define CHN_ROOM_CALLS 2     /* full calls: the results of as many fit where there is enough room */
 #define CHN_SCARCE_SHARE 0.4 /* in use, from which inputs are given up early: a call's results */
 #define CHN_EXPIRY_MARGIN_MS 400 /* before a result runs out: the call that fetches it */
 
@@ -87,6 +87,7 @@
 				  late */
 	bool delivered;	       /* its results were handed over; they are held until chn_end() */
 	int64_t delivered_ms;
+	bool fetched; /* they should have been fetched */
 };
 
 struct call {
@@ -191,6 +192,10 @@
 /* Room for results that this owner may plan with, in bytes. */
 int64_t chn_room_left(const struct upstream *u, int64_t now_ms);
 
+/* The room is scarce where results of the stage lie; of any stage of the chain. */
+bool chn_is_scarce(const struct stage *s);
+bool chn_job_is_scarce(const struct job *job);
+
 /* Gives up a result. */
 void chn_free_piece(struct stage *stage, struct piece *piece);
 
--- a/packages/decide/chn_tick.c
+++ b/packages/decide/chn_tick.c
@@ -40,16 +40,6 @@
 	return true;
 }
 
-static bool is_scarce(const struct stage *s)
-{
-	for (uint32_t i = 0; i < s->n_pieces; i++) {
-		const struct upstream *u = s->pieces[i].maker;
-		if (u && (double)u->room_used > CHN_SCARCE_SHARE * (double)u->pool->doc.room_bytes)
-			return true;
-	}
-	return false;
-}
-
 /* Where room is scarce, results are given up as soon as those who need them have fetched them. */
 static void free_fetched(struct chn *c, struct job *job, int64_t now_ms)
 {
@@ -60,12 +50,11 @@
 			if (job->stages[k].after & (1U << i))
 				fetched = has_fetched(c, &job->stages[k], now_ms);
 		}
-		if (fetched && is_scarce(s))
+		if (fetched && chn_is_scarce(s))
 			chn_free_stage(s);
 	}
 }
 
-/* Marks what can no longer be in time, gives up what can no longer make its deadline. */
 /* The oldest result that a stage still needs, and that runs out with its time. */
 static bool has_expired(const struct job *job, int64_t now_ms)
 {
@@ -81,13 +70,15 @@
 	return false;
 }
 
+/* Marks what can no longer be in time, gives up what can no longer make its deadline. */
 static void judge_jobs(struct chn *c, int64_t now_ms, GArray *out)
 {
 	for (guint i = c->order->len; i > 0; i--) {
 		struct job *job = g_ptr_array_index(c->order, i - 1);
 		int64_t ready_ms;
 		if (job->delivered) {
-			if (now_ms > job->deadline_at_ms)
+			if (now_ms > job->deadline_at_ms ||
+			    (job->fetched && chn_job_is_scarce(job)))
 				chn_drop_job(c, job);
 			continue;
 		}
--- a/packages/decide/include/decide/chn.h
+++ b/packages/decide/include/decide/chn.h
@@ -151,6 +151,12 @@
  */
 void chn_set_handing(struct chn *c, bool handing);
 
+/*
+ * The upstream that runs the request should have fetched its results by now. They are given up
+ * where room is scarce; elsewhere they stay until chn_end(), for another try.
+ */
+void chn_fetched(struct chn *c, uint64_t job, int64_t now_ms, GArray *out);
+
 /* The request no longer needs its results: it has begun to run or has ended. */
 void chn_end(struct chn *c, uint64_t job, int64_t now_ms, GArray *out);
 
--- a/packages/emul/pse_engine.c
+++ b/packages/emul/pse_engine.c
@@ -231,6 +231,31 @@
 	hts_answer(request, 200, NULL, "{}", 2);
 }
 
+static bool is_kept(const struct pse *p, const char *handle)
+{
+	GHashTableIter iter;
+	gpointer engine;
+
+	g_hash_table_iter_init(&iter, p->engines);
+	while (g_hash_table_iter_next(&iter, NULL, &engine)) {
+		if (g_hash_table_contains(((struct pse_engine *)engine)->results, handle))
+			return true;
+	}
+	return false;
+}
+
+static bool has_inputs(const struct pse *p, const struct hts_request *request)
+{
+	const char *text = hdr_get(&request->headers, "X-Currantscale-Inputs");
+	char **handles = g_strsplit(text ? text : "", ",", -1);
+	bool kept = true;
+
+	for (char **at = handles; *at; at++)
+		kept = kept && is_kept(p, *at);
+	g_strfreev(handles);
+	return kept;
+}
+
 static void on_request(void *arg, struct hts_request *request)
 {
 	struct pse_engine *e = arg;
@@ -244,6 +269,8 @@
 		refuse(request, 503);
 	else if (e->fault == PSE_WRONG)
 		refuse(request, 421);
+	else if (!has_inputs(e->p, request))
+		refuse(request, 409);
 	else
 		begin_run(e, request);
 	pthread_mutex_unlock(&e->p->lock);
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -753,10 +753,14 @@
 {
   ProtobufCMessage base;
   uint64_t id;
+  /*
+   * the results were fetched, and are needed again only if that was in vain
+   */
+  protobuf_c_boolean fetched;
 };
 #define PEER__CHAIN_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__chain_end__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 typedef enum {
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -4464,7 +4464,7 @@
   (ProtobufCMessageInit) peer__chain_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__chain_end__field_descriptors[1] =
+static const ProtobufCFieldDescriptor peer__chain_end__field_descriptors[2] =
 {
   {
     "id",
@@ -4478,14 +4478,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fetched",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ChainEnd, fetched),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__chain_end__field_indices_by_name[] = {
+  1,   /* field[1] = fetched */
   0,   /* field[0] = id */
 };
 static const ProtobufCIntRange peer__chain_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor peer__chain_end__descriptor =
 {
@@ -4495,7 +4508,7 @@
   "Peer__ChainEnd",
   "peer",
   sizeof(Peer__ChainEnd),
-  1,
+  2,
   peer__chain_end__field_descriptors,
   peer__chain_end__field_indices_by_name,
   1,  peer__chain_end__number_ranges,
--- a/packages/serve/req_int.h
+++ b/packages/serve/req_int.h
@@ -24,7 +24,8 @@
 	int64_t sent_ms;
 	int64_t heard_ms; /* last byte of its answer */
 	bool paused;
-	bool wrong; /* another upstream has the address */
+	bool wrong;	   /* another upstream has the address */
+	bool lacks_inputs; /* results that it was to fetch are gone */
 };
 
 struct req {
@@ -44,9 +45,12 @@
 	int64_t end_at_ms; /* its deadline or its route's timeout, whichever is first */
 	int64_t first_ms;  /* of the answer's first byte; 0: none yet */
 	int64_t chain_ms;
-	uint64_t chain;	   /* id; 0: none */
-	char **handles;	   /* results of its chain */
-	char *data_centre; /* where most of their bytes lie */
+	uint64_t chain;	       /* id; 0: none */
+	uint32_t asks;	       /* chains asked for */
+	char **handles;	       /* results of its chain */
+	int64_t fetched_at_ms; /* when they should be where it runs; INT64_MAX: the owner was told
+				*/
+	char *data_centre;     /* where most of their bytes lie */
 	struct leg legs[SRV_LEGS_MAX];
 	uint32_t n_legs;
 	uint32_t runs;	      /* legs that may have begun to run */
@@ -76,6 +80,9 @@
 void req_fail(struct req *r, int status, const char *reason);
 void req_give_up(struct req *r, const char *reason);
 
+/* Asks for the results of its chain anew: those there were are gone. */
+void req_ask_again(struct req *r);
+
 /* srv_leg.c */
 void req_send(struct req *r);
 
--- a/packages/serve/srv_ans.c
+++ b/packages/serve/srv_ans.c
@@ -79,6 +79,7 @@
 	leg->status = head->status;
 	leg->wrong = head->status == 421;
 	leg->verdict = judge(head, &answer);
+	leg->lacks_inputs = head->status == 409 && leg->verdict == LEG_NOT_RUN;
 	if (leg->verdict == LEG_GOOD && !answer.attempt)
 		leg->verdict = LEG_GARBLED;
 	if (leg->verdict == LEG_GOOD)
--- a/packages/serve/srv_chain.c
+++ b/packages/serve/srv_chain.c
@@ -251,7 +251,6 @@
 
 void srv_chain_message(struct srv *s, const Peer__Message *message)
 {
-	GArray *out;
 
 	switch (message->kind_case) {
 	case PEER__MESSAGE__KIND_CHAIN_ASK:
@@ -269,9 +268,7 @@
 		take_progress(s, message->chain_progress);
 		break;
 	case PEER__MESSAGE__KIND_CHAIN_END:
-		out = chn_out_new();
-		chn_end(s->chains, message->chain_end->id, clk_now_ms(), out);
-		chain_carry_out(s, out);
+		chain_take_end(s, message->chain_end);
 		break;
 	default:
 		log_warn("message_unknown", "{s:s, s:i}", "from", message->from_vm, "kind",
--- a/packages/serve/srv_chain_ask.c
+++ b/packages/serve/srv_chain_ask.c
@@ -161,22 +161,40 @@
 	return id;
 }
 
-void chain_send_end(struct srv *s, const char *owner, uint64_t id)
+static void send_end(struct srv *s, const char *owner, uint64_t id, bool fetched)
 {
 	Peer__ChainEnd wire = PEER__CHAIN_END__INIT;
 	Peer__Message message = PEER__MESSAGE__INIT;
-	GArray *out;
 
-	if (strcmp(owner, chain_self(s)) == 0) {
-		out = chn_out_new();
-		chn_end(s->chains, id, clk_now_ms(), out);
-		chain_carry_out(s, out);
-		return;
-	}
 	wire.id = id;
+	wire.fetched = fetched;
 	message.kind_case = PEER__MESSAGE__KIND_CHAIN_END;
 	message.chain_end = &wire;
-	srv_mesh_send(s, owner, &message);
+	if (strcmp(owner, chain_self(s)) == 0)
+		chain_take_end(s, &wire);
+	else
+		srv_mesh_send(s, owner, &message);
+}
+
+void chain_take_end(struct srv *s, const Peer__ChainEnd *end)
+{
+	GArray *out = chn_out_new();
+
+	(end->fetched ? chn_fetched : chn_end)(s->chains, end->id, clk_now_ms(), out);
+	chain_carry_out(s, out);
+}
+
+void chain_send_end(struct srv *s, const char *owner, uint64_t id)
+{
+	send_end(s, owner, id, false);
+}
+
+void srv_chain_fetched(struct srv *s, uint64_t id)
+{
+	const struct srv_ask *ask = g_hash_table_lookup(s->asks, &id);
+
+	if (ask)
+		send_end(s, ask->owner, id, true);
 }
 
 void srv_chain_end(struct srv *s, uint64_t id)
--- a/packages/serve/srv_chain_int.h
+++ b/packages/serve/srv_chain_int.h
@@ -30,6 +30,7 @@
 
 /* srv_chain_ask.c */
 void chain_send_end(struct srv *s, const char *owner, uint64_t id);
+void chain_take_end(struct srv *s, const Peer__ChainEnd *end);
 
 /* The answer to an ask; a refusal ends it. */
 void chain_answer(struct srv *s, uint64_t id, const char *from,
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -160,6 +160,9 @@
 uint64_t srv_chain_ask(struct srv *s, const struct chn_job_doc *doc, srv_chain_fn fn, void *arg);
 void srv_chain_end(struct srv *s, uint64_t id);
 
+/* The upstream that runs the request should have fetched the chain's results. */
+void srv_chain_fetched(struct srv *s, uint64_t id);
+
 /* Chains that this node owns go to the fleet's owner when that is another node. */
 void srv_chain_check_owner(struct srv *s, int64_t now_ms);
 
--- a/packages/serve/srv_leg.c
+++ b/packages/serve/srv_leg.c
@@ -10,7 +10,11 @@
 #define HEDGE_AIM_SHARE 0.5 /* of the aim, after which a silent call is hedged */
 #define HEDGE_MIN_MS 100
 #define FIRST_EVENT_MS                                                                             \
-	1500	     /* of a resumable stream: a cold engine's long prompt is read by then         \
+	1500	   /* of a resumable stream: a cold engine's long prompt is read by then           \
+		    */
+#define ASKS_MAX 2 /* chains for one request: each costs the pools as much as the first */
+#define FETCHED_MS                                                                                 \
+	80	     /* after a send, until results are fetched: two ways between regions, 15 MB   \
 		      */
 #define STALL_GAPS 3 /* longest pauses of the route, after which a stream is resumed */
 #define STALL_MIN_MS 600
@@ -121,6 +125,7 @@
 		.connect_timeout_ms = CONNECT_MS,
 	};
 	*leg = (struct leg){.req = r, .upstream = u, .sent_ms = now_ms, .heard_ms = now_ms};
+	r->fetched_at_ms = now_ms + FETCHED_MS;
 	srv_count(r->s, SRV_SENDS);
 	if (r->n_legs > 1) {
 		srv_count(r->s, SRV_REPEATS);
@@ -180,6 +185,15 @@
 		 (json_int_t)(clk_now_ms() - leg->sent_ms), "runs", (int)leg->req->runs);
 }
 
+/* Its chain's results were given up once they seemed to have been fetched, or died with their
+ * maker. */
+static bool lacks_inputs(const struct leg *leg)
+{
+	const struct req *r = leg->req;
+
+	return r->handles && (leg->lacks_inputs || r->chain == 0);
+}
+
 /* The leg has ended without an answer for the caller: another one, or the end. */
 static void go_on(struct leg *leg, const char *outcome)
 {
@@ -195,7 +209,10 @@
 		req_fail(r, 502, outcome);
 		return;
 	}
-	req_send(r);
+	if (lacks_inputs(leg) && r->asks < ASKS_MAX && !why_not(r, clk_now_ms()))
+		req_ask_again(r);
+	else
+		req_send(r);
 }
 
 static void end_whole(struct leg *leg)
@@ -338,6 +355,19 @@
 	go_on(leg, "stalled");
 }
 
+/* The results of its chain should be where it runs. */
+static void note_fetched(struct req *r, int64_t now_ms)
+{
+	const struct leg *leg = last_open(r);
+
+	if (!leg || !htc_was_sent(leg->call)) {
+		r->fetched_at_ms = now_ms + FETCHED_MS; /* it still connects */
+		return;
+	}
+	r->fetched_at_ms = INT64_MAX;
+	srv_chain_fetched(r->s, r->chain);
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct req *r = timer->data;
@@ -347,6 +377,8 @@
 		expire(r);
 		return;
 	}
+	if (r->chain && now_ms >= r->fetched_at_ms)
+		note_fetched(r, now_ms);
 	if (now_ms >= impatient_at_ms(r))
 		lose_patience(r, now_ms); /* the request may end in it */
 	else
@@ -358,5 +390,8 @@
 	int64_t now_ms = clk_now_ms();
 	int64_t at_ms = MIN(r->end_at_ms, impatient_at_ms(r));
 
+	if (r->chain)
+		at_ms = MIN(at_ms, r->fetched_at_ms);
+
 	uv_timer_start(&r->timer, on_timer, (uint64_t)MAX(at_ms - now_ms, 1), 0);
 }
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -188,7 +188,10 @@
 	r->chain_ms = clk_now_ms() - r->began_ms;
 	if (!result->ready) {
 		r->chain = 0;
-		req_refuse(r, result->retry_after_ms, result->reason);
+		if (r->begun || r->runs > 0)
+			req_fail(r, 502, result->reason);
+		else
+			req_refuse(r, result->retry_after_ms, result->reason);
 		return;
 	}
 	r->handles = g_strdupv((char **)result->handles);
@@ -232,9 +235,19 @@
 	engine = req_pick(r, clk_now_ms());
 	entry = engine ? g_hash_table_lookup(r->s->view->upstreams, engine->id) : NULL;
 	doc.data_centre = entry ? entry->doc->data_centre : r->s->set->data_centre;
+	r->asks++;
 	r->chain = srv_chain_ask(r->s, &doc, on_chain, r);
 }
 
+void req_ask_again(struct req *r)
+{
+	if (r->chain)
+		srv_chain_end(r->s, r->chain);
+	g_clear_pointer(&r->handles, g_strfreev);
+	g_clear_pointer(&r->data_centre, g_free);
+	ask_chain(r);
+}
+
 /* What the choice of an upstream depends on. The last part of a prompt is the request's own. */
 static void set_selection(struct req *r)
 {
--- a/tests/proc_adapter.c
+++ b/tests/proc_adapter.c
@@ -216,6 +216,25 @@
 }
 END_TEST
 
+/* Once a stream has begun, its chain's results are given up: another upstream needs them anew. */
+START_TEST(chain_streams_resume)
+{
+	static const char *const models[] = {"model-1", "model-2"};
+	struct adapted_answer answer;
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(models); i++) {
+		pse_set_fault(a->pse, models[i], PSE_CUT);
+		for (uint32_t node = 0; node < a->n_nodes; node++) {
+			adapted_send(a, node, "POST", "/again/x", PIECES, &answer);
+			ck_assert_msg(answer.status == 200 && answer.whole, "%s", answer.text->str);
+			ck_assert_int_eq(count_events(answer.body), 6);
+			adapted_clear(&answer);
+		}
+		pse_set_fault(a->pse, models[i], PSE_SOUND);
+	}
+}
+END_TEST
+
 struct sender {
 	uint32_t node;
 	const char *target;
@@ -556,6 +575,7 @@
 		streams_resume,
 		streams_cut,
 		chains,
+		chain_streams_resume,
 		owner_killed,
 		owner_stopped,
 		owners_lost_in_a_row,
--- a/tests/unit_chain.c
+++ b/tests/unit_chain.c
@@ -26,6 +26,7 @@
 	uint64_t next_handle;
 	uint32_t sent; /* pieces */
 	uint32_t calls_sent;
+	uint32_t frees; /* results given up */
 	struct {
 		int64_t asked_ms;
 		int64_t aim_ms;
@@ -115,6 +116,8 @@
 					(int64_t)(piece_ms(cmd->upstream) * cmd->n_pieces)};
 			w.sent += cmd->n_pieces;
 			w.calls_sent++;
+		} else if (cmd->kind == CHN_CMD_FREE) {
+			w.frees += g_strv_length(cmd->handles);
 		} else if (cmd->kind == CHN_CMD_READY) {
 			w.jobs[cmd->job].ready_ms = w.now_ms;
 		} else if (cmd->kind == CHN_CMD_REFUSE) {
@@ -333,6 +336,40 @@
 }
 END_TEST
 
+static void fetched(uint64_t id)
+{
+	GArray *out = chn_out_new();
+
+	chn_fetched(w.c, id, w.now_ms, out);
+	take(out);
+}
+
+/* Results that an upstream has fetched make room for others; where there is room they stay. */
+START_TEST(fetched_results_make_room)
+{
+	start(1);
+	submit_big(0, 8, 3000, 0);
+	submit_big(1, 8, 3000, 0);
+	pass(380, 0); /* a call of 368 ms; 4 more results fit */
+	ck_assert_int_gt(w.jobs[0].ready_ms, 0);
+	ck_assert_uint_eq(w.sent, 8 + 4);
+	fetched(0);
+	ck_assert_uint_eq(w.frees, 8);
+	pass(300, 0); /* the rest has room before any chain has ended */
+	ck_assert_uint_eq(w.sent, 8 + 8);
+
+	start(1);
+	submit_big(0, 1, 3000, 0);
+	pass(300, 0);
+	ck_assert_int_gt(w.jobs[0].ready_ms, 0);
+	fetched(0);
+	ck_assert_uint_eq(w.frees, 0); /* kept for another try */
+	submit_big(1, 7, 3000, 0);
+	pass(40, 0);
+	ck_assert_uint_eq(w.frees, 1); /* its room is needed now */
+}
+END_TEST
+
 /* Under too much load the more urgent half is served better. */
 START_TEST(rank_under_load)
 {
@@ -406,9 +443,15 @@
 
 int main(void)
 {
-	const TTest *const tests[] = {
-		one_chain,	 calls_fill_up, calm_load, twice_the_load, no_stage_is_half_served,
-		rank_under_load, broken_calls,	hand_over};
+	const TTest *const tests[] = {one_chain,
+				      calls_fill_up,
+				      calm_load,
+				      twice_the_load,
+				      no_stage_is_half_served,
+				      fetched_results_make_room,
+				      rank_under_load,
+				      broken_calls,
+				      hand_over};
 
 	return run_tests("unit_chain", tests, G_N_ELEMENTS(tests));
 }
