Don't wake up for a chain's results before the request is sent

Cause (found by reading): the moment at which results should have been fetched was 0 until the first send, so each request that waited for its chain woke its timer every 80 ms for nothing. Change: it is unset while the chain is awaited.

--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -236,6 +236,7 @@
 	entry = engine ? g_hash_table_lookup(r->s->view->upstreams, engine->id) : NULL;
 	doc.data_centre = entry ? entry->doc->data_centre : r->s->set->data_centre;
 	r->asks++;
+	r->fetched_at_ms = INT64_MAX; /* known with the send */
 	r->chain = srv_chain_ask(r->s, &doc, on_chain, r);
 }
 
