--- a/tests/unit_chain.c
+++ b/tests/unit_chain.c
@@ -324,6 +324,7 @@
 	pass(2000, 3);
 	ck_assert_int_gt(w.jobs[2].ready_ms, 0);
 
+	chn_free(w.c);
 	start(1);
 	submit_big(0, 8, 3000, 0);
 	pass(100, 3);
@@ -358,6 +359,7 @@
 	pass(300, 0); /* the rest has room before any chain has ended */
 	ck_assert_uint_eq(w.sent, 8 + 8);
 
+	chn_free(w.c);
 	start(1);
 	submit_big(0, 1, 3000, 0);
 	pass(300, 0);
