--- a/packages/emul/include/emul/stub.h
+++ b/packages/emul/include/emul/stub.h
@@ -60,6 +60,13 @@
 	STUB_STORE_COMPACTED	/* answers 410 to the next watch, then acts as STUB_STORE_OK */
 };
 
+/* What the store says in its answers about its epoch, which rises when it returns from a copy. */
+enum stub_epoch_header {
+	STUB_EPOCH_SENT,
+	STUB_EPOCH_MISSING,
+	STUB_EPOCH_MALFORMED,
+};
+
 /* Starts a stub; NULL with *error set on failure. Stop with stub_free(). */
 struct stub *stub_new(GError **error);
 void stub_free(struct stub *s);
@@ -84,6 +91,13 @@
 void stub_set_fault(struct stub *s, const char *id, enum stub_fault fault);
 void stub_set_store_fault(struct stub *s, enum stub_store_fault fault);
 
+/*
+ * Returns the store to the state that it had copy_age_ms ago: its revision goes back, and its epoch
+ * rises. What was written since then is written again after rewrite_ms.
+ */
+void stub_restore_store(struct stub *s, int64_t copy_age_ms, int64_t rewrite_ms);
+void stub_set_epoch_header(struct stub *s, enum stub_epoch_header header);
+
 /* Number of runs of an attempt on all engines except pool engines. */
 uint32_t stub_count_runs(struct stub *s, const char *attempt);
 void stub_get_stats(struct stub *s, const char *id, struct stub_stats *stats);
--- a/packages/emul/stub.c
+++ b/packages/emul/stub.c
@@ -14,11 +14,14 @@
 	.idle_timeout_ms = 60000,
 };
 
-void stub_answer_json(struct http_server_request *request, int status, json_t *root)
+void stub_answer_json(struct http_server_request *request, int status,
+		      const struct hdr_list *fields, json_t *root)
 {
 	struct hdr_list headers = {0};
 	char *text = json_dumps(root, JSON_COMPACT);
 
+	for (uint32_t i = 0; fields && i < fields->n; i++)
+		hdr_add(&headers, fields->at[i].name, fields->at[i].value);
 	hdr_add(&headers, "Content-Type", "application/json");
 	http_server_respond(request, status, &headers, text, strlen(text));
 	hdr_clear(&headers);
@@ -55,6 +58,8 @@
 	pthread_mutex_init(&s->lock, NULL);
 	uv_loop_init(&s->loop);
 	s->log = g_array_new(FALSE, FALSE, sizeof(struct stub_item));
+	s->lost = g_array_new(FALSE, FALSE, sizeof(struct stub_item));
+	s->epoch = 1;
 	s->watches = g_ptr_array_new();
 	s->engines = g_hash_table_new(g_str_hash, g_str_equal);
 	s->starting = g_ptr_array_new();
--- a/packages/emul/stub_engine.c
+++ b/packages/emul/stub_engine.c
@@ -143,7 +143,7 @@
 
 	for (size_t i = 0; i < json_array_size(json_object_get(root, "items")); i++)
 		json_array_append_new(results, make_result(run->engine));
-	stub_answer_json(run->request, 200, json_pack("{s:o}", "items", results));
+	stub_answer_json(run->request, 200, NULL, json_pack("{s:o}", "items", results));
 	json_decref(root);
 }
 
--- a/packages/emul/stub_int.h
+++ b/packages/emul/stub_int.h
@@ -37,7 +37,12 @@
 	uv_async_t wake;
 	uv_timer_t tick;
 	struct http_server *store;
-	GArray *log;	     /* struct stub_item; the index is the revision less 1 */
+	GArray *log;  /* struct stub_item; the index is the revision less 1 */
+	GArray *lost; /* struct stub_item; lost by the last return and not yet rewritten */
+	int64_t rewrite_at_ms;
+	int64_t restored_revision; /* newest revision of the copy that the store returned from */
+	int64_t epoch;
+	enum stub_epoch_header epoch_header;
 	GPtrArray *watches;  /* struct stub_watch */
 	GHashTable *engines; /* id -> struct stub_engine */
 	GPtrArray *starting; /* engines whose listener the loop has yet to open */
@@ -51,6 +56,7 @@
 	char *key;
 	char *value; /* NULL if the key was deleted */
 	int64_t revision;
+	int64_t written_ms;
 };
 
 /* stub_store.c */
@@ -60,6 +66,8 @@
 /* stub_engine.c */
 void stub_engine_start(struct stub_engine *e);
 
-void stub_answer_json(struct http_server_request *request, int status, json_t *root);
+/* Answers with a JSON body and the given header fields (NULL: none). */
+void stub_answer_json(struct http_server_request *request, int status,
+		      const struct hdr_list *fields, json_t *root);
 
 #endif
--- a/packages/emul/stub_store.c
+++ b/packages/emul/stub_store.c
@@ -1,4 +1,4 @@
-/* Key-value store of the stub: revisions, paged range reads, watches, compaction. */
+/* Key-value store of the stub: revisions, paged range reads, watches, compaction, restores. */
 #include "stub_int.h"
 
 #include "base/clock.h"
@@ -9,16 +9,85 @@
 
 extern const struct http_server_limits stub_http_limits;
 
+/* Appends a change to the log, with the next revision. Takes ownership of key and value. */
+static void append(struct stub *s, char *key, char *value)
+{
+	struct stub_item item = {
+		.key = key,
+		.value = value,
+		.revision = (int64_t)s->log->len + 1,
+		.written_ms = clock_now_ms(),
+	};
+
+	g_array_append_val(s->log, item);
+}
+
 void stub_put(struct stub *s, const char *key, const char *value)
 {
-	struct stub_item item = {.key = g_strdup(key), .value = g_strdup(value)};
+	pthread_mutex_lock(&s->lock);
+	append(s, g_strdup(key), g_strdup(value));
+	pthread_mutex_unlock(&s->lock);
+}
 
+void stub_set_epoch_header(struct stub *s, enum stub_epoch_header header)
+{
 	pthread_mutex_lock(&s->lock);
-	item.revision = (int64_t)s->log->len + 1;
-	g_array_append_val(s->log, item);
+	s->epoch_header = header;
 	pthread_mutex_unlock(&s->lock);
 }
 
+/* Returns how many changes of the log are older than the copy. */
+static guint copy_length(const struct stub *s, int64_t copied_ms)
+{
+	guint n = 0;
+
+	while (n < s->log->len && g_array_index(s->log, struct stub_item, n).written_ms < copied_ms)
+		n++;
+	return n;
+}
+
+void stub_restore_store(struct stub *s, int64_t copy_age_ms, int64_t rewrite_ms)
+{
+	int64_t now_ms = clock_now_ms();
+	guint n;
+
+	pthread_mutex_lock(&s->lock);
+	n = copy_length(s, now_ms - copy_age_ms);
+	g_array_append_vals(s->lost, &g_array_index(s->log, struct stub_item, n), s->log->len - n);
+	g_array_set_size(s->log, n);
+	s->restored_revision = n;
+	s->rewrite_at_ms = now_ms + rewrite_ms;
+	s->epoch++;
+	pthread_mutex_unlock(&s->lock);
+}
+
+/* Returns whether the key was changed after the first n_from changes and within the first n_to. */
+static bool is_changed(const struct stub *s, const char *key, guint n_from, guint n_to)
+{
+	for (guint i = n_from; i < n_to; i++) {
+		if (strcmp(g_array_index(s->log, struct stub_item, i).key, key) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Their writers write the lost changes again, except those that newer ones have replaced. */
+static void rewrite_lost(struct stub *s)
+{
+	guint n_before = s->log->len;
+
+	for (guint i = 0; i < s->lost->len; i++) {
+		struct stub_item *item = &g_array_index(s->lost, struct stub_item, i);
+		if (!is_changed(s, item->key, (guint)s->restored_revision, n_before)) {
+			append(s, item->key, item->value);
+		} else {
+			g_free(item->key);
+			g_free(item->value);
+		}
+	}
+	g_array_set_size(s->lost, 0);
+}
+
 static json_t *item_json(const struct stub_item *item)
 {
 	char *value;
@@ -50,6 +119,33 @@
 	return items;
 }
 
+/* Adds the header field that every answer of the store has, unless a fault is set. */
+static void add_epoch(const struct stub *s, struct hdr_list *headers)
+{
+	if (s->epoch_header == STUB_EPOCH_SENT)
+		hdr_add_int(headers, "Store-Era", s->epoch);
+	else if (s->epoch_header == STUB_EPOCH_MALFORMED)
+		hdr_add(headers, "Store-Era", "x1");
+}
+
+static void answer_json(const struct stub *s, struct http_server_request *request, json_t *root)
+{
+	struct hdr_list headers = {0};
+
+	add_epoch(s, &headers);
+	stub_answer_json(request, 200, &headers, root);
+	hdr_clear(&headers);
+}
+
+static void answer_status(const struct stub *s, struct http_server_request *request, int status)
+{
+	struct hdr_list headers = {0};
+
+	add_epoch(s, &headers);
+	http_server_respond(request, status, &headers, "", 0);
+	hdr_clear(&headers);
+}
+
 static void answer_range(struct stub *s, struct http_server_request *request, const char *after)
 {
 	GHashTable *items = live_items(s);
@@ -66,9 +162,9 @@
 			break;
 		json_array_append_new(list, item_json(g_hash_table_lookup(items, key)));
 	}
-	stub_answer_json(request, 200,
-			 json_pack("{s:o, s:b, s:I}", "items", list, "hasMore", (int)more, "at",
-				   (json_int_t)s->log->len));
+	answer_json(s, request,
+		    json_pack("{s:o, s:b, s:I}", "items", list, "hasMore", (int)more, "at",
+			      (json_int_t)s->log->len));
 	g_list_free(keys);
 	g_hash_table_destroy(items);
 }
@@ -79,25 +175,31 @@
 
 	for (guint i = (guint)after; i < s->log->len; i++)
 		json_array_append_new(list, item_json(&g_array_index(s->log, struct stub_item, i)));
-	stub_answer_json(request, 200,
-			 json_pack("{s:o, s:I}", "events", list, "at", (json_int_t)s->log->len));
+	answer_json(s, request,
+		    json_pack("{s:o, s:I}", "events", list, "at", (json_int_t)s->log->len));
 }
 
 static void begin_watch(struct stub *s, struct http_server_request *request, GHashTable *query)
 {
 	const char *after = g_hash_table_lookup(query, "after");
 	const char *wait = g_hash_table_lookup(query, "waitMs");
+	int64_t after_revision;
 	struct stub_watch *w;
 
 	if (s->store_fault == STUB_STORE_COMPACTED) {
 		/* only one watch fails, so that the client can resume after a full read */
 		s->store_fault = STUB_STORE_OK;
-		http_server_respond(request, 410, NULL, "", 0);
+		answer_status(s, request, 410);
+		return;
+	}
+	after_revision = after ? g_ascii_strtoll(after, NULL, 10) : 0;
+	if (after_revision > (int64_t)s->log->len) {
+		answer_status(s, request, 410);
 		return;
 	}
 	w = g_new0(struct stub_watch, 1);
 	w->request = request;
-	w->after = after ? g_ascii_strtoll(after, NULL, 10) : 0;
+	w->after = after_revision;
 	w->until_ms = clock_now_ms() + (wait ? g_ascii_strtoll(wait, NULL, 10) : 0);
 	g_ptr_array_add(s->watches, w);
 }
@@ -111,7 +213,7 @@
 
 	pthread_mutex_lock(&s->lock);
 	if (s->store_fault == STUB_STORE_UNAVAILABLE)
-		http_server_respond(request, 503, NULL, "", 0);
+		answer_status(s, request, 503);
 	else if (s->store_fault == STUB_STORE_HANG)
 		(void)request; /* left unanswered */
 	else if (g_str_has_prefix(request->target, "/-/kv-range"))
@@ -119,7 +221,7 @@
 	else if (g_str_has_prefix(request->target, "/-/kv-watch"))
 		begin_watch(s, request, query);
 	else
-		http_server_respond(request, 404, NULL, "", 0);
+		answer_status(s, request, 404);
 	pthread_mutex_unlock(&s->lock);
 	g_hash_table_unref(query);
 }
@@ -141,6 +243,8 @@
 
 void stub_store_tick(struct stub *s, int64_t now_ms)
 {
+	if (s->lost->len > 0 && now_ms >= s->rewrite_at_ms)
+		rewrite_lost(s);
 	for (guint i = s->watches->len; i > 0; i--) {
 		struct stub_watch *w = g_ptr_array_index(s->watches, i - 1);
 		if (w->after >= (int64_t)s->log->len && now_ms < w->until_ms)
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -57,15 +57,24 @@
 /* --- enums --- */
 
 typedef enum _Peer__ChainState {
+  /*
+   * received; another reply follows
+   */
   PEER__CHAIN_STATE__CHAIN_TAKEN = 0,
+  /*
+   * handles lists the results
+   */
   PEER__CHAIN_STATE__CHAIN_READY = 1,
+  /*
+   * reason says why
+   */
   PEER__CHAIN_STATE__CHAIN_REFUSED = 2,
   /*
-   * its owner is the sender from now on
+   * the sender is the owner from now on
    */
   PEER__CHAIN_STATE__CHAIN_MOVED = 3,
   /*
-   * the sender has given it to the node that reason names
+   * the sender handed it off to the node named in reason
    */
   PEER__CHAIN_STATE__CHAIN_GIVEN = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__CHAIN_STATE)
@@ -74,7 +83,7 @@
 /* --- messages --- */
 
 /*
- * State of one configuration section as the sender holds it.
+ * State of one configuration section at the sender.
  */
 struct  Peer__Section
 {
@@ -85,7 +94,7 @@
   uint32_t id;
   int64_t revision;
   /*
-   * of its text
+   * of the text
    */
   uint64_t hash;
   /*
@@ -99,7 +108,7 @@
 
 
 /*
- * What a node says of itself and of what it saw.
+ * A node's own state and its view of others.
  */
 struct  Peer__Digest
 {
@@ -108,7 +117,7 @@
   Peer__Section **sections;
   int64_t list_version;
   /*
-   * since the sender read the list from the platform; -1: never
+   * since the sender read the list from the platform; -1 for never
    */
   int64_t list_age_ms;
   size_t n_upstreams;
@@ -116,7 +125,7 @@
   size_t n_nodes;
   Peer__Node **nodes;
   /*
-   * takes no new callers: stopping, or not ready yet
+   * accepts no new callers: stopping, or not ready yet
    */
   protobuf_c_boolean draining;
   protobuf_c_boolean reply_wanted;
@@ -127,7 +136,7 @@
 
 
 /*
- * News of an upstream, relayed within its data centre and published by slot holders.
+ * State of an upstream, relayed within its data centre and published by slot holders.
  */
 struct  Peer__Upstream
 {
@@ -147,7 +156,7 @@
 
 
 /*
- * News of an entry node.
+ * State of an entry node.
  */
 struct  Peer__Node
 {
@@ -163,29 +172,29 @@
 
 
 /*
- * How current the sender's view is, and news of upstreams.
+ * Age of the sender's view, and changed states of upstreams.
  */
 struct  Peer__View
 {
   ProtobufCMessage base;
   int64_t list_version;
   /*
-   * since the list was known to be the platform's newest; -1: never
+   * since the list was confirmed as the platform's newest; -1 for never
    */
   int64_t list_age_ms;
   /*
-   * of the configuration in force; -1: none
+   * of the configuration in force; -1 for none
    */
   int64_t places_revision;
   protobuf_c_boolean draining;
   size_t n_upstreams;
   Peer__Upstream **upstreams;
   /*
-   * the sender trusts what it holds
+   * the sender considers its view current
    */
   protobuf_c_boolean sure;
   /*
-   * nodes that went from the list and may not know it yet
+   * nodes removed from the list that may not know it yet
    */
   size_t n_departed;
   char **departed;
@@ -196,13 +205,13 @@
 
 
 /*
- * Asks a node for the VM list that it holds.
+ * Requests a node's VM list.
  */
 struct  Peer__ListAsk
 {
   ProtobufCMessage base;
   /*
-   * of the list that the asker holds
+   * of the requester's list
    */
   int64_t version;
 };
@@ -263,28 +272,28 @@
 
 
 /*
- * A request handed to the node that issued its ticket.
+ * A request forwarded to the owner of its ticket.
  */
 struct  Peer__Forward
 {
   ProtobufCMessage base;
   /*
-   * of the sender, comes back in the reply
+   * chosen by the sender, returned in the reply
    */
   uint64_t id;
   char *ticket;
   /*
-   * path as the caller gave it
+   * request path
    */
   char *target;
   char *account;
   /*
-   * left of the deadline
+   * remaining until the deadline
    */
   int64_t wait_ms;
   ProtobufCBinaryData body;
   /*
-   * asks after a request that the owner has taken; carries no body
+   * queries a request that the owner has accepted; carries no body
    */
   protobuf_c_boolean probe;
 };
@@ -308,7 +317,7 @@
   int64_t retry_after_ms;
   ProtobufCBinaryData body;
   /*
-   * it runs there; the answer follows
+   * accepted and running; the answer follows
    */
   protobuf_c_boolean taken;
 };
@@ -318,29 +327,29 @@
 
 
 /*
- * An idempotent stage for a node that holds a slot of one of its service's upstreams.
+ * An idempotent stage, handed off to a node that holds a slot of an upstream of its service.
  */
 struct  Peer__StageAsk
 {
   ProtobufCMessage base;
   /*
-   * of the sender, comes back in the reply
+   * chosen by the sender, returned in the reply
    */
   uint64_t id;
   char *service;
   char *call;
   char *account;
   /*
-   * left of the deadline
+   * remaining until the deadline
    */
   int64_t wait_ms;
   ProtobufCBinaryData body;
   /*
-   * id of the caller's request, as upstreams are told it
+   * id of the caller's request, as sent to upstreams
    */
   char *request;
   /*
-   * of the sender
+   * attempt number at the sender
    */
   uint32_t attempt;
 };
@@ -363,7 +372,7 @@
   int32_t outcome;
   ProtobufCBinaryData body;
   /*
-   * it waits or runs there; the answer follows
+   * accepted, queued or running; the answer follows
    */
   protobuf_c_boolean taken;
 };
@@ -373,11 +382,14 @@
 
 
 /*
- * Asks a node whether it would own tickets; nothing is released by it.
+ * Offers ticket ownership to a candidate successor; releases nothing.
  */
 struct  Peer__Offer
 {
   ProtobufCMessage base;
+  /*
+   * incarnation of the sender
+   */
   uint64_t transfer;
 };
 #define PEER__OFFER__INIT \
@@ -388,6 +400,9 @@
 struct  Peer__OfferAck
 {
   ProtobufCMessage base;
+  /*
+   * as in the Offer
+   */
   uint64_t transfer;
 };
 #define PEER__OFFER_ACK__INIT \
@@ -396,7 +411,7 @@
 
 
 /*
- * Who owns the tickets of these incarnations of other nodes.
+ * Announces the owner of the tickets of other nodes' incarnations.
  */
 struct  Peer__Owner
 {
@@ -404,7 +419,7 @@
   size_t n_incarnations;
   uint64_t *incarnations;
   /*
-   * empty: the sender
+   * owner; empty for the sender
    */
   char *vm;
 };
@@ -414,7 +429,7 @@
 
 
 /*
- * Asks who owns the tickets of an incarnation; silence when the asked one doesn't know.
+ * Requests the owner of an incarnation's tickets; there is no reply if it is unknown.
  */
 struct  Peer__OwnerAsk
 {
@@ -427,22 +442,28 @@
 
 
 /*
- * A planned stop hands the tickets of an incarnation to the incarnation that took the offer.
+ * Transfers the tickets of an incarnation to the incarnation that accepted the offer.
  */
 struct  Peer__Release
 {
   ProtobufCMessage base;
+  /*
+   * incarnation of the sender
+   */
   uint64_t transfer;
   /*
-   * whose tickets
+   * issuer of the tickets
    */
   uint64_t incarnation;
   /*
-   * serials below were issued
+   * lower serials have been issued
    */
   uint64_t next_serial;
   size_t n_tickets;
   Peer__Ticket **tickets;
+  /*
+   * tickets with lower serials that are not listed here never run
+   */
   uint64_t low_water;
   int64_t expires_wall_ms;
 };
@@ -459,7 +480,7 @@
   int32_t outcome;
   ProtobufCBinaryData body;
   /*
-   * as in struct tkt_answer
+   * as in struct ticket_answer
    */
   uint32_t next_stage;
   uint32_t plan;
@@ -481,7 +502,7 @@
 
 
 /*
- * Asks the keeper of parts of accounts' limits for a lease, or answers such a question.
+ * Requests leases on shares of account limits from the node that grants them, or grants them.
  */
 struct  Peer__Demand
 {
@@ -489,7 +510,7 @@
   size_t n_accounts;
   Peer__AccountDemand **accounts;
   /*
-   * by the clock of the node that asks; a reply gives it back
+   * by the requester's clock; returned in the reply
    */
   int64_t asked_ms;
   protobuf_c_boolean reply;
@@ -507,11 +528,11 @@
    */
   uint64_t account;
   /*
-   * index of the part's data centre
+   * index of the share's data centre
    */
   uint32_t part;
   /*
-   * wanted in a question, lent in a reply
+   * demand in a request, leased rate in a reply
    */
   double per_s;
 };
@@ -521,7 +542,7 @@
 
 
 /*
- * What a member of the fleet says of itself, passed on by gossip (decide/fle.h).
+ * State that a fleet member publishes about itself, spread by gossip.
  */
 struct  Peer__Member
 {
@@ -531,6 +552,9 @@
   char *data_centre;
   char *region;
   uint64_t incarnation;
+  /*
+   * heartbeat counter
+   */
   uint64_t beat;
   protobuf_c_boolean ready;
   protobuf_c_boolean leaving;
@@ -541,14 +565,14 @@
 
 
 /*
- * An upstream that failed the sender lately.
+ * An upstream that recently failed at the sender.
  */
 struct  Peer__Trouble
 {
   ProtobufCMessage base;
   char *upstream;
   /*
-   * until the sender tries it again
+   * until the sender retries it
    */
   uint32_t wait_ms;
 };
@@ -575,7 +599,7 @@
   ProtobufCMessage base;
   char *service;
   /*
-   * bit i: needs the results of stage i
+   * bit i: depends on the results of stage i
    */
   uint32_t after;
   uint32_t pieces;
@@ -587,7 +611,7 @@
 
 
 /*
- * A request's chain of stages, given to the node that owns the pools (decide/chn.h).
+ * A request's chain of stages, submitted to the node that owns the pools.
  */
 struct  Peer__ChainAsk
 {
@@ -598,22 +622,22 @@
   size_t n_stages;
   Peer__ChainStage **stages;
   /*
-   * left until the first token is due
+   * remaining until the first token is due
    */
   int64_t aim_ms;
   /*
-   * left until the request is worthless
+   * remaining until the request's deadline
    */
   int64_t deadline_ms;
   int32_t rank;
   char *data_centre;
   /*
-   * where it may be worked on; none: anywhere
+   * regions allowed to run it; empty for any
    */
   size_t n_regions;
   char **regions;
   /*
-   * results that stand from an owner before
+   * results obtained under a previous owner
    */
   size_t n_done;
   Peer__ChainDone **done;
@@ -624,7 +648,7 @@
 
 
 /*
- * A result that stands when a chain changes its owner.
+ * A result that remains valid when a chain changes owner.
  */
 struct  Peer__ChainDone
 {
@@ -640,12 +664,15 @@
 
 
 /*
- * A chain that its owner hands to another node.
+ * A chain that its owner hands off to another node.
  */
 struct  Peer__ChainHand
 {
   ProtobufCMessage base;
   Peer__ChainAsk *ask;
+  /*
+   * node that receives the replies
+   */
   char *asker;
 };
 #define PEER__CHAIN_HAND__INIT \
@@ -654,7 +681,7 @@
 
 
 /*
- * Results that have come to stand: the asker keeps them for the next owner, should this one die.
+ * New results, which the requester keeps for the next owner in case this one fails.
  */
 struct  Peer__ChainProgress
 {
@@ -669,7 +696,7 @@
 
 
 /*
- * A starting node that can't read the source asks another one for what that holds.
+ * Requests a node's published state, for a starting node that can't read the source.
  */
 struct  Peer__PublishedAsk
 {
@@ -693,25 +720,29 @@
   int64_t born_ms;
   int64_t sequence;
   int64_t revision;
+  /*
+   * of the source, with the revision
+   */
+  int64_t epoch;
 };
 #define PEER__PUBLISHED_UPSTREAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__published_upstream__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__PublishedReply
 {
   ProtobufCMessage base;
   /*
-   * the configuration as the source gave it
+   * the configuration as read from the source
    */
   ProtobufCBinaryData doc;
   /*
-   * of the source, up to which the sender has heard
+   * latest source revision that the sender has received
    */
   int64_t revision;
   /*
-   * since the sender last heard from the source
+   * since the sender last received data from the source
    */
   int64_t age_ms;
   size_t n_upstreams;
@@ -721,10 +752,14 @@
    */
   size_t n_out;
   char **out;
+  /*
+   * highest epoch of the source that the sender knows
+   */
+  int64_t epoch;
 };
 #define PEER__PUBLISHED_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__published_reply__descriptor) \
-    , {0,NULL}, 0, 0, 0,NULL, 0,NULL }
+    , {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Peer__ChainReply
@@ -735,7 +770,7 @@
   size_t n_handles;
   char **handles;
   /*
-   * where most bytes of the results lie
+   * holds most bytes of the results
    */
   char *data_centre;
   int64_t retry_after_ms;
@@ -747,14 +782,14 @@
 
 
 /*
- * The asker no longer needs the results.
+ * The requester no longer needs the results.
  */
 struct  Peer__ChainEnd
 {
   ProtobufCMessage base;
   uint64_t id;
   /*
-   * the results were fetched, and are needed again only if that was in vain
+   * the results were fetched and are needed again only if that fetch failed
    */
   protobuf_c_boolean fetched;
 };
@@ -800,12 +835,12 @@
   uint64_t from_incarnation;
   char *to_vm;
   /*
-   * 0: any
+   * 0 for any
    */
   uint64_t to_incarnation;
   int64_t sent_wall_ms;
   /*
-   * dropped when older
+   * dropped when older than this
    */
   int64_t ttl_ms;
   Peer__Message__KindCase kind_case;
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -4116,7 +4116,7 @@
   (ProtobufCMessageInit) peer__published_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__published_upstream__field_descriptors[10] =
+static const ProtobufCFieldDescriptor peer__published_upstream__field_descriptors[11] =
 {
   {
     "id",
@@ -4238,12 +4238,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__published_upstream__field_indices_by_name[] = {
   2,   /* field[2] = address */
   7,   /* field[7] = born_ms */
   5,   /* field[5] = cold_left_ms */
   3,   /* field[3] = data_centre */
+  10,   /* field[10] = epoch */
   0,   /* field[0] = id */
   4,   /* field[4] = leaving */
   9,   /* field[9] = revision */
@@ -4254,7 +4267,7 @@
 static const ProtobufCIntRange peer__published_upstream__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer__published_upstream__descriptor =
 {
@@ -4264,14 +4277,14 @@
   "Peer__PublishedUpstream",
   "peer",
   sizeof(Peer__PublishedUpstream),
-  10,
+  11,
   peer__published_upstream__field_descriptors,
   peer__published_upstream__field_indices_by_name,
   1,  peer__published_upstream__number_ranges,
   (ProtobufCMessageInit) peer__published_upstream__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__published_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__published_reply__field_descriptors[6] =
 {
   {
     "doc",
@@ -4333,10 +4346,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedReply, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__published_reply__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   0,   /* field[0] = doc */
+  5,   /* field[5] = epoch */
   4,   /* field[4] = out */
   1,   /* field[1] = revision */
   3,   /* field[3] = upstreams */
@@ -4344,7 +4370,7 @@
 static const ProtobufCIntRange peer__published_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__published_reply__descriptor =
 {
@@ -4354,7 +4380,7 @@
   "Peer__PublishedReply",
   "peer",
   sizeof(Peer__PublishedReply),
-  5,
+  6,
   peer__published_reply__field_descriptors,
   peer__published_reply__field_indices_by_name,
   1,  peer__published_reply__number_ranges,
--- a/packages/serve/include/serve/adapter.h
+++ b/packages/serve/include/serve/adapter.h
@@ -76,9 +76,19 @@
 	char *why;
 };
 
+/* An answer of the source, as received. */
+struct adapter_feed_answer {
+	int status;
+	const struct hdr_list *headers;
+	const char *body;
+	size_t len;
+	bool is_watch; /* answers a watch, not a read */
+};
+
 struct adapter_feed_reply {
 	GArray *changes; /* struct adapter_change, in order of revision */
 	int64_t revision;
+	int64_t epoch;	/* rises when the source is restored from a copy; 0: missing or malformed */
 	bool more;	/* another page follows */
 	char *last_key; /* last key of this page; the next page starts after it */
 };
@@ -99,8 +109,9 @@
 	 * (caller frees) unless the text isn't JSON.
 	 */
 	struct pub_doc *(*read_doc)(const char *text, size_t len, char **why);
-	enum adapter_feed_result (*read_reply)(int status, const char *body, size_t len,
-					       bool is_watch, struct adapter_feed_reply *reply);
+	/* Release the reply with adapter_feed_reply_clear(), whatever the result. */
+	enum adapter_feed_result (*read_reply)(const struct adapter_feed_answer *answer,
+					       struct adapter_feed_reply *reply);
 };
 
 /* One piece of a stage in a batch call to an upstream. */
--- a/packages/serve/include/serve/srvconf.h
+++ b/packages/serve/include/serve/srvconf.h
@@ -41,6 +41,7 @@
 	char *retry_slack;
 	char *cold_factor;
 	char *cold_slack;
+	char *heartbeat_ms; /* interval between heartbeats of upstreams to the source */
 };
 
 /* True if the file has the "adapter" key, which marks the settings of a node with an adapter. */
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -279,7 +279,7 @@
 	uv_loop_init(&s->loop);
 	fill_self(s, &self);
 	s->fleet = gossip_new(&self, s->started_ms);
-	s->view = view_new();
+	s->view = view_new((int64_t)srvconf_number(s->set->heartbeat_ms));
 	s->chains = chain_sched_new();
 	s->upstreams = g_hash_table_new(g_str_hash, g_str_equal);
 	s->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/packages/serve/srv_endpoints.c
+++ b/packages/serve/srv_endpoints.c
@@ -139,12 +139,13 @@
 static json_t *status_json(struct srv *s)
 {
 	int64_t now_ms = clock_now_ms();
+	struct view_revision revision = srv_feed_revision(s->feed);
 
-	return json_pack("{s:s, s:b, s:b, s:I, s:I, s:I, s:i, s:i, s:s, s:i, s:i}", "vm",
+	return json_pack("{s:s, s:b, s:b, s:I, s:I, s:I, s:I, s:i, s:i, s:s, s:i, s:i}", "vm",
 			 s->set->vm, "ready", (int)s->is_ready, "stopping", s->stop_began_ms > 0,
-			 "version", (json_int_t)(s->view->doc ? s->view->doc->version : 0),
-			 "revision", (json_int_t)srv_feed_revision(s->feed), "view_age_ms",
-			 (json_int_t)srv_feed_age_ms(s->feed, now_ms), "alive",
+			 "version", (json_int_t)(s->view->doc ? s->view->doc->version : 0), "epoch",
+			 (json_int_t)revision.epoch, "revision", (json_int_t)revision.number,
+			 "view_age_ms", (json_int_t)srv_feed_age_ms(s->feed, now_ms), "alive",
 			 (int)gossip_count_alive(s->fleet, now_ms), "upstreams",
 			 (int)g_hash_table_size(s->view->upstreams), "owner",
 			 gossip_owner(s->fleet, NULL, now_ms)->record.peer_address, "chains",
--- a/packages/serve/srv_feed.c
+++ b/packages/serve/srv_feed.c
@@ -1,6 +1,7 @@
 /*
  * Client of the source of configuration and upstreams: a full read, then one watch after another.
- * The pause between two watches lets one call return many changes.
+ * The pause between two watches lets one call return many changes. When the source's epoch has
+ * risen it was restored from a copy, and everything is read anew.
  */
 #include "srv_int.h"
 
@@ -38,17 +39,29 @@
 	char *page_start_key; /* last key of the previous page */
 	int64_t first_revision;
 	int64_t revision;
+	int64_t epoch;		    /* of the full read that is complete or in progress */
+	struct view_revision known; /* where the last full read and its watches got to */
+	bool epoch_unknown_logged;
 	int64_t due_ms;
 	int64_t sent_ms;
 	int64_t last_success_ms; /* when the last call succeeded; 0: none has */
+	int64_t last_read_ms;	 /* when the last full read was completed; 0: none was */
 	uint32_t fails;
 	int status;
+	struct hdr_list headers;
 	GByteArray *body;
 };
 
-static void log_change(const struct adapter_change *change, const char *event, const char *id)
+static struct view_revision revision_of(const struct srv *s, int64_t number)
 {
-	log_info(event, "{s:s, s:I}", "id", id, "revision", (json_int_t)change->revision);
+	return (struct view_revision){.epoch = s->view->epoch, .number = number};
+}
+
+static void log_change(const struct srv *s, const struct adapter_change *change, const char *event,
+		       const char *id)
+{
+	log_info(event, "{s:s, s:I, s:I}", "id", id, "epoch", (json_int_t)s->view->epoch,
+		 "revision", (json_int_t)change->revision);
 }
 
 static bool apply_config(struct srv *s, struct adapter_change *change)
@@ -59,10 +72,10 @@
 	change->doc = NULL;
 	if (!view_set_config(s->view, doc))
 		return false;
-	log_info("config_in_force", "{s:I, s:I, s:i, s:i, s:i}", "version", (json_int_t)version,
-		 "revision", (json_int_t)change->revision, "routes", (int)s->view->doc->n_routes,
-		 "services", (int)s->view->doc->n_services, "accounts",
-		 (int)s->view->doc->n_accounts);
+	log_info("config_in_force", "{s:I, s:I, s:I, s:i, s:i, s:i}", "version",
+		 (json_int_t)version, "epoch", (json_int_t)s->view->epoch, "revision",
+		 (json_int_t)change->revision, "routes", (int)s->view->doc->n_routes, "services",
+		 (int)s->view->doc->n_services, "accounts", (int)s->view->doc->n_accounts);
 	return true;
 }
 
@@ -72,12 +85,13 @@
 	bool changed;
 
 	change->upstream = NULL;
-	changed = view_put_upstream(s->view, doc, change->revision, now_ms);
+	changed = view_put_upstream(s->view, doc, revision_of(s, change->revision), now_ms);
 	if (changed)
-		log_info("upstream_published", "{s:s, s:s, s:s, s:s, s:b, s:I, s:I}", "upstream",
-			 doc->id, "service", doc->service, "address", doc->address, "data_centre",
-			 doc->data_centre, "leaving", (int)doc->leaving, "cold_ms",
-			 (json_int_t)doc->cold_left_ms, "revision", (json_int_t)change->revision);
+		log_info("upstream_published", "{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I}",
+			 "upstream", doc->id, "service", doc->service, "address", doc->address,
+			 "data_centre", doc->data_centre, "leaving", (int)doc->leaving, "cold_ms",
+			 (json_int_t)doc->cold_left_ms, "epoch", (json_int_t)s->view->epoch,
+			 "revision", (json_int_t)change->revision);
 	return changed;
 }
 
@@ -89,25 +103,27 @@
 	case ADAPTER_CHANGE_UPSTREAM:
 		return apply_upstream(s, change, now_ms);
 	case ADAPTER_CHANGE_UPSTREAM_REMOVED:
-		if (!view_remove_upstream(s->view, change->id, change->revision, now_ms))
+		if (!view_remove_upstream(s->view, change->id, revision_of(s, change->revision),
+					  now_ms))
 			return false;
-		log_change(change, "upstream_gone", change->id);
+		log_change(s, change, "upstream_gone", change->id);
 		return true;
 	case ADAPTER_CHANGE_DATA_CENTRE_OUT:
 		if (!view_set_out_of_service(s->view, change->id, true, now_ms))
 			return false;
-		log_change(change, "data_centre_out", change->id);
+		log_change(s, change, "data_centre_out", change->id);
 		return true;
 	case ADAPTER_CHANGE_DATA_CENTRE_BACK:
 		if (!view_set_out_of_service(s->view, change->id, false, now_ms))
 			return false;
-		log_change(change, "data_centre_back", change->id);
+		log_change(s, change, "data_centre_back", change->id);
 		return true;
 	case ADAPTER_CHANGE_INVALID:
 		log_warn("entry_unreadable", "{s:s, s:s, s:I}", "id", change->id, "reason",
 			 change->why, "revision", (json_int_t)change->revision);
 		/* the entry that this one replaces may have an outdated address */
-		return view_remove_upstream(s->view, change->id, change->revision, now_ms);
+		return view_remove_upstream(s->view, change->id, revision_of(s, change->revision),
+					    now_ms);
 	case ADAPTER_CHANGE_IGNORED:
 		break;
 	}
@@ -134,6 +150,32 @@
 	pause_until(feed, now_ms + MIN(RETRY_MS << MIN(feed->fails - 1, 4), RETRY_MAX_MS));
 }
 
+static void begin_full_read(struct srv_feed *feed, int64_t now_ms)
+{
+	feed->has_full_read = false;
+	g_free(feed->page_start_key);
+	feed->page_start_key = NULL;
+	pause_until(feed, now_ms);
+}
+
+/* Logs that the source was restored, unless this is the first full read. */
+static void log_restore(struct srv_feed *feed)
+{
+	const struct view_state *v = feed->s->view;
+
+	if (feed->last_read_ms > 0 && feed->known.epoch < feed->epoch)
+		log_warn("source_restored", "{s:I, s:I, s:I, s:I, s:i}", "epoch_before",
+			 (json_int_t)feed->known.epoch, "revision_before",
+			 (json_int_t)feed->known.number, "epoch", (json_int_t)feed->epoch,
+			 "revision", (json_int_t)feed->first_revision, "doubted",
+			 (int)view_count_doubted(v));
+}
+
+static void note_known(struct srv_feed *feed)
+{
+	feed->known = (struct view_revision){.epoch = feed->epoch, .number = feed->revision};
+}
+
 static void end_page(struct srv_feed *feed, struct adapter_feed_reply *reply, int64_t now_ms)
 {
 	if (!feed->page_start_key)
@@ -148,10 +190,43 @@
 	/* the pages can be of different revisions: watch for all changes since the first page */
 	feed->revision = feed->first_revision;
 	feed->has_full_read = true;
-	view_end_read(feed->s->view, feed->first_revision, now_ms);
+	view_end_read(feed->s->view, revision_of(feed->s, feed->first_revision), now_ms);
+	log_restore(feed);
+	feed->last_read_ms = now_ms;
+	note_known(feed);
 	pause_until(feed, now_ms);
 }
 
+/*
+ * Decides by its epoch whether a reply may be applied. A reply of a higher epoch that isn't the
+ * first page of a full read leads to one; a reply of a lower epoch is outdated.
+ */
+static bool accept_epoch(struct srv_feed *feed, const struct adapter_feed_reply *reply,
+			 int64_t now_ms)
+{
+	struct view_state *v = feed->s->view;
+	bool is_first_page = feed->state == FEED_READING && !feed->page_start_key;
+
+	if (reply->epoch == 0) {
+		if (!feed->epoch_unknown_logged)
+			log_warn("source_epoch_unknown", "{s:s, s:I}", "address",
+				 feed->s->set->source_address, "epoch", (json_int_t)v->epoch);
+		feed->epoch_unknown_logged = true;
+		return true;
+	}
+	if (reply->epoch < v->epoch) {
+		fail(feed, "answer of an earlier epoch");
+		return false;
+	}
+	view_raise_epoch(v, reply->epoch, reply->revision, now_ms);
+	if (reply->epoch > feed->epoch && !is_first_page) {
+		begin_full_read(feed, now_ms);
+		return false;
+	}
+	feed->epoch = reply->epoch;
+	return true;
+}
+
 static int64_t watch_pause_ms(const struct srv *s, int64_t now_ms)
 {
 	int64_t ms = (int64_t)WATCH_PAUSE_MS_PER_NODE * gossip_count_alive(s->fleet, now_ms);
@@ -165,9 +240,12 @@
 	int64_t now_ms = clock_now_ms();
 	bool changed = false;
 
+	if (!accept_epoch(feed, reply, now_ms))
+		return;
 	if (feed->fails > 0)
-		log_info("source_back", "{s:s, s:i, s:I}", "address", s->set->source_address,
-			 "fails", (int)feed->fails, "revision", (json_int_t)reply->revision);
+		log_info("source_back", "{s:s, s:i, s:I, s:I}", "address", s->set->source_address,
+			 "fails", (int)feed->fails, "epoch", (json_int_t)s->view->epoch, "revision",
+			 (json_int_t)reply->revision);
 	feed->fails = 0;
 	feed->last_success_ms = now_ms;
 	view_set_source_down(s->view, false, now_ms);
@@ -180,6 +258,7 @@
 		changed = true;
 	} else {
 		feed->revision = MAX(feed->revision, reply->revision);
+		note_known(feed);
 		pause_until(feed, now_ms + watch_pause_ms(s, now_ms));
 	}
 	if (changed && feed->has_full_read)
@@ -191,6 +270,9 @@
 	struct srv_feed *feed = arg;
 
 	feed->status = head->status;
+	hdr_clear(&feed->headers);
+	for (uint32_t i = 0; i < head->headers.n; i++)
+		hdr_add(&feed->headers, head->headers.at[i].name, head->headers.at[i].value);
 	g_byte_array_set_size(feed->body, 0);
 	return true;
 }
@@ -206,6 +288,13 @@
 static void on_end(void *arg, enum http_client_result end)
 {
 	struct srv_feed *feed = arg;
+	const struct adapter_feed_answer answer = {
+		.status = feed->status,
+		.headers = &feed->headers,
+		.body = (const char *)feed->body->data,
+		.len = feed->body->len,
+		.is_watch = feed->state == FEED_WATCHING,
+	};
 	struct adapter_feed_reply reply;
 
 	feed->call = NULL;
@@ -213,17 +302,14 @@
 		fail(feed, end == HTTP_CLIENT_NOT_SENT ? "no connection" : "connection broken");
 		return;
 	}
-	switch (feed->s->adapter->feed->read_reply(feed->status, (const char *)feed->body->data,
-						   feed->body->len, feed->state == FEED_WATCHING,
-						   &reply)) {
+	switch (feed->s->adapter->feed->read_reply(&answer, &reply)) {
 	case ADAPTER_FEED_OK:
 		handle_reply(feed, &reply);
-		adapter_feed_reply_clear(&reply);
 		break;
 	case ADAPTER_FEED_HISTORY_LOST:
-		log_warn("source_history_lost", "{s:I}", "revision", (json_int_t)feed->revision);
-		feed->has_full_read = false;
-		pause_until(feed, clock_now_ms());
+		log_warn("source_history_lost", "{s:I, s:I}", "epoch", (json_int_t)feed->epoch,
+			 "revision", (json_int_t)feed->revision);
+		begin_full_read(feed, clock_now_ms());
 		break;
 	case ADAPTER_FEED_REFUSED:
 		fail(feed, "refused");
@@ -232,6 +318,7 @@
 		fail(feed, "malformed answer");
 		break;
 	}
+	adapter_feed_reply_clear(&reply);
 }
 
 static const struct http_client_ops call_ops = {
@@ -298,9 +385,9 @@
 	return feed->fails > 0 || feed->last_success_ms == 0;
 }
 
-int64_t srv_feed_revision(const struct srv_feed *feed)
+struct view_revision srv_feed_revision(const struct srv_feed *feed)
 {
-	return feed->revision;
+	return (struct view_revision){.epoch = feed->epoch, .number = feed->revision};
 }
 
 struct srv_feed *srv_feed_new(struct srv *s)
@@ -319,6 +406,7 @@
 		return;
 	http_client_cancel(feed->call);
 	http_client_origin_free(feed->origin);
+	hdr_clear(&feed->headers);
 	g_byte_array_unref(feed->body);
 	g_free(feed->page_start_key);
 	g_free(feed);
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -103,8 +103,8 @@
 	uv_signal_t on_hup;
 	int64_t started_ms;
 	int64_t last_tick_ms;
-	int64_t stop_began_ms;	       /* 0: not stopping */
-	int64_t snapshot_revision;     /* revision of the newest snapshot applied */
+	int64_t stop_began_ms;			/* 0: not stopping */
+	struct view_revision snapshot_revision; /* of the newest snapshot applied */
 	int64_t snapshot_requested_ms; /* when a snapshot was last requested from another node */
 	int64_t not_owner_since_ms;    /* since when another owner is available; 0: none is */
 	bool is_ready;
@@ -129,7 +129,9 @@
 
 /* Returns the time since the last successful call to the source; -1: there was none. */
 int64_t srv_feed_age_ms(const struct srv_feed *feed, int64_t now_ms);
-int64_t srv_feed_revision(const struct srv_feed *feed);
+
+/* Returns how far the reading of the source got: its epoch and revision. */
+struct view_revision srv_feed_revision(const struct srv_feed *feed);
 
 /* True if the last call to the source failed, or none has succeeded yet. */
 bool srv_feed_is_unavailable(const struct srv_feed *feed);
--- a/packages/serve/srv_snapshot.c
+++ b/packages/serve/srv_snapshot.c
@@ -1,8 +1,8 @@
 /*
  * Copies the published view from a ready node while the source is unavailable. This lets a node
  * restart during an outage of the source, and keeps a node up to date if only that node can't reach
- * it. Snapshots carry the source's revisions and versions, so that no entry is replaced by an older
- * one.
+ * it. Snapshots carry the source's epoch, revisions and versions, so that no entry is replaced by
+ * an older one.
  */
 #include "srv_int.h"
 
@@ -81,7 +81,8 @@
 	out->slots = u->doc->slots;
 	out->born_ms = u->doc->born_ms;
 	out->sequence = u->doc->sequence;
-	out->revision = u->revision;
+	out->epoch = u->revision.epoch;
+	out->revision = u->revision.number;
 }
 
 static void send_snapshot(struct srv *s, const char *requester)
@@ -92,20 +93,25 @@
 	Peer__PublishedReply reply = PEER__PUBLISHED_REPLY__INIT;
 	Peer__Message message = PEER__MESSAGE__INIT;
 	char **out = (char **)g_hash_table_get_keys_as_array(s->view->out, NULL);
+	struct view_revision revision = srv_feed_revision(s->feed);
 	int64_t now_ms = clock_now_ms();
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, s->view->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		encode_upstream(&ups[reply.n_upstreams], value, now_ms);
+		const struct view_upstream *u = value;
+		if (u->doubted_until_ms > 0)
+			continue;
+		encode_upstream(&ups[reply.n_upstreams], u, now_ms);
 		list[reply.n_upstreams] = &ups[reply.n_upstreams];
 		reply.n_upstreams++;
 	}
 	reply.upstreams = list;
 	reply.doc.data = (uint8_t *)s->view->doc->source;
 	reply.doc.len = strlen(s->view->doc->source);
-	reply.revision = srv_feed_revision(s->feed);
+	reply.epoch = s->view->epoch;
+	reply.revision = revision.epoch == reply.epoch ? revision.number : 0;
 	reply.age_ms = srv_feed_age_ms(s->feed, now_ms);
 	reply.out = out;
 	reply.n_out = g_hash_table_size(s->view->out);
@@ -120,6 +126,7 @@
 static void apply_upstream(struct srv *s, const Peer__PublishedUpstream *in, int64_t now_ms)
 {
 	struct pub_upstream *doc = g_new0(struct pub_upstream, 1);
+	const struct view_revision revision = {.epoch = in->epoch, .number = in->revision};
 
 	doc->id = g_strdup(in->id);
 	doc->service = g_strdup(in->service);
@@ -130,7 +137,7 @@
 	doc->slots = in->slots;
 	doc->born_ms = in->born_ms;
 	doc->sequence = in->sequence;
-	view_put_upstream(s->view, doc, in->revision, now_ms);
+	view_put_upstream(s->view, doc, revision, now_ms);
 }
 
 static gint compare_ids(gconstpointer a, gconstpointer b)
@@ -138,27 +145,31 @@
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
-/* Removes entries that the snapshot lacks and whose revision is not above the snapshot's. */
-static void remove_missing(struct srv *s, const Peer__PublishedReply *reply)
+static struct view_revision revision_of(const Peer__PublishedReply *reply)
+{
+	return (struct view_revision){.epoch = reply->epoch, .number = reply->revision};
+}
+
+/* Removes entries that the snapshot lacks and that aren't newer than it. */
+static void remove_missing(struct srv *s, const Peer__PublishedReply *reply, int64_t now_ms)
 {
 	GPtrArray *ids = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
+	GList *held = g_hash_table_get_values(s->view->upstreams);
 
 	for (size_t i = 0; i < reply->n_upstreams; i++)
 		g_ptr_array_add(ids, reply->upstreams[i]->id);
 	g_ptr_array_sort(ids, compare_ids);
-	g_hash_table_iter_init(&iter, s->view->upstreams);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct view_upstream *u = value;
+	for (GList *at = held; at; at = at->next) {
+		const struct view_upstream *u = at->data;
 		const char *id = u->doc->id;
-		if (u->revision > reply->revision ||
+		if (view_compare(u->revision, revision_of(reply)) > 0 ||
 		    bsearch(&id, ids->pdata, ids->len, sizeof(gpointer), compare_ids))
 			continue;
-		log_info("upstream_gone", "{s:s, s:I}", "id", id, "revision",
-			 (json_int_t)reply->revision);
-		g_hash_table_iter_remove(&iter);
+		log_info("upstream_gone", "{s:s, s:I, s:I}", "id", id, "epoch",
+			 (json_int_t)reply->epoch, "revision", (json_int_t)reply->revision);
+		view_drop_upstream(s->view, id, now_ms);
 	}
+	g_list_free(held);
 	g_ptr_array_unref(ids);
 }
 
@@ -170,8 +181,9 @@
 		for (size_t k = 0; k < reply->n_out; k++)
 			out = out || strcmp(reply->out[k], name) == 0;
 		if (view_set_out_of_service(s->view, name, out, now_ms))
-			log_info(out ? "data_centre_out" : "data_centre_back", "{s:s, s:I}", "id",
-				 name, "revision", (json_int_t)reply->revision);
+			log_info(out ? "data_centre_out" : "data_centre_back", "{s:s, s:I, s:I}",
+				 "id", name, "epoch", (json_int_t)reply->epoch, "revision",
+				 (json_int_t)reply->revision);
 	}
 }
 
@@ -179,30 +191,35 @@
 {
 	int64_t now_ms = clock_now_ms();
 	bool is_first = !s->view->complete;
+	bool is_fresh;
 	struct pub_doc *doc;
 	char *why = NULL;
 
-	if (!srv_feed_is_unavailable(s->feed) || reply->revision < s->snapshot_revision)
-		return; /* the source is available again, or an applied snapshot is newer */
+	if (!srv_feed_is_unavailable(s->feed) || reply->epoch < s->view->epoch ||
+	    view_compare(revision_of(reply), s->snapshot_revision) < 0)
+		return; /* the source is available again, or what is known is newer */
 	doc = s->adapter->feed->read_doc((const char *)reply->doc.data, reply->doc.len, &why);
 	if (!doc) {
 		log_warn("copy_unreadable", "{s:s, s:s}", "from", from, "reason", why ? why : "");
 		g_free(why);
 		return;
 	}
+	view_raise_epoch(s->view, reply->epoch, reply->revision, now_ms);
 	view_set_config(s->view, doc);
 	for (size_t i = 0; i < reply->n_upstreams; i++)
 		apply_upstream(s, reply->upstreams[i], now_ms);
-	if (reply->age_ms < FRESH_AGE_MAX_MS && reply->revision >= srv_feed_revision(s->feed)) {
-		remove_missing(s, reply);
+	is_fresh = reply->age_ms >= 0 && reply->age_ms < FRESH_AGE_MAX_MS;
+	if (is_fresh && view_compare(revision_of(reply), srv_feed_revision(s->feed)) >= 0) {
+		remove_missing(s, reply, now_ms);
 		apply_data_centres(s, reply, now_ms);
 	}
 	s->view->complete = true;
-	s->snapshot_revision = reply->revision;
-	if (is_first || reply->age_ms < FRESH_AGE_MAX_MS)
-		log_info("copy_taken", "{s:s, s:I, s:I, s:I, s:i}", "from", from, "version",
-			 (json_int_t)s->view->doc->version, "revision", (json_int_t)reply->revision,
-			 "age_ms", (json_int_t)reply->age_ms, "upstreams", (int)reply->n_upstreams);
+	s->snapshot_revision = revision_of(reply);
+	if (is_first || is_fresh)
+		log_info("copy_taken", "{s:s, s:I, s:I, s:I, s:I, s:i}", "from", from, "version",
+			 (json_int_t)s->view->doc->version, "epoch", (json_int_t)reply->epoch,
+			 "revision", (json_int_t)reply->revision, "age_ms",
+			 (json_int_t)reply->age_ms, "upstreams", (int)reply->n_upstreams);
 	srv_chain_view_changed(s);
 }
 
--- a/packages/serve/srvconf.c
+++ b/packages/serve/srvconf.c
@@ -6,6 +6,7 @@
 #include <math.h>
 #include <string.h>
 
+#define HEARTBEAT_MS "1200" /* of a platform whose settings don't name it */
 #define LOG_LINES_PER_S 400 /* 40 KB/s, which takes about 1% of a quarter of a core */
 
 #define SRVCONF_STR(member, is_required)                                                           \
@@ -63,6 +64,7 @@
 	SRVCONF_STR(retry_slack, true),
 	SRVCONF_STR(cold_factor, true),
 	SRVCONF_STR(cold_slack, true),
+	SRVCONF_STR(heartbeat_ms, false),
 };
 
 static const struct schema_map map = {fields, G_N_ELEMENTS(fields), sizeof(struct srvconf)};
@@ -101,7 +103,7 @@
 		{"lookup_ttl_s", set->lookup_ttl_s}, {"stop_grace_s", set->stop_grace_s},
 		{"retry_ratio", set->retry_ratio},   {"retry_window_s", set->retry_window_s},
 		{"retry_slack", set->retry_slack},   {"cold_factor", set->cold_factor},
-		{"cold_slack", set->cold_slack},
+		{"cold_slack", set->cold_slack},     {"heartbeat_ms", set->heartbeat_ms},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(decimals); i++) {
@@ -127,6 +129,8 @@
 	}
 	schema_doc_free(doc);
 	g_ptr_array_unref(faults);
+	if (good && !set->heartbeat_ms)
+		set->heartbeat_ms = g_strdup(HEARTBEAT_MS);
 	if (good && check_numbers(set, path, error))
 		return set;
 	srvconf_free(set);
--- a/tests/proc_adapter.c
+++ b/tests/proc_adapter.c
@@ -489,6 +489,154 @@
 }
 END_TEST
 
+static void publish_draining(void)
+{
+	stub_publish(c->stub, "plain-1", "draining");
+}
+
+static void publish_gone(void)
+{
+	stub_publish(c->stub, "plain-1", NULL);
+}
+
+static void publish_centre_out(void)
+{
+	stub_put(c->stub, "op/evacuate/a1", "{}");
+}
+
+static void publish_keys(void)
+{
+	cluster_configure(c, 9, "key-1", "key-9");
+}
+
+static const struct {
+	const char *name;
+	void (*change)(void);
+	int64_t rewrite_ms; /* time after the return at which the change is written again */
+	int returns;	    /* number of returns, one second apart */
+	int status;	    /* of requests once the change is in force */
+} restores[] = {
+	{"leaving engine", publish_draining, 5000, 1, 200},
+	{"gone engine", publish_gone, 5000, 1, 200},
+	{"gone engine, several returns", publish_gone, 5000, 3, 200},
+	{"data centre out", publish_centre_out, 1000, 1, 200},
+	{"data centre out, several returns", publish_centre_out, 1000, 3, 200},
+	{"key taken away", publish_keys, 5000, 1, 401},
+};
+
+/* Every node must go by what it acted on, although the source's copy is from before. */
+static void expect_change_held(size_t i)
+{
+	uint32_t before = arrivals("plain-1");
+
+	for (uint32_t k = 0; k < REQUESTS; k++)
+		ck_assert_msg(status_of(k % c->n_nodes, "/safe/x", NULL) == restores[i].status,
+			      "%s", restores[i].name);
+	ck_assert_msg(arrivals("plain-1") == before, "%s: request to an unusable engine",
+		      restores[i].name);
+}
+
+/* What nodes have acted on doesn't go back when the source returns from an older copy. */
+START_TEST(source_restored)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(restores); i++) {
+		if (i > 0) {
+			cluster_free(c);
+			c = cluster_new(3);
+		}
+		clock_sleep_ms(500);
+		restores[i].change();
+		clock_sleep_ms(IN_FORCE_MS);
+		for (int k = 0; k < restores[i].returns; k++) {
+			stub_restore_store(c->stub, IN_FORCE_MS + 100 + k * 1000,
+					   restores[i].rewrite_ms);
+			expect_change_held(i);
+			clock_sleep_ms(900);
+		}
+		for (int k = 0; k < 4; k++) {
+			expect_change_held(i);
+			clock_sleep_ms(600);
+		}
+	}
+}
+END_TEST
+
+/* A change with a revision that the source had given out before is in force in time. */
+START_TEST(revisions_given_again)
+{
+	cluster_configure(c, 20, NULL, NULL);
+	cluster_configure(c, 21, NULL, NULL);
+	stub_publish(c->stub, "plain-1", "ready");
+	stub_publish(c->stub, "plain-1", "ready");
+	clock_sleep_ms(IN_FORCE_MS);
+	stub_restore_store(c->stub, IN_FORCE_MS + 100, 60000);
+	stub_publish(c->stub, "plain-1", "draining");
+	expect_no_requests("plain-1");
+	cluster_configure(c, 22, "key-1", "key-9");
+	clock_sleep_ms(IN_FORCE_MS);
+	for (uint32_t i = 0; i < c->n_nodes; i++)
+		ck_assert_int_eq(status_of(i, "/once/x", NULL), 401);
+}
+END_TEST
+
+/* A node that starts around a return, or during one beside lost answers, serves the new state. */
+START_TEST(restored_while_starting)
+{
+	for (int i = 0; i < 3; i++) {
+		cluster_signal(c, 2, SIGKILL);
+		cluster_configure(c, 30 + i, NULL, NULL);
+		cluster_start_node(c, 2);
+		clock_sleep_ms(20 * i);
+		stub_set_store_fault(c->stub, i == 2 ? STUB_STORE_HANG : STUB_STORE_OK);
+		stub_restore_store(c->stub, 1000, 1000);
+		clock_sleep_ms(300);
+		stub_set_store_fault(c->stub, STUB_STORE_OK);
+		cluster_wait_ready(c, 2);
+		clock_sleep_ms(IN_FORCE_MS);
+		ck_assert_int_eq(status_of(2, "/once/x", NULL), 200);
+	}
+	publish_draining();
+	expect_no_requests("plain-1");
+}
+END_TEST
+
+/* Counts the lines of a node's log with an event. */
+static int count_logged(uint32_t node, const char *event)
+{
+	char *path = g_strdup_printf("%s/node-%u.log", c->dir, node);
+	char *text = NULL;
+	int n = 0;
+
+	ck_assert(g_file_get_contents(path, &text, NULL, NULL));
+	for (const char *at = text; (at = strstr(at, event)); at += strlen(event))
+		n++;
+	g_free(text);
+	g_free(path);
+	return n;
+}
+
+/* Answers without the epoch, or with a malformed one, are used; the node logs that once. */
+START_TEST(epoch_unknown)
+{
+	static const enum stub_epoch_header headers[] = {STUB_EPOCH_MISSING, STUB_EPOCH_MALFORMED};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(headers); i++) {
+		stub_set_epoch_header(c->stub, headers[i]);
+		cluster_configure(c, 30 + (int)i, "key-1", "key-9");
+		clock_sleep_ms(IN_FORCE_MS);
+		for (uint32_t k = 0; k < c->n_nodes; k++)
+			ck_assert_int_eq(status_of(k, "/once/x", NULL), 401);
+	}
+	stub_set_epoch_header(c->stub, STUB_EPOCH_SENT);
+	stub_restore_store(c->stub, 0, 0);
+	clock_sleep_ms(IN_FORCE_MS);
+	for (uint32_t k = 0; k < c->n_nodes; k++) {
+		ck_assert_int_eq(count_logged(k, "source_epoch_unknown"), 1);
+		ck_assert_int_eq(count_logged(k, "source_restored"), 1);
+	}
+}
+END_TEST
+
 /* A node that starts while the source is down serves from another node's snapshot. */
 START_TEST(starts_without_source)
 {
@@ -599,6 +747,10 @@
 		centre_out,
 		broken_entries,
 		source_away,
+		source_restored,
+		revisions_given_again,
+		restored_while_starting,
+		epoch_unknown,
 		starts_without_source,
 		cut_off_from_source,
 		addresses,
--- a/tests/proc_soak.c
+++ b/tests/proc_soak.c
@@ -1,6 +1,7 @@
 /*
  * Soak test, under load, of nodes that serve through the adapter. Nodes are killed, paused and
- * restarted, engines fail, the source becomes unavailable and the configuration changes, in an
+ * restarted, engines fail, the source becomes unavailable or returns from a copy and the
+ * configuration changes, in an
  * order that the seed decides. The answers to callers are checked against the runs at engines.
  * SOAK_SEED, SOAK_SECONDS and SOAK_NODES configure it.
  */
@@ -21,6 +22,8 @@
 #define FAULT_INTERVAL_MS 700 /* mean interval between faults */
 #define RECOVERY_MS 6000      /* time to recover after the last fault */
 #define EVENTS 6
+#define COPY_AGE_MAX_MS 5000 /* of the copies that the source is restored from */
+#define REWRITE_MAX_MS 1500  /* until lost changes are written again */
 
 struct outcome {
 	char attempt[32];
@@ -137,7 +140,7 @@
 	int version = 100;
 
 	while (clock_now_ms() < end_ms) {
-		switch (prng_below(prng, 8)) {
+		switch (prng_below(prng, 9)) {
 		case 0:
 		case 1:
 			fault_engine(prng, faults[prng_below(prng, G_N_ELEMENTS(faults))]);
@@ -157,6 +160,10 @@
 		case 6:
 			stub_set_store_fault(a->stub, STUB_STORE_OK);
 			break;
+		case 7:
+			stub_restore_store(a->stub, (int64_t)prng_below(prng, COPY_AGE_MAX_MS),
+					   (int64_t)prng_below(prng, REWRITE_MAX_MS));
+			break;
 		default:
 			version += 1 + (int)prng_below(prng, 3);
 			cluster_configure(a, version, "\"timeoutMs\":1500", "\"timeoutMs\":1400");
--- a/tests/unit_published.c
+++ b/tests/unit_published.c
@@ -206,9 +206,53 @@
 }
 END_TEST
 
+static const struct {
+	const char *name;
+	const char *value; /* of the header field; NULL: it is missing */
+	int64_t epoch;
+} epoch_cases[] = {
+	{"Store-Era", "7", 7},	 {"store-era", "9223372036854775807", INT64_MAX},
+	{"Store-Era", NULL, 0},	 {"Store-Era", "", 0},
+	{"Store-Era", "0", 0},	 {"Store-Era", "-3", 0},
+	{"Store-Era", "7 ", 0},	 {"Store-Era", "x", 0},
+	{"Store-Era", "1.5", 0}, {"Store-Era", "9223372036854775808", 0},
+	{"Store-Eras", "7", 0},
+};
+
+/* The epoch is read from every answer; a missing or malformed one doesn't make it unusable. */
+START_TEST(epochs)
+{
+	static const char body[] = "{\"items\":[],\"at\":4}";
+
+	for (size_t i = 0; i < G_N_ELEMENTS(epoch_cases); i++) {
+		struct hdr_list headers = {0};
+		struct adapter_feed_answer answer = {
+			.status = 200,
+			.headers = &headers,
+			.body = body,
+			.len = strlen(body),
+		};
+		struct adapter_feed_reply reply;
+		if (epoch_cases[i].value)
+			hdr_add(&headers, epoch_cases[i].name, epoch_cases[i].value);
+		ck_assert_int_eq(platform_ops.feed->read_reply(&answer, &reply), ADAPTER_FEED_OK);
+		ck_assert_msg(reply.epoch == epoch_cases[i].epoch && reply.revision == 4,
+			      "case %zu", i);
+		adapter_feed_reply_clear(&reply);
+		answer.status = 410;
+		ck_assert_int_eq(platform_ops.feed->read_reply(&answer, &reply),
+				 ADAPTER_FEED_HISTORY_LOST);
+		ck_assert_int_eq(reply.epoch, epoch_cases[i].epoch);
+		adapter_feed_reply_clear(&reply);
+		hdr_clear(&headers);
+	}
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *const tests[] = {documents, longest_prefix, requests, forwards, results};
+	const TTest *const tests[] = {epochs,	documents, longest_prefix,
+				      requests, forwards,  results};
 
 	return run_tests("unit_published", tests, G_N_ELEMENTS(tests));
 }
