Choose the upstream of a stage by one cost in ms

Cause: a stage ran at any idle upstream of its pool unless three or more were in its data centre. Hypothesis: waiting for a near upstream is cheaper than crossing while the latency target allows, and the wait is known: the end of each call is expected. Change: stages are assigned in order to the upstream with the lowest cost: until it is free, what was assigned to it before, slowness, storage, and the bytes of inputs and results that would cross. CHAIN_LOCAL_UPSTREAMS_MIN and the penalty in the upstream's score are gone.

--- a/packages/decide/chain_dispatch.c
+++ b/packages/decide/chain_dispatch.c
@@ -168,147 +168,221 @@
 	}
 }
 
-struct call_plan {
-	guint first;	 /* index in ready of the stage for which the upstream was chosen */
-	uint32_t limit;	 /* maximum number of pieces in the call */
-	bool local_only; /* add no stages of other data centres: other upstreams are idle */
+/*
+ * An upstream of a pool while calls are assigned: when it can begin a call, and the call that it
+ * gets if it is idle.
+ */
+struct slot {
+	struct upstream *upstream;
+	int64_t free_in_ms;   /* until it can begin a call; 0: it is idle */
+	uint32_t n_expected;  /* pieces that wait for it to become idle */
+	bool is_full;	      /* for the stage that is being assigned */
+	struct call *call;    /* NULL: none so far */
+	struct chain_cmd cmd; /* command for the call */
 };
 
-static const char *home_data_centre(const struct ready_stage *e);
+/* Returns the data centre where the stage's largest neighbour is: its inputs', or the chain's. */
+static const char *input_data_centre(const struct ready_stage *e, int64_t *bytes)
+{
+	*bytes = 0;
+	for (uint32_t i = 0; i < e->job->n_stages; i++) {
+		const struct stage *s = &e->job->stages[i];
+		if (!(e->stage->after & (1U << i)) || s->n_pieces == 0 || !s->pieces[0].producer)
+			continue;
+		*bytes = s->result_bytes * s->n_pieces;
+		return s->pieces[0].producer->data_centre;
+	}
+	return NULL;
+}
 
-static bool is_local(const struct upstream *u, const struct ready_stage *e)
+/* Returns the cost of the bytes that would cross data centres if the stage ran at the upstream. */
+static double crossing_ms(const struct ready_stage *e, const struct upstream *u)
 {
-	return strcmp(u->data_centre, home_data_centre(e)) == 0;
+	int64_t bytes = 0;
+	int64_t in_bytes;
+	const char *from = input_data_centre(e, &in_bytes);
+
+	if (from && strcmp(from, u->data_centre) != 0)
+		bytes += in_bytes;
+	if (strcmp(e->job->data_centre, u->data_centre) != 0)
+		bytes += e->stage->result_bytes * e->stage->n_pieces;
+	if (bytes == 0)
+		return 0;
+	return CHAIN_CROSSING_MIN_MS + CHAIN_CROSSING_MS_PER_MB * (double)bytes / 1e6;
 }
 
-/* Forms a call to the upstream from ready stages. Returns false when no piece fits. */
-static bool form_call(struct chain_sched *c, struct upstream *u, const GArray *ready,
-		      const struct call_plan *plan, int64_t now_ms, GArray *out)
+static uint32_t max_batch(const struct pool *pool)
 {
-	uint32_t limit = plan->limit;
-	struct call *call = g_new0(struct call, 1);
-	struct chain_cmd cmd = {.kind = CHAIN_CMD_CALL};
-
-	call->id = c->next_call;
-	call->pieces = g_new0(struct call_piece, limit);
-	cmd.pieces = g_new0(struct chain_piece, limit);
-	for (guint i = 0; i <= ready->len && call->n < limit; i++) {
-		/* The stage at plan->first, then all ready stages in queue order. */
-		const struct ready_stage *e =
-			&g_array_index(ready, struct ready_stage, i == 0 ? plan->first : i - 1);
-		uint32_t n;
-		if (!may_serve(u, e->job) || (i > 0 && plan->local_only && !is_local(u, e)))
-			continue;
-		n = count_fitting(u, e, call, limit, now_ms);
-		/*
-		 * If only part of the stage ran, its results would take storage while the other
-		 * pieces wait for room.
-		 */
-		if (i > 0 && !has_started(e->stage) && n < waiting_pieces(e->stage) &&
-		    fills_storage(u->pool, e->stage))
+	return (uint32_t)MAX(pool->doc.batch_size, 1);
+}
+
+static int64_t full_call_ms(const struct pool *pool)
+{
+	return (int64_t)(pool->doc.call_ms + pool->doc.piece_ms * pool->doc.batch_size);
+}
+
+/* Returns the estimated cost of assigning the stage to the slot. */
+static double slot_cost_ms(const struct slot *slot, const struct ready_stage *e, int64_t now_ms)
+{
+	const struct upstream *u = slot->upstream;
+	const struct pub_pool *doc = &u->pool->doc;
+	uint32_t batch = max_batch(u->pool);
+	double ms = (double)slot->free_in_ms;
+	double crossing = crossing_ms(e, u);
+	double slack_ms = (double)(e->due_ms - now_ms);
+
+	if (slot->call)
+		ms += doc->piece_ms * slot->call->n;
+	ms += (double)(slot->n_expected / batch) * (double)full_call_ms(u->pool) +
+	      doc->piece_ms * (slot->n_expected % batch);
+	if (!e->late && crossing > slack_ms)
+		crossing = MAX(slack_ms, 0);
+	ms += (u->slowdown - 1) * doc->call_ms;
+	if (doc->room_bytes > 0)
+		ms += CHAIN_STORAGE_MS * (double)u->used_bytes / (double)doc->room_bytes;
+	return ms + crossing;
+}
+
+static struct slot *choose_slot(GArray *slots, const struct ready_stage *e, int64_t now_ms)
+{
+	struct slot *best = NULL;
+	double best_ms = 0;
+
+	for (guint i = 0; i < slots->len; i++) {
+		struct slot *slot = &g_array_index(slots, struct slot, i);
+		double ms;
+		if (slot->is_full || !may_serve(slot->upstream, e->job))
 			continue;
-		add_stage_pieces(call, &cmd, e, n, now_ms);
-	}
-	if (call->n == 0) {
-		g_free(call->pieces);
-		g_free(call);
-		g_free(cmd.pieces);
-		return false;
+		ms = slot_cost_ms(slot, e, now_ms);
+		if (!best || ms < best_ms) {
+			best = slot;
+			best_ms = ms;
+		}
 	}
-	c->next_call++;
-	call->upstream = u;
-	call->sent_ms = now_ms;
-	call->expect_ms =
-		(int64_t)((u->pool->doc.call_ms + u->pool->doc.piece_ms * call->n) * u->slowdown);
-	u->calls++;
-	u->last_call_ms = now_ms;
-	u->used_bytes += call->room_bytes;
-	g_hash_table_insert(c->calls, &call->id, call);
-	cmd.call = call->id;
-	cmd.upstream = g_strdup(u->id);
-	cmd.address = g_strdup(u->address);
-	cmd.n_pieces = call->n;
-	cmd.expect_ms = call->expect_ms;
-	g_array_append_val(out, cmd);
-	return true;
+	return best;
+}
+
+static void begin_call(struct chain_sched *c, struct slot *slot)
+{
+	uint32_t batch = max_batch(slot->upstream->pool);
+
+	slot->call = g_new0(struct call, 1);
+	slot->call->id = c->next_call++;
+	slot->call->pieces = g_new0(struct call_piece, batch);
+	slot->cmd.kind = CHAIN_CMD_CALL;
+	slot->cmd.pieces = g_new0(struct chain_piece, batch);
 }
 
 /*
- * Returns the data centre that stores the stage's first input. If the stage has no inputs or the
- * upstreams that stored them were removed, returns the data centre where the request arrived.
+ * Adds pieces of the stage to the slot's call. Unless it may be split, a stage that doesn't fit
+ * into the rest of a call isn't added. Returns whether any piece was.
  */
-static const char *home_data_centre(const struct ready_stage *e)
+static bool add_to_call(struct chain_sched *c, struct slot *slot, const struct ready_stage *e,
+			bool may_split, int64_t now_ms)
 {
-	for (uint32_t i = 0; i < e->job->n_stages; i++) {
-		const struct stage *s = &e->job->stages[i];
-		if ((e->stage->after & (1U << i)) && s->n_pieces > 0 && s->pieces[0].producer)
-			return s->pieces[0].producer->data_centre;
-	}
-	return e->job->data_centre;
+	static const struct call empty;
+	const struct pool *pool = slot->upstream->pool;
+	uint32_t waiting = waiting_pieces(e->stage);
+	uint32_t n = count_fitting(slot->upstream, e, slot->call ? slot->call : &empty,
+				   max_batch(pool), now_ms);
+
+	/*
+	 * If only part of the stage ran, its results would take storage while the other
+	 * pieces wait for room.
+	 */
+	if (slot->call && !has_started(e->stage) && fills_storage(pool, e->stage))
+		may_split = false;
+	if (n == 0 || (slot->call && n < waiting && !may_split))
+		return false;
+	if (!slot->call)
+		begin_call(c, slot);
+	add_stage_pieces(slot->call, &slot->cmd, e, n, now_ms);
+	return true;
 }
 
 /*
- * Returns the idle upstream with the lowest score among those that aren't in the set full, or NULL
- * if there is none. Slowness, another data centre than that of the first stage's inputs, used
- * storage and, most of all, a region in which its chain may not run raise the score. Sets *n_idle
- * to the number of upstreams compared.
+ * The stage is to wait for a busy upstream: uses what room is left in the calls of idle upstreams
+ * that are no farther from its inputs and results.
  */
-static struct upstream *choose_upstream(const struct pool *pool, const struct ready_stage *first,
-					GHashTable *full, int64_t now_ms, uint32_t *n_idle)
+static void fill_calls(struct chain_sched *c, GArray *slots, const struct ready_stage *e,
+		       const struct slot *busy, int64_t now_ms)
 {
-	struct upstream *best = NULL;
-	double best_score = 0;
+	double limit_ms = crossing_ms(e, busy->upstream);
 
-	*n_idle = 0;
-	for (guint i = 0; i < pool->upstreams->len; i++) {
-		struct upstream *u = g_ptr_array_index(pool->upstreams, i);
-		double score;
-		if (!chain_upstream_is_idle(u, now_ms) || g_hash_table_contains(full, u))
-			continue;
-		(*n_idle)++;
-		score = u->slowdown;
-		if (!may_serve(u, first->job))
-			score += 100;
-		if (strcmp(u->data_centre, home_data_centre(first)) != 0)
-			score += CHAIN_REMOTE_PENALTY;
-		if (pool->doc.room_bytes > 0)
-			score += (double)u->used_bytes / (double)pool->doc.room_bytes;
-		if (!best || score < best_score) {
-			best = u;
-			best_score = score;
+	for (guint i = 0; i < slots->len && waiting_pieces(e->stage) > 0; i++) {
+		struct slot *slot = &g_array_index(slots, struct slot, i);
+		if (slot->call && may_serve(slot->upstream, e->job) &&
+		    crossing_ms(e, slot->upstream) <= limit_ms)
+			add_to_call(c, slot, e, true, now_ms);
+	}
+}
+
+static void assign_stage(struct chain_sched *c, GArray *slots, const struct ready_stage *e,
+			 int64_t now_ms)
+{
+	struct slot *slot;
+
+	for (guint i = 0; i < slots->len; i++)
+		g_array_index(slots, struct slot, i).is_full = false;
+	while (waiting_pieces(e->stage) > 0 && (slot = choose_slot(slots, e, now_ms))) {
+		if (slot->free_in_ms > 0) {
+			fill_calls(c, slots, e, slot, now_ms);
+			slot->n_expected += waiting_pieces(e->stage);
+			return;
 		}
+		if (!add_to_call(c, slot, e, false, now_ms))
+			slot->is_full = true;
+	}
+	for (guint i = 0; i < slots->len && waiting_pieces(e->stage) > 0; i++) {
+		slot = &g_array_index(slots, struct slot, i);
+		if (slot->call && may_serve(slot->upstream, e->job))
+			add_to_call(c, slot, e, true, now_ms);
 	}
-	return best;
 }
 
-static uint32_t count_waiting(const GArray *ready)
+static void send_call(struct chain_sched *c, struct slot *slot, int64_t now_ms, GArray *out)
 {
-	uint32_t n = 0;
+	struct upstream *u = slot->upstream;
+	struct call *call = slot->call;
 
-	for (guint i = 0; i < ready->len; i++)
-		n += waiting_pieces(g_array_index(ready, struct ready_stage, i).stage);
-	return n;
+	call->upstream = u;
+	call->sent_ms = now_ms;
+	call->expect_ms =
+		(int64_t)((u->pool->doc.call_ms + u->pool->doc.piece_ms * call->n) * u->slowdown);
+	u->calls++;
+	u->last_call_ms = now_ms;
+	u->busy_until_ms = now_ms + call->expect_ms;
+	u->used_bytes += call->room_bytes;
+	g_hash_table_insert(c->calls, &call->id, call);
+	slot->cmd.call = call->id;
+	slot->cmd.upstream = g_strdup(u->id);
+	slot->cmd.address = g_strdup(u->address);
+	slot->cmd.n_pieces = call->n;
+	slot->cmd.expect_ms = call->expect_ms;
+	g_array_append_val(out, slot->cmd);
 }
 
-/*
- * Returns the maximum number of pieces in a call: an equal share of the waiting pieces for each
- * idle upstream, but enough for all waiting pieces of the first stage, up to the batch size.
- */
-static uint32_t call_limit(const struct pool *pool, const GArray *ready,
-			   const struct ready_stage *first, uint32_t n_idle)
+/* Returns how long until the upstream can begin a call; 0: now. */
+static int64_t free_in_ms(const struct upstream *u, int64_t now_ms)
 {
-	uint32_t share = (count_waiting(ready) + n_idle - 1) / n_idle;
-	uint32_t limit = MAX(share, waiting_pieces(first->stage));
-
-	return MIN(limit, (uint32_t)MAX(pool->doc.batch_size, 1));
+	if (chain_upstream_is_idle(u, now_ms))
+		return 0;
+	return MAX(MAX(u->busy_until_ms, u->backoff_until_ms) - now_ms, CHAIN_TICK_MS);
 }
 
-static void remove_started(GArray *ready)
+static GArray *list_slots(const struct pool *pool, int64_t now_ms)
 {
-	for (guint i = ready->len; i > 0; i--) {
-		if (waiting_pieces(g_array_index(ready, struct ready_stage, i - 1).stage) == 0)
-			g_array_remove_index(ready, i - 1);
+	GArray *slots = g_array_new(FALSE, TRUE, sizeof(struct slot));
+
+	for (guint i = 0; i < pool->upstreams->len; i++) {
+		struct upstream *u = g_ptr_array_index(pool->upstreams, i);
+		struct slot slot = {.upstream = u, .free_in_ms = free_in_ms(u, now_ms)};
+		/* nothing waits for one that may not serve soon */
+		if (!u->usable || (slot.free_in_ms > 0 && u->slowdown >= CHAIN_SLOW_FACTOR))
+			continue;
+		g_array_append_val(slots, slot);
 	}
+	return slots;
 }
 
 static bool has_idle(const struct pool *pool, int64_t now_ms)
@@ -321,61 +395,27 @@
 }
 
 /*
- * Returns whether a stage should wait for an upstream in the data centre of its inputs although
- * others are idle: when that data centre has enough upstreams for one to finish soon, few pieces
- * wait for them, and the stage isn't due yet.
+ * Assigns ready stages, in order, to the upstream with the lowest cost: the wait for it, the work
+ * that it has got before, and the bytes that would cross data centres. A stage may so wait for a
+ * busy upstream although others are idle.
  */
-static bool should_wait_for_local(const struct pool *pool, const GArray *ready,
-				  const struct ready_stage *e, int64_t now_ms)
-{
-	const char *home = home_data_centre(e);
-	uint32_t upstreams = 0;
-	uint32_t pieces = 0;
-
-	for (guint i = 0; i < pool->upstreams->len; i++) {
-		const struct upstream *u = g_ptr_array_index(pool->upstreams, i);
-		upstreams += u->usable && u->backoff_until_ms <= now_ms &&
-			     strcmp(u->data_centre, home) == 0;
-	}
-	for (guint i = 0; i < ready->len; i++) {
-		const struct ready_stage *other = &g_array_index(ready, struct ready_stage, i);
-		if (strcmp(home_data_centre(other), home) == 0)
-			pieces += waiting_pieces(other->stage);
-	}
-	return upstreams >= CHAIN_LOCAL_UPSTREAMS_MIN && e->due_ms > now_ms &&
-	       pieces <= upstreams * (uint32_t)pool->doc.batch_size / 2;
-}
-
 static void dispatch_pool(struct chain_sched *c, struct pool *pool, int64_t now_ms, GArray *out)
 {
-	GHashTable *full;
 	GArray *ready;
-	uint32_t n_idle;
+	GArray *slots;
 
 	if (!has_idle(pool, now_ms))
 		return;
 	ready = list_ready_stages(c, pool);
-	full = g_hash_table_new(NULL, NULL);
-	for (guint i = 0; i < ready->len;) {
-		const struct ready_stage *first = &g_array_index(ready, struct ready_stage, i);
-		struct upstream *u = choose_upstream(pool, first, full, now_ms, &n_idle);
-		if (!u)
-			break;
-		if (!is_local(u, first) && should_wait_for_local(pool, ready, first, now_ms)) {
-			i++;
-			continue;
-		}
-		const struct call_plan plan = {
-			.first = i,
-			.limit = call_limit(pool, ready, first, n_idle),
-			.local_only = n_idle > 1,
-		};
-		if (!form_call(c, u, ready, &plan, now_ms, out))
-			g_hash_table_add(full, u);
-		remove_started(ready);
-		i = 0;
+	slots = list_slots(pool, now_ms);
+	for (guint i = 0; i < ready->len; i++)
+		assign_stage(c, slots, &g_array_index(ready, struct ready_stage, i), now_ms);
+	for (guint i = 0; i < slots->len; i++) {
+		struct slot *slot = &g_array_index(slots, struct slot, i);
+		if (slot->call)
+			send_call(c, slot, now_ms, out);
 	}
-	g_hash_table_destroy(full);
+	g_array_unref(slots);
 	g_array_unref(ready);
 }
 
--- a/packages/decide/chain_internal.h
+++ b/packages/decide/chain_internal.h
@@ -32,16 +32,12 @@
  * piece of full calls, since longer queues make calls fuller.
  */
 #define CHAIN_MEASURED_TIME_WEIGHT 0.5
-/*
- * Added to the score of an upstream in another data centre. Less than CHAIN_SLOW_FACTOR, from which
- * on an upstream is slow.
- */
-#define CHAIN_REMOTE_PENALTY 2.0
-/*
- * A stage waits for an upstream in the data centre of its inputs only if at least this many are
- * there: of three, one becomes idle within a third of the duration of a call.
- */
-#define CHAIN_LOCAL_UPSTREAMS_MIN 3
+/* Cost of a megabyte of inputs or results that crosses data centres, as a wait. */
+#define CHAIN_CROSSING_MS_PER_MB 70.0
+/* Least cost of running a stage elsewhere: its call takes a round trip more. */
+#define CHAIN_CROSSING_MIN_MS 20.0
+/* Cost of an upstream whose storage is all in use, as a wait. */
+#define CHAIN_STORAGE_MS 100.0
 
 /* Upstreams that are slow, reject calls or fail. */
 
@@ -196,6 +192,7 @@
 	uint32_t failures; /* number of consecutive failed calls */
 	double slowdown;   /* moving average of the ratio of measured to expected duration */
 	int64_t last_call_ms;
+	int64_t busy_until_ms; /* expected end of the last call */
 	int64_t shared_ms;  /* when the upstream last reported calls of another owner; 0: never */
 	int64_t used_bytes; /* storage in use or reserved by this owner, in bytes */
 	int64_t foreign_bytes; /* used by a previous owner's results, inferred from NO_ROOM */
