--- a/packages/decide/chain.c
+++ b/packages/decide/chain.c
@@ -41,6 +41,7 @@
 	c->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
 	c->order = g_ptr_array_new();
 	c->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_call);
+	c->loads = chain_region_loads_new();
 	c->next_call = 1;
 	return c;
 }
@@ -56,6 +57,8 @@
 	g_hash_table_destroy(c->calls);
 	g_hash_table_destroy(c->upstreams);
 	g_hash_table_destroy(c->pools);
+	g_hash_table_destroy(c->loads);
+	g_strfreev(c->owned);
 	g_free(c);
 }
 
@@ -215,6 +218,10 @@
 		return;
 	job = chain_job_new(c, doc);
 	g_hash_table_insert(c->jobs, &job->id, job);
+	if (n_done == 0 && !doc->is_moved && chain_move_job(c, job, now_ms)) {
+		chain_hand_off(c, job, out);
+		return;
+	}
 	g_ptr_array_add(c->order, job);
 	chain_adopt_results(c, job, done, n_done, now_ms);
 	reason = chain_admit(c, job, now_ms, &retry_ms);
--- a/packages/decide/chain_admit.c
+++ b/packages/decide/chain_admit.c
@@ -7,21 +7,24 @@
 
 #include <math.h>
 
-static uint32_t usable_upstreams(const struct pool *pool, int64_t now_ms)
+static uint32_t usable_upstreams(const struct chain_sched *c, const struct pool *pool,
+				 int64_t now_ms)
 {
+	bool has_owned = chain_pool_has_owned(c, pool);
 	uint32_t n = 0;
 
 	for (guint i = 0; i < pool->upstreams->len; i++) {
 		const struct upstream *u = g_ptr_array_index(pool->upstreams, i);
-		if (u->usable && u->backoff_until_ms <= now_ms && u->slowdown < CHAIN_SLOW_FACTOR)
+		if (u->usable && u->backoff_until_ms <= now_ms && u->slowdown < CHAIN_SLOW_FACTOR &&
+		    (!has_owned || chain_owns_region(c, u->region)))
 			n++;
 	}
 	return n;
 }
 
-double chain_pool_piece_ms(const struct pool *pool, int64_t now_ms)
+double chain_pool_piece_ms(const struct chain_sched *c, const struct pool *pool, int64_t now_ms)
 {
-	uint32_t n = MAX(usable_upstreams(pool, now_ms), 1);
+	uint32_t n = MAX(usable_upstreams(c, pool, now_ms), 1);
 	double full_ms = pool->doc.call_ms / MAX(pool->doc.batch_size, 1) + pool->doc.piece_ms;
 
 	double piece_time_ms = fmax(pool->piece_time_ms, full_ms);
@@ -45,6 +48,18 @@
 	return n;
 }
 
+uint32_t chain_count_pending(const struct chain_sched *c, const struct pool *pool)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < c->order->len; i++) {
+		const struct job *job = g_ptr_array_index(c->order, i);
+		if (!job->delivered)
+			n += unfinished_in_pool(job, pool);
+	}
+	return n;
+}
+
 /*
  * Returns the number of unfinished pieces of other chains in the pool: of all chains, or only of
  * those that precede the job in the queue and aren't late.
@@ -74,8 +89,8 @@
 		const struct stage *s = &job->stages[i];
 		if (!s->pool || s->n_pieces == s->n_done)
 			continue;
-		double ms =
-			pieces_ahead(c, job, s->pool, all) * chain_pool_piece_ms(s->pool, now_ms);
+		double ms = pieces_ahead(c, job, s->pool, all) *
+			    chain_pool_piece_ms(c, s->pool, now_ms);
 		longest_ms = fmax(longest_ms, ms);
 	}
 	return (int64_t)longest_ms;
--- a/packages/decide/chain_cmd.c
+++ b/packages/decide/chain_cmd.c
@@ -21,7 +21,7 @@
 				state->waiting += s->pieces[p].state == PIECE_WAITING;
 		}
 	}
-	state->backlog_ms = (int64_t)(state->pending * chain_pool_piece_ms(pool, 0));
+	state->backlog_ms = (int64_t)(state->pending * chain_pool_piece_ms(c, pool, 0));
 }
 
 uint32_t chain_get_pool_stats(const struct chain_sched *c, struct chain_pool_stats *states,
--- a/packages/decide/chain_dispatch.c
+++ b/packages/decide/chain_dispatch.c
@@ -66,7 +66,7 @@
 
 	for (guint i = 0; i < c->order->len; i++) {
 		struct job *job = g_ptr_array_index(c->order, i);
-		for (uint32_t k = 0; k < job->n_stages; k++) {
+		for (uint32_t k = 0; k < job->n_stages && chain_owns_region(c, job->region); k++) {
 			struct stage *s = &job->stages[k];
 			if (s->pool != pool || !s->open || waiting_pieces(s) == 0)
 				continue;
@@ -370,15 +370,18 @@
 	return MAX(MAX(u->busy_until_ms, u->backoff_until_ms) - now_ms, CHAIN_TICK_MS);
 }
 
-static GArray *list_slots(const struct pool *pool, int64_t now_ms)
+/* Lists the pool's upstreams in owned regions, or all if there are none. */
+static GArray *list_slots(const struct chain_sched *c, const struct pool *pool, int64_t now_ms)
 {
 	GArray *slots = g_array_new(FALSE, TRUE, sizeof(struct slot));
+	bool has_owned = chain_pool_has_owned(c, pool);
 
 	for (guint i = 0; i < pool->upstreams->len; i++) {
 		struct upstream *u = g_ptr_array_index(pool->upstreams, i);
 		struct slot slot = {.upstream = u, .free_in_ms = free_in_ms(u, now_ms)};
 		/* nothing waits for one that may not serve soon */
-		if (!u->usable || (slot.free_in_ms > 0 && u->slowdown >= CHAIN_SLOW_FACTOR))
+		if (!u->usable || (has_owned && !chain_owns_region(c, u->region)) ||
+		    (slot.free_in_ms > 0 && u->slowdown >= CHAIN_SLOW_FACTOR))
 			continue;
 		g_array_append_val(slots, slot);
 	}
@@ -407,7 +410,7 @@
 	if (!has_idle(pool, now_ms))
 		return;
 	ready = list_ready_stages(c, pool);
-	slots = list_slots(pool, now_ms);
+	slots = list_slots(c, pool, now_ms);
 	for (guint i = 0; i < ready->len; i++)
 		assign_stage(c, slots, &g_array_index(ready, struct ready_stage, i), now_ms);
 	for (guint i = 0; i < slots->len; i++) {
@@ -449,8 +452,6 @@
 	gpointer pool;
 
 	send_frees(c, out);
-	if (c->handing_off)
-		return;
 	g_hash_table_iter_init(&iter, c->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
 		dispatch_pool(c, pool, now_ms, out);
--- a/packages/decide/chain_handoff.c
+++ b/packages/decide/chain_handoff.c
@@ -1,9 +1,19 @@
 /* Handoff of chains and their stored results to another owner. */
 #include "chain_internal.h"
 
-void chain_set_handoff(struct chain_sched *c, bool handing_off)
+#include <string.h>
+
+void chain_set_regions(struct chain_sched *c, const char *const *owned, uint32_t n)
+{
+	g_strfreev(c->owned);
+	c->owned = g_new0(char *, n + 1);
+	for (uint32_t i = 0; i < n; i++)
+		c->owned[i] = g_strdup(owned[i]);
+}
+
+bool chain_owns_region(const struct chain_sched *c, const char *region)
 {
-	c->handing_off = handing_off;
+	return !c->owned || !region || g_strv_contains((const char *const *)c->owned, region);
 }
 
 static bool is_running(const struct job *job)
@@ -39,6 +49,7 @@
 		.deadline_at_ms = job->deadline_at_ms,
 		.rank = job->rank,
 		.data_centre = g_strdup(job->data_centre),
+		.region = g_strdup(job->region),
 		.regions = g_strdupv(job->regions),
 	};
 }
@@ -94,7 +105,7 @@
 	}
 }
 
-static void hand_off(struct chain_sched *c, struct job *job, GArray *out)
+void chain_hand_off(struct chain_sched *c, struct job *job, GArray *out)
 {
 	struct chain_cmd cmd = {.kind = CHAIN_CMD_HANDOFF,
 				.job = job->id,
@@ -114,8 +125,8 @@
 {
 	for (guint i = c->order->len; i > 0; i--) {
 		struct job *job = g_ptr_array_index(c->order, i - 1);
-		if (!job->delivered && !is_running(job))
-			hand_off(c, job, out);
+		if (!job->delivered && !chain_owns_region(c, job->region) && !is_running(job))
+			chain_hand_off(c, job, out);
 	}
 }
 
@@ -165,5 +176,6 @@
 	g_free((void *)cmd->doc.attempt);
 	g_free((void *)cmd->doc.key);
 	g_free((void *)cmd->doc.data_centre);
+	g_free((void *)cmd->doc.region);
 	g_strfreev((char **)cmd->doc.regions);
 }
--- a/packages/decide/chain_internal.h
+++ b/packages/decide/chain_internal.h
@@ -149,6 +149,7 @@
 	char *attempt;
 	char *key;
 	char *data_centre;
+	char *region; /* of data_centre; NULL: that of every owner */
 	char **regions;
 	struct stage *stages;
 	uint32_t n_stages;
@@ -215,9 +216,26 @@
 	GPtrArray *order;      /* jobs in order of arrival */
 	GHashTable *calls;     /* id -> struct call */
 	uint64_t next_call;
-	bool handing_off; /* chains are being handed off */
+	char **owned;	   /* regions that this node owns; NULL: all */
+	GHashTable *loads; /* region -> struct region_load: of other owners */
 };
 
+/* Load of the pools in another owner's region. */
+struct region_load {
+	char *region;
+	int64_t heard_ms;
+	GHashTable *pools; /* service -> struct chain_pool_load */
+};
+
+/* chain_balance.c */
+GHashTable *chain_region_loads_new(void);
+
+/*
+ * Places a job that has just arrived in another region if it would be served sooner there. Returns
+ * whether it was; the caller hands it off.
+ */
+bool chain_move_job(struct chain_sched *c, struct job *job, int64_t now_ms);
+
 /* chain_job.c */
 struct job *chain_job_new(struct chain_sched *c, const struct chain_job_spec *doc);
 void chain_job_free(struct job *job);
@@ -250,10 +268,15 @@
 const char *chain_admit(const struct chain_sched *c, struct job *job, int64_t now_ms,
 			int64_t *retry_ms);
 
+/* Returns the number of unfinished pieces of admitted chains in the pool. */
+uint32_t chain_count_pending(const struct chain_sched *c, const struct pool *pool);
+
 /* Returns the time that one more piece adds to the wait in the pool's queue. */
-double chain_pool_piece_ms(const struct pool *pool, int64_t now_ms);
+double chain_pool_piece_ms(const struct chain_sched *c, const struct pool *pool, int64_t now_ms);
 
 /* chain_handoff.c */
+bool chain_owns_region(const struct chain_sched *c, const char *region);
+void chain_hand_off(struct chain_sched *c, struct job *job, GArray *out);
 void chain_hand_off_jobs(struct chain_sched *c, int64_t now_ms, GArray *out);
 void chain_clear_handoff(struct chain_cmd *cmd);
 void chain_adopt_results(struct chain_sched *c, struct job *job,
@@ -274,6 +297,9 @@
 void chain_requeue_call(struct chain_sched *c, const struct call *call, bool is_failure);
 
 /* chain_upstream.c */
+
+/* Returns whether the pool has a usable upstream in the regions that this node owns. */
+bool chain_pool_has_owned(const struct chain_sched *c, const struct pool *pool);
 struct pool *chain_add_pool(struct chain_sched *c, const char *service);
 
 /*
--- a/packages/decide/chain_job.c
+++ b/packages/decide/chain_job.c
@@ -36,6 +36,7 @@
 	job->attempt = g_strdup(doc->attempt);
 	job->key = g_strdup(doc->key);
 	job->data_centre = g_strdup(doc->data_centre);
+	job->region = g_strdup(doc->region);
 	job->regions = g_strdupv((char **)doc->regions);
 	job->aim_at_ms = doc->aim_at_ms;
 	job->due_at_ms = doc->aim_at_ms;
@@ -69,6 +70,7 @@
 	g_free(job->attempt);
 	g_free(job->key);
 	g_free(job->data_centre);
+	g_free(job->region);
 	g_strfreev(job->regions);
 	g_free(job);
 }
--- a/packages/decide/chain_timers.c
+++ b/packages/decide/chain_timers.c
@@ -104,7 +104,6 @@
 {
 	requeue_overdue_calls(c, now_ms);
 	check_jobs(c, now_ms, out);
-	if (c->handing_off)
-		chain_hand_off_jobs(c, now_ms, out);
+	chain_hand_off_jobs(c, now_ms, out);
 	chain_dispatch(c, now_ms, out);
 }
--- a/packages/decide/chain_upstream.c
+++ b/packages/decide/chain_upstream.c
@@ -60,6 +60,16 @@
 	return u;
 }
 
+bool chain_pool_has_owned(const struct chain_sched *c, const struct pool *pool)
+{
+	for (guint i = 0; i < pool->upstreams->len; i++) {
+		const struct upstream *u = g_ptr_array_index(pool->upstreams, i);
+		if (u->usable && chain_owns_region(c, u->region))
+			return true;
+	}
+	return false;
+}
+
 /* Requeues the pieces whose results were lost with the upstream. */
 static void drop_results_of(struct chain_sched *c, const struct upstream *u)
 {
--- a/packages/decide/gossip.c
+++ b/packages/decide/gossip.c
@@ -261,19 +261,26 @@
 }
 
 /*
- * Returns whether a is preferred to b as owner: ready members first, then the longest-running.
- * Right after a start of the whole fleet no member is ready.
+ * Returns whether a is preferred to b as owner of a region: ready members first, then those in the
+ * region, then the longest-running. Right after a start of the whole fleet no member is ready.
  */
-static bool precedes(const struct gossip_member *a, const struct gossip_member *b)
+static bool precedes(const char *region, const struct gossip_member *a,
+		     const struct gossip_member *b)
 {
+	bool a_is_there = strcmp(a->record.region, region) == 0;
+	bool b_is_there = strcmp(b->record.region, region) == 0;
+
 	if (a->record.ready != b->record.ready)
 		return a->record.ready;
+	if (a_is_there != b_is_there)
+		return a_is_there;
 	if (a->record.incarnation != b->record.incarnation)
 		return a->record.incarnation < b->record.incarnation;
 	return strcmp(a->record.peer_address, b->record.peer_address) < 0;
 }
 
-const struct gossip_member *gossip_owner(const struct gossip *f, const char *except, int64_t now_ms)
+const struct gossip_member *gossip_owner(const struct gossip *f, const char *region,
+					 const char *except, int64_t now_ms)
 {
 	const struct gossip_member *best = may_own(f, &f->self, except, now_ms) ? &f->self : NULL;
 	GHashTableIter iter;
@@ -281,7 +288,7 @@
 
 	g_hash_table_iter_init(&iter, f->members);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (may_own(f, value, except, now_ms) && (!best || precedes(value, best)))
+		if (may_own(f, value, except, now_ms) && (!best || precedes(region, value, best)))
 			best = value;
 	}
 	return best ? best : &f->self;
--- a/packages/decide/include/decide/chain.h
+++ b/packages/decide/include/decide/chain.h
@@ -1,11 +1,11 @@
 /*
  * Scheduler for chains: the stages of pool work that precede a request at a model engine. A stage
  * consists of pieces, and an upstream of a pool works on a batch of pieces per call. One node at a
- * time, the owner, schedules the chains of the whole fleet: it holds the queues of all pools, fills
- * calls with pieces of many requests, tracks the storage that results take at the upstreams, and
- * refuses chains that can't be served in time. The code calls a submitted chain a job. The module
- * does no I/O: callers pass in events and the current time and carry out the commands that it
- * appends to their list.
+ * time, the owner of a region, schedules the chains placed in that region: it holds the queues of
+ * the pools' upstreams there, fills calls with pieces of many requests, tracks the storage that
+ * results take at the upstreams, and refuses chains that can't be served in time. The code calls a
+ * submitted chain a job. The module does no I/O: callers pass in events and the current time and
+ * carry out the commands that it appends to their list.
  */
 #ifndef DECIDE_CHAIN_H
 #define DECIDE_CHAIN_H
@@ -39,8 +39,10 @@
 	int64_t aim_at_ms; /* latency target for the first token */
 	int64_t deadline_at_ms;
 	int32_t rank;		 /* 0 is the most urgent */
-	const char *data_centre; /* where the request arrived */
+	const char *data_centre; /* preferred: the request will probably be served there */
+	const char *region;	 /* of data_centre; NULL: that of every owner */
 	char *const *regions;	 /* where pieces of the chain may run; NULL: anywhere */
+	bool is_moved;		 /* comes from another owner, and isn't moved on to a third */
 };
 
 struct chain_upstream_info {
@@ -133,6 +135,13 @@
 	int64_t backlog_ms; /* estimated time to finish the pending pieces */
 };
 
+/* Work that waits in a pool, as owners tell each other. */
+struct chain_pool_load {
+	const char *service;
+	uint32_t pending;  /* unfinished pieces of admitted chains */
+	uint32_t piece_us; /* time that one more piece adds to the wait */
+};
+
 struct chain_sched *chain_sched_new(void);
 void chain_sched_free(struct chain_sched *c);
 
@@ -153,11 +162,11 @@
 		  GArray *out);
 
 /*
- * Starts or ends a handoff. During a handoff no call is sent, and each chain that isn't
- * ready yet is handed off as soon as none of its pieces is running. Used by an owner that stops or
- * has lost its ownership.
+ * Sets the regions that this node owns; until the first call it owns all. Calls go to upstreams of
+ * owned regions; a pool that has none there borrows those of others. Chains placed in a region that
+ * isn't owned are handed off, each as soon as none of its pieces is running.
  */
-void chain_set_handoff(struct chain_sched *c, bool handing_off);
+void chain_set_regions(struct chain_sched *c, const char *const *owned, uint32_t n);
 
 /*
  * Notes that the upstream that runs the request should have fetched the chain's results by now. If
@@ -186,6 +195,20 @@
 bool chain_contains(const struct chain_sched *c, uint64_t job);
 uint32_t chain_count_jobs(const struct chain_sched *c);
 
+/*
+ * Returns whether each of n_regions should have an owner of its own: an owner there is near its
+ * upstreams, but queues for few of them grow long. was_split keeps the answer from alternating.
+ */
+bool chain_should_split(const struct chain_sched *c, uint32_t n_regions, bool was_split);
+
+/* Applies the load of another owner's pools. The load is used for a short time only. */
+void chain_set_region_load(struct chain_sched *c, const char *region,
+			   const struct chain_pool_load *pools, uint32_t n, int64_t now_ms);
+
+/* Writes the load of up to capacity pools that have upstreams here; returns the number written. */
+uint32_t chain_get_pool_loads(const struct chain_sched *c, struct chain_pool_load *loads,
+			      uint32_t capacity, int64_t now_ms);
+
 /* Writes the state of up to capacity pools and returns the number written. */
 uint32_t chain_get_pool_stats(const struct chain_sched *c, struct chain_pool_stats *states,
 			      uint32_t capacity);
--- a/packages/decide/include/decide/gossip.h
+++ b/packages/decide/include/decide/gossip.h
@@ -147,13 +147,14 @@
 		    void *arg);
 
 /*
- * Returns the member that owns the tasks done once for the fleet: the longest-running one that is
- * alive, ready, not leaving and not suspect. The member with the address except is left out (NULL:
- * none is). While no member is ready, the longest-running one that isn't ready owns the tasks. A
- * starting node never takes over from a ready one. Returns this node if no member qualifies.
- */
-const struct gossip_member *gossip_owner(const struct gossip *f, const char *except,
-					 int64_t now_ms);
+ * Returns the member that owns the tasks done once for a region: the longest-running one there that
+ * is alive, ready, not leaving and not suspect; if there is none, the longest-running one of the
+ * fleet. The member with the address except is left out (NULL: none is). While no member is ready,
+ * the longest-running one that isn't ready owns the tasks. A starting node never takes over from a
+ * ready one. Returns this node if no member qualifies.
+ */
+const struct gossip_member *gossip_owner(const struct gossip *f, const char *region,
+					 const char *except, int64_t now_ms);
 
 /*
  * This node's position among the members that share a fleet-wide limit. Nodes have to agree on the
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -51,6 +51,8 @@
 typedef struct Peer__PublishedReply Peer__PublishedReply;
 typedef struct Peer__ChainReply Peer__ChainReply;
 typedef struct Peer__ChainEnd Peer__ChainEnd;
+typedef struct Peer__PoolLoad Peer__PoolLoad;
+typedef struct Peer__RegionLoad Peer__RegionLoad;
 typedef struct Peer__Message Peer__Message;
 
 
@@ -798,6 +800,39 @@
     , 0, 0 }
 
 
+struct  Peer__PoolLoad
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * unfinished pieces
+   */
+  uint32_t pending;
+  /*
+   * time that one more piece adds to the wait
+   */
+  uint32_t piece_us;
+};
+#define PEER__POOL_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__pool_load__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Load of the pools that the sender schedules, for the owners of other regions.
+ */
+struct  Peer__RegionLoad
+{
+  ProtobufCMessage base;
+  char *region;
+  size_t n_pools;
+  Peer__PoolLoad **pools;
+};
+#define PEER__REGION_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__region_load__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
 typedef enum {
   PEER__MESSAGE__KIND__NOT_SET = 0,
   PEER__MESSAGE__KIND_DIGEST = 10,
@@ -824,7 +859,8 @@
   PEER__MESSAGE__KIND_CHAIN_HAND = 54,
   PEER__MESSAGE__KIND_CHAIN_PROGRESS = 55,
   PEER__MESSAGE__KIND_PUBLISHED_ASK = 56,
-  PEER__MESSAGE__KIND_PUBLISHED_REPLY = 57
+  PEER__MESSAGE__KIND_PUBLISHED_REPLY = 57,
+  PEER__MESSAGE__KIND_REGION_LOAD = 58
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -870,6 +906,7 @@
     Peer__ChainProgress *chain_progress;
     Peer__PublishedAsk *published_ask;
     Peer__PublishedReply *published_reply;
+    Peer__RegionLoad *region_load;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -1561,6 +1598,44 @@
 void   peer__chain_end__free_unpacked
                      (Peer__ChainEnd *message,
                       ProtobufCAllocator *allocator);
+/* Peer__PoolLoad methods */
+void   peer__pool_load__init
+                     (Peer__PoolLoad         *message);
+size_t peer__pool_load__get_packed_size
+                     (const Peer__PoolLoad   *message);
+size_t peer__pool_load__pack
+                     (const Peer__PoolLoad   *message,
+                      uint8_t             *out);
+size_t peer__pool_load__pack_to_buffer
+                     (const Peer__PoolLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PoolLoad *
+       peer__pool_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__pool_load__free_unpacked
+                     (Peer__PoolLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RegionLoad methods */
+void   peer__region_load__init
+                     (Peer__RegionLoad         *message);
+size_t peer__region_load__get_packed_size
+                     (const Peer__RegionLoad   *message);
+size_t peer__region_load__pack
+                     (const Peer__RegionLoad   *message,
+                      uint8_t             *out);
+size_t peer__region_load__pack_to_buffer
+                     (const Peer__RegionLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RegionLoad *
+       peer__region_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__region_load__free_unpacked
+                     (Peer__RegionLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Message methods */
 void   peer__message__init
                      (Peer__Message         *message);
@@ -1690,6 +1765,12 @@
 typedef void (*Peer__ChainEnd_Closure)
                  (const Peer__ChainEnd *message,
                   void *closure_data);
+typedef void (*Peer__PoolLoad_Closure)
+                 (const Peer__PoolLoad *message,
+                  void *closure_data);
+typedef void (*Peer__RegionLoad_Closure)
+                 (const Peer__RegionLoad *message,
+                  void *closure_data);
 typedef void (*Peer__Message_Closure)
                  (const Peer__Message *message,
                   void *closure_data);
@@ -1736,6 +1817,8 @@
 extern const ProtobufCMessageDescriptor peer__published_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_end__descriptor;
+extern const ProtobufCMessageDescriptor peer__pool_load__descriptor;
+extern const ProtobufCMessageDescriptor peer__region_load__descriptor;
 extern const ProtobufCMessageDescriptor peer__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -1627,6 +1627,96 @@
   assert(message->base.descriptor == &peer__chain_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__pool_load__init
+                     (Peer__PoolLoad         *message)
+{
+  static const Peer__PoolLoad init_value = PEER__POOL_LOAD__INIT;
+  *message = init_value;
+}
+size_t peer__pool_load__get_packed_size
+                     (const Peer__PoolLoad *message)
+{
+  assert(message->base.descriptor == &peer__pool_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__pool_load__pack
+                     (const Peer__PoolLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__pool_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__pool_load__pack_to_buffer
+                     (const Peer__PoolLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__pool_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PoolLoad *
+       peer__pool_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PoolLoad *)
+     protobuf_c_message_unpack (&peer__pool_load__descriptor,
+                                allocator, len, data);
+}
+void   peer__pool_load__free_unpacked
+                     (Peer__PoolLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__pool_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__region_load__init
+                     (Peer__RegionLoad         *message)
+{
+  static const Peer__RegionLoad init_value = PEER__REGION_LOAD__INIT;
+  *message = init_value;
+}
+size_t peer__region_load__get_packed_size
+                     (const Peer__RegionLoad *message)
+{
+  assert(message->base.descriptor == &peer__region_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__region_load__pack
+                     (const Peer__RegionLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__region_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__region_load__pack_to_buffer
+                     (const Peer__RegionLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__region_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RegionLoad *
+       peer__region_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RegionLoad *)
+     protobuf_c_message_unpack (&peer__region_load__descriptor,
+                                allocator, len, data);
+}
+void   peer__region_load__free_unpacked
+                     (Peer__RegionLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__region_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__message__init
                      (Peer__Message         *message)
 {
@@ -4541,7 +4631,122 @@
   (ProtobufCMessageInit) peer__chain_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[31] =
+static const ProtobufCFieldDescriptor peer__pool_load__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PoolLoad, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pending",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PoolLoad, pending),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "piece_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PoolLoad, piece_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__pool_load__field_indices_by_name[] = {
+  1,   /* field[1] = pending */
+  2,   /* field[2] = piece_us */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange peer__pool_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__pool_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PoolLoad",
+  "PoolLoad",
+  "Peer__PoolLoad",
+  "peer",
+  sizeof(Peer__PoolLoad),
+  3,
+  peer__pool_load__field_descriptors,
+  peer__pool_load__field_indices_by_name,
+  1,  peer__pool_load__number_ranges,
+  (ProtobufCMessageInit) peer__pool_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__region_load__field_descriptors[2] =
+{
+  {
+    "region",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RegionLoad, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pools",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__RegionLoad, n_pools),
+    offsetof(Peer__RegionLoad, pools),
+    &peer__pool_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__region_load__field_indices_by_name[] = {
+  1,   /* field[1] = pools */
+  0,   /* field[0] = region */
+};
+static const ProtobufCIntRange peer__region_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__region_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RegionLoad",
+  "RegionLoad",
+  "Peer__RegionLoad",
+  "peer",
+  sizeof(Peer__RegionLoad),
+  2,
+  peer__region_load__field_descriptors,
+  peer__region_load__field_indices_by_name,
+  1,  peer__region_load__number_ranges,
+  (ProtobufCMessageInit) peer__region_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[32] =
 {
   {
     "from_vm",
@@ -4915,6 +5120,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "region_load",
+    58,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, region_load),
+    &peer__region_load__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
   23,   /* field[23] = beat */
@@ -4937,6 +5154,7 @@
   17,   /* field[17] = owner_ask */
   29,   /* field[29] = published_ask */
   30,   /* field[30] = published_reply */
+  31,   /* field[31] = region_load */
   11,   /* field[11] = release */
   12,   /* field[12] = release_ack */
   7,   /* field[7] = section_ask */
@@ -4956,7 +5174,7 @@
   { 30, 14 },
   { 40, 18 },
   { 50, 23 },
-  { 0, 31 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -4966,7 +5184,7 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  31,
+  32,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
   5,  peer__message__number_ranges,
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -129,6 +129,7 @@
 	set->source_address = g_strdup(s->set->source_address);
 	srvconf_free(s->set);
 	s->set = set;
+	srv_regions_configure(s->regions, set);
 	log_info("settings_read", "{s:s, s:i}", "cause", cause, "seeds", (int)set->n_seeds);
 }
 
@@ -169,7 +170,8 @@
 		log_info("upstreams_lapsed", NULL);
 		srv_chain_view_changed(s);
 	}
-	srv_chain_check_owner(s, now_ms);
+	srv_regions_update(s, now_ms);
+	srv_region_send_load(s, now_ms);
 	srv_chain_tick(s, now_ms);
 	update_ready(s, now_ms);
 	if (s->stop_began_ms > 0)
@@ -280,6 +282,8 @@
 	fill_self(s, &self);
 	s->fleet = gossip_new(&self, s->started_ms);
 	s->view = view_new((int64_t)srvconf_number(s->set->heartbeat_ms));
+	s->regions = srv_regions_new();
+	srv_regions_configure(s->regions, set);
 	s->chains = chain_sched_new();
 	s->upstreams = g_hash_table_new(g_str_hash, g_str_equal);
 	s->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -328,6 +332,7 @@
 	g_hash_table_destroy(s->chain_requests);
 	g_hash_table_destroy(s->budgets);
 	chain_sched_free(s->chains);
+	g_ptr_array_unref(s->regions);
 	view_free(s->view);
 	gossip_free(s->fleet);
 	srvconf_free(s->set);
--- a/packages/serve/srv_chain.c
+++ b/packages/serve/srv_chain.c
@@ -9,11 +9,6 @@
 
 #include <string.h>
 
-/* A node that isn't stopping hands chains off only to an owner heard within three gossip rounds. */
-#define HANDOFF_HEARTBEAT_AGE_MAX_MS 900
-/* Chains are handed off once another node has been the owner for this long. */
-#define HANDOFF_DELAY_MS 300
-
 static void send_reply(struct srv *s, const struct chain_cmd *cmd, Peer__ChainState state)
 {
 	Peer__ChainReply wire = PEER__CHAIN_REPLY__INIT;
@@ -68,7 +63,8 @@
 static void hand_off(struct srv *s, const struct chain_cmd *cmd)
 {
 	int64_t now_ms = clock_now_ms();
-	const struct gossip_member *owner = gossip_owner(s->fleet, srv_chain_self(s), now_ms);
+	const struct gossip_member *owner =
+		srv_region_owner(s, cmd->doc.region, srv_chain_self(s), now_ms);
 	const struct chain_cmd handed_off = {
 		.job = cmd->job,
 		.asker = cmd->asker,
@@ -165,7 +161,7 @@
 	srv_chain_execute(s, out);
 }
 
-static void handle_ask(struct srv *s, const char *asker, const Peer__ChainAsk *wire)
+static void handle_ask(struct srv *s, const char *asker, const Peer__ChainAsk *wire, bool is_moved)
 {
 	struct chain_stage_spec stages[PUB_STAGES_MAX];
 	struct chain_stored_result *done = srv_chain_decode_results(wire->done, wire->n_done);
@@ -174,6 +170,9 @@
 	GArray *out = chain_cmd_list_new();
 
 	srv_chain_decode(wire, asker, stages, &doc, now_ms);
+	doc.region = srv_region_of(s, doc.data_centre);
+	doc.is_moved = is_moved;
+	srv_regions_claim(s, doc.region, now_ms);
 	chain_submit(s->chains, &doc, done, (uint32_t)wire->n_done, now_ms, out);
 	g_free((void *)doc.regions);
 	g_free(done);
@@ -206,22 +205,6 @@
 	g_free(done);
 }
 
-void srv_chain_check_owner(struct srv *s, int64_t now_ms)
-{
-	const struct gossip_member *owner = gossip_owner(s->fleet, NULL, now_ms);
-	/* an owner without a recent heartbeat may be dead, and would lose chains handed to it */
-	bool has_other_owner =
-		strcmp(owner->record.peer_address, srv_chain_self(s)) != 0 &&
-		(s->stop_began_ms > 0 || now_ms - owner->heard_ms < HANDOFF_HEARTBEAT_AGE_MAX_MS);
-
-	if (!has_other_owner)
-		s->not_owner_since_ms = 0;
-	else if (s->not_owner_since_ms == 0)
-		s->not_owner_since_ms = now_ms;
-	chain_set_handoff(s->chains,
-			  has_other_owner && now_ms - s->not_owner_since_ms >= HANDOFF_DELAY_MS);
-}
-
 static void handle_reply(struct srv *s, const char *from, const Peer__ChainReply *wire)
 {
 	char **handles;
@@ -258,14 +241,14 @@
 	switch (message->kind_case) {
 	case PEER__MESSAGE__KIND_CHAIN_ASK:
 		send_taken(s, message->chain_ask->id, message->from_vm);
-		handle_ask(s, message->from_vm, message->chain_ask);
+		handle_ask(s, message->from_vm, message->chain_ask, false);
 		break;
 	case PEER__MESSAGE__KIND_CHAIN_REPLY:
 		handle_reply(s, message->from_vm, message->chain_reply);
 		break;
 	case PEER__MESSAGE__KIND_CHAIN_HAND:
 		send_moved(s, message->chain_hand->ask->id, message->chain_hand->asker);
-		handle_ask(s, message->chain_hand->asker, message->chain_hand->ask);
+		handle_ask(s, message->chain_hand->asker, message->chain_hand->ask, true);
 		break;
 	case PEER__MESSAGE__KIND_CHAIN_PROGRESS:
 		handle_progress(s, message->chain_progress);
@@ -273,6 +256,9 @@
 	case PEER__MESSAGE__KIND_CHAIN_END:
 		srv_chain_handle_end(s, message->chain_end);
 		break;
+	case PEER__MESSAGE__KIND_REGION_LOAD:
+		srv_region_handle_load(s, message->region_load);
+		break;
 	default:
 		log_warn("message_unknown", "{s:s, s:i}", "from", message->from_vm, "kind",
 			 (int)message->kind_case);
@@ -308,6 +294,7 @@
 	}
 	chain_set_upstreams(s->chains, (const struct chain_upstream_info *)(void *)docs->data,
 			    docs->len, now_ms);
+	srv_regions_view_changed(s, now_ms);
 	chain_run_timers(s->chains, now_ms, out);
 	srv_chain_execute(s, out);
 	g_array_unref(docs);
--- a/packages/serve/srv_chain_client.c
+++ b/packages/serve/srv_chain_client.c
@@ -79,6 +79,7 @@
 		.deadline_at_ms = request->deadline_at_ms,
 		.rank = request->rank,
 		.data_centre = request->data_centre,
+		.region = srv_region_of(request->s, request->data_centre),
 		.regions = request->regions,
 	};
 }
@@ -96,6 +97,7 @@
 
 	fill_job(request, &doc);
 	request->is_acked = true;
+	srv_regions_claim(s, doc.region, clock_now_ms());
 	chain_submit(s->chains, &doc, results_of(request), request->done->len, clock_now_ms(), out);
 	srv_chain_execute(s, out);
 }
@@ -117,7 +119,8 @@
 /* except: a node to skip because it didn't confirm in time; NULL: none. */
 static void submit(struct srv_chain_request *request, const char *except, int64_t now_ms)
 {
-	const struct gossip_member *owner = gossip_owner(request->s->fleet, except, now_ms);
+	const char *region = srv_region_of(request->s, request->data_centre);
+	const struct gossip_member *owner = srv_region_owner(request->s, region, except, now_ms);
 
 	g_strlcpy(request->owner, owner->record.peer_address, sizeof(request->owner));
 	request->owner_incarnation = owner->record.incarnation;
--- a/packages/serve/srv_endpoints.c
+++ b/packages/serve/srv_endpoints.c
@@ -13,7 +13,6 @@
 #define MS_PER_S 1000.0
 /* A stopping node keeps serving for STOP_SERVE_MS (srv.c), more than three times as long. */
 #define TTL_MAX_MS 1000
-#define POOLS_MAX 64
 
 struct listing {
 	const struct srv *s;
@@ -148,8 +147,8 @@
 			 "view_age_ms", (json_int_t)srv_feed_age_ms(s->feed, now_ms), "alive",
 			 (int)gossip_count_alive(s->fleet, now_ms), "upstreams",
 			 (int)g_hash_table_size(s->view->upstreams), "owner",
-			 gossip_owner(s->fleet, NULL, now_ms)->record.peer_address, "chains",
-			 (int)chain_count_jobs(s->chains), "requests",
+			 srv_region_owner(s, s->set->region, NULL, now_ms)->record.peer_address,
+			 "chains", (int)chain_count_jobs(s->chains), "requests",
 			 s->front ? (int)http_server_busy_connections(s->front) : 0);
 }
 
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -16,6 +16,7 @@
 #include <jansson.h>
 
 #define SRV_TICK_MS 100
+#define POOLS_MAX 64	   /* pools in logs, in the dump and in messages between owners */
 #define SRV_ATTEMPTS_MAX 6 /* attempts for one caller's request, including refused ones */
 
 /* Metrics of the node; X(identifier, exported name, help) */
@@ -106,7 +107,8 @@
 	int64_t stop_began_ms;			/* 0: not stopping */
 	struct view_revision snapshot_revision; /* of the newest snapshot applied */
 	int64_t snapshot_requested_ms; /* when a snapshot was last requested from another node */
-	int64_t not_owner_since_ms;    /* since when another owner is available; 0: none is */
+	GPtrArray *regions; /* struct srv_region: those of the data centres in the settings */
+	bool is_split;	    /* each region has an owner; otherwise one node owns all */
 	bool is_ready;
 	bool is_front_open; /* the callers' listener was opened */
 	bool stopped;
@@ -151,6 +153,39 @@
 void srv_chain_message(struct srv *s, const Peer__Message *message);
 void srv_chain_tick(struct srv *s, int64_t now_ms);
 
+/* A region whose chains this node may own. */
+struct srv_region {
+	char *name;
+	bool is_owned;
+	int64_t other_since_ms; /* since when another owner is available; 0: none is */
+};
+
+/* srv_region.c: which regions this node owns. */
+GPtrArray *srv_regions_new(void);
+
+/* Adds the regions that the settings name. */
+void srv_regions_configure(GPtrArray *regions, const struct srvconf *set);
+
+/* Returns the region of a data centre; this node's own if it is unknown. */
+const char *srv_region_of(const struct srv *s, const char *data_centre);
+
+/* Returns the owner of a region's chains. except: a node to leave out; NULL: none. */
+const struct gossip_member *srv_region_owner(const struct srv *s, const char *region,
+					     const char *except, int64_t now_ms);
+
+/* Decides, when the upstreams have changed, whether each region has an owner of its own. */
+void srv_regions_view_changed(struct srv *s, int64_t now_ms);
+
+/* Gains and loses regions; hands chains off once another node has owned theirs for a while. */
+void srv_regions_update(struct srv *s, int64_t now_ms);
+
+/* Tells the owners of other regions how much work waits in this node's pools. */
+void srv_region_send_load(struct srv *s, int64_t now_ms);
+void srv_region_handle_load(struct srv *s, const Peer__RegionLoad *load);
+
+/* Notes that another node takes this one for the owner of the region: it is, for a while. */
+void srv_regions_claim(struct srv *s, const char *region, int64_t now_ms);
+
 struct srv_chain_result {
 	bool ready;
 	const char *const *handles; /* borrowed, NULL-terminated */
@@ -172,9 +207,6 @@
 /* Notifies the owner that the upstream should have fetched the chain's results by now. */
 void srv_chain_note_fetched(struct srv *s, uint64_t id);
 
-/* Starts handing off this node's chains once another node has been their owner for a while. */
-void srv_chain_check_owner(struct srv *s, int64_t now_ms);
-
 /* srv_upstream.c */
 struct srv_upstream *srv_upstream_get(struct srv *s, const char *id, const char *address);
 void srv_upstream_note_success(struct srv_upstream *u, int64_t now_ms);
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -138,7 +138,7 @@
 {
 	log_info("fleet_changed", "{s:s, s:i, s:s}", "heard_from", from, "alive",
 		 (int)gossip_count_alive(s->fleet, now_ms), "owner",
-		 gossip_owner(s->fleet, NULL, now_ms)->record.peer_address);
+		 srv_region_owner(s, s->set->region, NULL, now_ms)->record.peer_address);
 }
 
 static void handle_beat(struct srv *s, const char *from, const Peer__Beat *beat)
--- /dev/null
+++ b/packages/serve/srv_region.c
@@ -0,0 +1,196 @@
+/*
+ * Ownership of regions. The owner of a region schedules the chains that are placed there. Nodes can
+ * disagree about it for as long as gossip takes; two owners cost time, never correctness.
+ */
+#include "srv_int.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#include <string.h>
+
+/* A node that isn't stopping loses a region only to an owner heard within three gossip rounds. */
+#define HEARTBEAT_AGE_MAX_MS 900
+/* A region is lost once another node has been its owner for this long. */
+#define HANDOFF_DELAY_MS 300
+
+static struct srv_region *find_region(const GPtrArray *regions, const char *name)
+{
+	for (guint i = 0; i < regions->len; i++) {
+		struct srv_region *region = g_ptr_array_index(regions, i);
+		if (strcmp(region->name, name) == 0)
+			return region;
+	}
+	return NULL;
+}
+
+const char *srv_region_of(const struct srv *s, const char *data_centre)
+{
+	const char *name = srvconf_region_of(s->set, data_centre);
+
+	return find_region(s->regions, name) ? name : s->set->region;
+}
+
+static void add_region(GPtrArray *regions, const char *name)
+{
+	struct srv_region *region;
+
+	if (find_region(regions, name))
+		return;
+	region = g_new0(struct srv_region, 1);
+	region->name = g_strdup(name);
+	g_ptr_array_add(regions, region);
+}
+
+static void free_region(gpointer data)
+{
+	struct srv_region *region = data;
+
+	g_free(region->name);
+	g_free(region);
+}
+
+GPtrArray *srv_regions_new(void)
+{
+	return g_ptr_array_new_with_free_func(free_region);
+}
+
+void srv_regions_configure(GPtrArray *regions, const struct srvconf *set)
+{
+	add_region(regions, set->region);
+	for (uint32_t i = 0; i < set->n_data_centres; i++)
+		add_region(regions, set->data_centres[i].region);
+}
+
+const struct gossip_member *srv_region_owner(const struct srv *s, const char *region,
+					     const char *except, int64_t now_ms)
+{
+	return gossip_owner(s->fleet, s->is_split ? region : "", except, now_ms);
+}
+
+/* Updates whether the node owns the region; returns whether that changed. */
+static bool update_region(const struct srv *s, struct srv_region *region, int64_t now_ms)
+{
+	const struct gossip_member *owner = srv_region_owner(s, region->name, NULL, now_ms);
+	bool is_self = strcmp(owner->record.peer_address, s->set->peer_address) == 0;
+	bool was_owned = region->is_owned;
+
+	/* an owner without a recent heartbeat may be dead, and would lose chains handed to it */
+	if (is_self) {
+		region->other_since_ms = 0;
+		region->is_owned = s->stop_began_ms == 0 || was_owned;
+	} else if (s->stop_began_ms > 0 || now_ms - owner->heard_ms < HEARTBEAT_AGE_MAX_MS) {
+		if (region->other_since_ms == 0)
+			region->other_since_ms = now_ms;
+		region->is_owned = was_owned && now_ms - region->other_since_ms < HANDOFF_DELAY_MS;
+	}
+	if (was_owned != region->is_owned)
+		log_info(region->is_owned ? "region_gained" : "region_lost", "{s:s, s:s, s:I}",
+			 "region", region->name, "owner", owner->record.peer_address, "heard_ms",
+			 (json_int_t)(now_ms - owner->heard_ms));
+	return was_owned != region->is_owned;
+}
+
+static void set_regions(struct srv *s)
+{
+	const char **owned = g_new0(const char *, s->regions->len + 1);
+	uint32_t n = 0;
+
+	for (guint i = 0; i < s->regions->len; i++) {
+		const struct srv_region *region = g_ptr_array_index(s->regions, i);
+		if (region->is_owned)
+			owned[n++] = region->name;
+	}
+	chain_set_regions(s->chains, owned, n);
+	g_free(owned);
+}
+
+void srv_regions_update(struct srv *s, int64_t now_ms)
+{
+	bool changed = false;
+
+	for (guint i = 0; i < s->regions->len; i++)
+		changed = update_region(s, g_ptr_array_index(s->regions, i), now_ms) || changed;
+	if (changed)
+		set_regions(s);
+}
+
+void srv_regions_view_changed(struct srv *s, int64_t now_ms)
+{
+	bool is_split = chain_should_split(s->chains, s->regions->len, s->is_split);
+
+	if (is_split == s->is_split)
+		return;
+	s->is_split = is_split;
+	log_info("owners_changed", "{s:s, s:i}", "owners", is_split ? "regions" : "fleet",
+		 "regions", (int)s->regions->len);
+	srv_regions_update(s, now_ms);
+}
+
+void srv_regions_claim(struct srv *s, const char *name, int64_t now_ms)
+{
+	struct srv_region *region = find_region(s->regions, name);
+
+	if (!region || region->is_owned)
+		return;
+	region->is_owned = true;
+	region->other_since_ms = now_ms;
+	set_regions(s);
+}
+
+static void send_load(struct srv *s, Peer__Message *message, int64_t now_ms)
+{
+	GHashTable *sent = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < s->regions->len; i++) {
+		const struct srv_region *region = g_ptr_array_index(s->regions, i);
+		const struct gossip_member *owner = srv_region_owner(s, region->name, NULL, now_ms);
+		char *address = (char *)owner->record.peer_address;
+		if (strcmp(address, s->set->peer_address) != 0 && g_hash_table_add(sent, address))
+			srv_peer_send(s, address, message);
+	}
+	g_hash_table_destroy(sent);
+}
+
+void srv_region_send_load(struct srv *s, int64_t now_ms)
+{
+	const struct srv_region *own = find_region(s->regions, s->set->region);
+	struct chain_pool_load loads[POOLS_MAX];
+	Peer__PoolLoad wire[POOLS_MAX];
+	Peer__PoolLoad *list[POOLS_MAX];
+	Peer__RegionLoad region = PEER__REGION_LOAD__INIT;
+	Peer__Message message = PEER__MESSAGE__INIT;
+	uint32_t n;
+
+	if (!own->is_owned || s->regions->len < 2)
+		return;
+	n = chain_get_pool_loads(s->chains, loads, POOLS_MAX, now_ms);
+	for (uint32_t i = 0; i < n; i++) {
+		peer__pool_load__init(&wire[i]);
+		wire[i].service = (char *)loads[i].service;
+		wire[i].pending = loads[i].pending;
+		wire[i].piece_us = loads[i].piece_us;
+		list[i] = &wire[i];
+	}
+	region.region = s->set->region;
+	region.pools = list;
+	region.n_pools = n;
+	message.kind_case = PEER__MESSAGE__KIND_REGION_LOAD;
+	message.region_load = &region;
+	send_load(s, &message, now_ms);
+}
+
+void srv_region_handle_load(struct srv *s, const Peer__RegionLoad *load)
+{
+	struct chain_pool_load *pools = g_new0(struct chain_pool_load, load->n_pools + 1);
+
+	for (size_t i = 0; i < load->n_pools; i++)
+		pools[i] = (struct chain_pool_load){
+			.service = load->pools[i]->service,
+			.pending = load->pools[i]->pending,
+			.piece_us = load->pools[i]->piece_us,
+		};
+	chain_set_region_load(s->chains, load->region, pools, (uint32_t)load->n_pools,
+			      clock_now_ms());
+	g_free(pools);
+}
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -43,13 +43,19 @@
 	g_snprintf(node->peer, sizeof(node->peer), "%s:8006", ip);
 }
 
+static const char *region_of(const struct cluster *c, uint32_t zone)
+{
+	return c->has_regions && zone == 1 ? "q" : "r";
+}
+
 static char *write_settings(struct cluster *c, uint32_t i)
 {
 	const struct cluster_node *n = &c->nodes[i];
 	char *path = g_strdup_printf("%s/node-%u.yaml", c->dir, i);
 	GString *text = g_string_new("adapter: platform\n");
 
-	g_string_append_printf(text, "vm: node-%u\ndata_centre: %s\nregion: r\n", i, zones[i % 2]);
+	g_string_append_printf(text, "vm: node-%u\ndata_centre: %s\nregion: %s\n", i, zones[i % 2],
+			       region_of(c, i % 2));
 	g_string_append_printf(text, "caller_address: %s\nready_address: %s\nlookup_address: %s\n",
 			       n->front, n->ready, n->lookup);
 	g_string_append_printf(text, "admin_address: %s\nmetrics_address: %s\npeer_address: %s\n",
@@ -58,11 +64,13 @@
 			       n->no_source ? "127.0.0.1:1" : stub_store_address(c->stub));
 	for (uint32_t k = 0; k < c->n_nodes && k < 3; k++)
 		g_string_append_printf(text, "  - %s\n", c->nodes[k].admin);
-	g_string_append(text,
-			"data_centres:\n  - {name: a1, region: r}\n  - {name: b1, region: r}\n"
-			"lookup_ttl_s: \"5\"\nstop_grace_s: \"8\"\nretry_ratio: \"0.2\"\n"
-			"retry_window_s: \"10\"\nretry_slack: \"400\"\ncold_factor: \"1.5\"\n"
-			"cold_slack: \"5\"\n");
+	g_string_append_printf(text,
+			       "data_centres:\n  - {name: a1, region: %s}\n"
+			       "  - {name: b1, region: %s}\n",
+			       region_of(c, 0), region_of(c, 1));
+	g_string_append(text, "lookup_ttl_s: \"5\"\nstop_grace_s: \"8\"\nretry_ratio: \"0.2\"\n"
+			      "retry_window_s: \"10\"\nretry_slack: \"400\"\ncold_factor: \"1.5\"\n"
+			      "cold_slack: \"5\"\n");
 	ck_assert(g_file_set_contents(path, text->str, (gssize)text->len, NULL));
 	g_string_free(text, TRUE);
 	return path;
@@ -205,15 +213,40 @@
 		stub_add_engine(c->stub, &engines[i]);
 }
 
-struct cluster *cluster_new(uint32_t n_nodes)
+/* Adds engines to the pools: with two in each region, each region has an owner. */
+static void add_pool_engines(struct cluster *c)
+{
+	static const char *const pools[] = {"first", "second"};
+
+	for (size_t p = 0; p < G_N_ELEMENTS(pools); p++) {
+		for (int i = 2; i <= 4; i++) {
+			char id[16];
+			const struct stub_engine_options options = {
+				.id = id,
+				.service = pools[p],
+				.zone = zones[i % 2],
+				.kind = STUB_POOL,
+				.work_ms = 60,
+				.results_max = 100,
+			};
+			g_snprintf(id, sizeof(id), "%s-%d", pools[p], i);
+			stub_add_engine(c->stub, &options);
+		}
+	}
+}
+
+static struct cluster *start_cluster(uint32_t n_nodes, bool has_regions)
 {
 	struct cluster *c = g_new0(struct cluster, 1);
 
 	c->dir = g_dir_make_tmp("currantscale-XXXXXX", NULL);
 	c->stub = stub_new(NULL);
 	c->n_nodes = n_nodes;
+	c->has_regions = has_regions;
 	cluster_configure(c, 7, NULL, NULL);
 	add_engines(c);
+	if (has_regions)
+		add_pool_engines(c);
 	for (uint32_t i = 0; i < n_nodes; i++)
 		set_addresses(&c->nodes[i], i);
 	for (uint32_t i = 0; i < n_nodes; i++)
@@ -224,6 +257,16 @@
 	return c;
 }
 
+struct cluster *cluster_new(uint32_t n_nodes)
+{
+	return start_cluster(n_nodes, false);
+}
+
+struct cluster *cluster_new_regions(uint32_t n_nodes)
+{
+	return start_cluster(n_nodes, true);
+}
+
 void cluster_free(struct cluster *c)
 {
 	for (uint32_t i = 0; i < c->n_nodes; i++) {
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -27,11 +27,15 @@
 	struct stub *stub;
 	struct cluster_node nodes[CLUSTER_NODES_MAX];
 	uint32_t n_nodes;
+	bool has_regions; /* each data centre is a region, which has an owner */
 	gint next_attempt;
 };
 
 /* Starts the stub with its engines and configuration, and waits until n_nodes nodes are ready. */
 struct cluster *cluster_new(uint32_t n_nodes);
+
+/* The same with two regions and enough engines in each for an owner of its own. */
+struct cluster *cluster_new_regions(uint32_t n_nodes);
 void cluster_free(struct cluster *c);
 
 /* Publishes the test configuration as version, with the text from (NULL: none) replaced by to. */
--- a/tests/proc_soak.c
+++ b/tests/proc_soak.c
@@ -3,7 +3,7 @@
  * restarted, engines fail, the source becomes unavailable or returns from a copy and the
  * configuration changes, in an
  * order that the seed decides. The answers to callers are checked against the runs at engines.
- * SOAK_SEED, SOAK_SECONDS and SOAK_NODES configure it.
+ * SOAK_SEED, SOAK_SECONDS and SOAK_NODES configure it; with odd seeds the fleet has two regions.
  */
 #include "cluster.h"
 #include "run_tests.h"
@@ -259,7 +259,8 @@
 	struct prng prng = {.state = (uint64_t)env_number("SOAK_SEED", 1)};
 	GThread *callers[CALLERS];
 
-	a = cluster_new((uint32_t)env_number("SOAK_NODES", NODES));
+	a = (env_number("SOAK_SEED", 1) % 2 == 1 ? cluster_new_regions : cluster_new)(
+		(uint32_t)env_number("SOAK_NODES", NODES));
 	outcomes = g_array_new(FALSE, FALSE, sizeof(struct outcome));
 	g_atomic_int_set(&running, 1);
 	for (guint i = 0; i < CALLERS; i++)
--- a/tests/prop_fleet.cc
+++ b/tests/prop_fleet.cc
@@ -18,6 +18,7 @@
 constexpr int kNodes = 9;
 constexpr int kStableRounds = 40;
 constexpr int kSeeds = 3;
+constexpr int kRegions = 3;
 constexpr int kReadyMs = 600; /* time from a node's start until it serves callers */
 constexpr double kSlack = 5;  /* burst of requests to the cold upstream, in addition to per_s / 2 */
 constexpr int kWindowMs = 1000;
@@ -52,11 +53,17 @@
 	return "10.0.0." + std::to_string(i) + ":1";
 }
 
+std::string region_name(int region)
+{
+	return "r" + std::to_string(region);
+}
+
 void start_node(World &w, int i)
 {
 	gossip_record r = {};
 
 	g_strlcpy(r.peer_address, address(i).c_str(), sizeof(r.peer_address));
+	g_strlcpy(r.region, region_name(i % kRegions).c_str(), sizeof(r.region));
 	r.incarnation = w.next_born++;
 	w.born[i] = r.incarnation;
 	gossip_free(w.nodes[i]);
@@ -126,6 +133,18 @@
 		gossip_round(w);
 }
 
+/* Returns the longest-running live node of a region; -1 if there is none. */
+int oldest_in(const World &w, int region)
+{
+	int oldest = -1;
+
+	for (int i = 0; i < kNodes; i++) {
+		if (w.up[i] && i % kRegions == region && (oldest < 0 || w.born[i] < w.born[oldest]))
+			oldest = i;
+	}
+	return oldest;
+}
+
 /*
  * Makes the network stable and checks that each live node counts exactly the live nodes and takes
  * the longest-running one as owner.
@@ -148,9 +167,15 @@
 		if (!w.up[i])
 			continue;
 		RC_ASSERT(gossip_count_alive(w.nodes[i], w.now) == alive);
-		RC_ASSERT(std::string(
-				  gossip_owner(w.nodes[i], nullptr, w.now)->record.peer_address) ==
-			  address(owner));
+		RC_ASSERT(std::string(gossip_owner(w.nodes[i], "", nullptr, w.now)
+					      ->record.peer_address) == address(owner));
+		for (int region = 0; region < kRegions; region++) {
+			int there = oldest_in(w, region);
+			RC_ASSERT(std::string(gossip_owner(w.nodes[i], region_name(region).c_str(),
+							   nullptr, w.now)
+						      ->record.peer_address) ==
+				  address(there < 0 ? owner : there));
+		}
 	}
 }
 
--- a/tests/unit_chain.c
+++ b/tests/unit_chain.c
@@ -138,7 +138,8 @@
 					   .aim_at_ms = w.now_ms + aim_ms,
 					   .deadline_at_ms = w.now_ms + deadline_ms,
 					   .rank = rank,
-					   .data_centre = "a"};
+					   .data_centre = "a",
+					   .region = "r"};
 	GArray *out = chain_cmd_list_new();
 
 	w.jobs[id].submitted_ms = w.now_ms;
@@ -413,7 +414,7 @@
 	submit(0, 4000, 8000, 0);
 	advance(300, 1); /* the first stage is done, the second runs */
 	old = w.c;
-	chain_set_handoff(old, true);
+	chain_set_regions(old, NULL, 0);
 	while (w.n_calls > 0)
 		end_call(0);
 	w.now_ms += CHAIN_TICK_MS;
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -94,8 +94,9 @@
 	g_snprintf(address, sizeof(address), "10.0.0.%d:1", owner);
 	for (int i = 0; i < NODES; i++) {
 		if (!(dead & (1U << i)))
-			ck_assert_str_eq(gossip_owner(nodes[i], NULL, now_ms)->record.peer_address,
-					 address);
+			ck_assert_str_eq(
+				gossip_owner(nodes[i], "", NULL, now_ms)->record.peer_address,
+				address);
 	}
 }
 
@@ -287,9 +288,71 @@
 }
 END_TEST
 
+static const struct {
+	const char *name;
+	struct {
+		const char *region;
+		uint64_t incarnation;
+		bool ready;
+		bool leaving;
+	} members[4];
+	const char *region;
+	int owner; /* index of the member */
+} owners[] = {
+	{"longest-running of the region",
+	 {{"r", 5, true, false}, {"q", 1, true, false}, {"r", 3, true, false}},
+	 "r",
+	 2},
+	{"fleet's longest-running, for a region without members",
+	 {{"r", 5, true, false}, {"q", 2, true, false}, {"r", 3, true, false}},
+	 "p",
+	 1},
+	{"the leaving one is passed over",
+	 {{"r", 5, true, false}, {"q", 2, true, false}, {"r", 3, true, true}},
+	 "r",
+	 0},
+	{"one that isn't ready is passed over, in favour of another region's",
+	 {{"r", 3, false, false}, {"q", 2, true, false}, {"q", 4, true, false}},
+	 "r",
+	 1},
+	{"no member is ready: the longest-running of the region",
+	 {{"r", 5, false, false}, {"q", 2, false, false}, {"r", 3, false, false}},
+	 "r",
+	 2},
+};
+
+START_TEST(owner_of_a_region)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(owners); i++) {
+		struct gossip_record records[4] = {0};
+		struct gossip *f;
+		uint32_t n = 0;
+		for (; owners[i].members[n].region; n++) {
+			g_snprintf(records[n].peer_address, sizeof(records[n].peer_address),
+				   "10.0.0.%u:1", n);
+			g_strlcpy(records[n].region, owners[i].members[n].region,
+				  sizeof(records[n].region));
+			records[n].incarnation = owners[i].members[n].incarnation;
+			records[n].beat = 1;
+			records[n].ready = owners[i].members[n].ready;
+			records[n].leaving = owners[i].members[n].leaving;
+		}
+		f = gossip_new(&records[0], T0);
+		gossip_set_self(f, records[0].ready, records[0].leaving);
+		gossip_merge(f, &records[1], n - 1, T0);
+		ck_assert_msg(
+			strcmp(gossip_owner(f, owners[i].region, NULL, T0)->record.peer_address,
+			       records[owners[i].owner].peer_address) == 0,
+			"%s", owners[i].name);
+		gossip_free(f);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
+		owner_of_a_region,
 		finds_all_through_seeds,
 		notices_the_dead_and_keeps_the_rest,
 		heals_after_a_cut,
