--- a/packages/decide/chain.c
+++ b/packages/decide/chain.c
@@ -62,6 +62,11 @@
 	g_free(c);
 }
 
+void chain_set_policies(struct chain_sched *c, uint32_t off)
+{
+	c->off = off;
+}
+
 void chain_free_result(struct stage *stage, struct piece *piece)
 {
 	if (piece->state != PIECE_DONE || piece->freed || !piece->handle)
@@ -177,7 +182,7 @@
 	return !job->stages[index].terminal;
 }
 
-void chain_advance_job(struct job *job, int64_t now_ms, GArray *out)
+void chain_advance_job(const struct chain_sched *c, struct job *job, int64_t now_ms, GArray *out)
 {
 	bool done = chain_open_stages(job);
 
@@ -187,7 +192,7 @@
 	}
 	if (done && !job->delivered)
 		deliver(job, now_ms, out);
-	else if (!done)
+	else if (!done && policy_is_on(c->off, POLICY_PROGRESS))
 		chain_report_progress(job, out);
 }
 
@@ -230,7 +235,7 @@
 		return;
 	}
 	report_admitted(job, now_ms, out);
-	chain_advance_job(job, now_ms, out);
+	chain_advance_job(c, job, now_ms, out);
 	chain_dispatch(c, now_ms, out);
 }
 
@@ -262,7 +267,7 @@
 	if (!job || !job->delivered)
 		return;
 	job->fetched = true;
-	if (!chain_job_storage_is_low(job))
+	if (!chain_job_storage_is_low(job) || !policy_is_on(c->off, POLICY_EARLY_RELEASE))
 		return; /* chain_run_timers() checks again on each tick */
 	chain_drop_job(c, job);
 	chain_dispatch(c, now_ms, out);
--- a/packages/decide/chain_admit.c
+++ b/packages/decide/chain_admit.c
@@ -119,6 +119,8 @@
 	    now_ms + (int64_t)(in_ms * CHAIN_LATE_FACTOR) + CHAIN_DEADLINE_MARGIN_MS <=
 		    job->deadline_at_ms)
 		return NULL;
+	if (!policy_is_on(c->off, POLICY_RETRY_AFTER))
+		return "estimated finish is too late";
 	/* By then the estimate of a late chain is expected to be half of CHAIN_LATE_MAX_MS. */
 	*retry_ms = CLAMP(in_ms - CHAIN_LATE_MAX_MS / 2, CHAIN_RETRY_AFTER_MIN_MS,
 			  CHAIN_RETRY_AFTER_MAX_MS);
--- a/packages/decide/chain_balance.c
+++ b/packages/decide/chain_balance.c
@@ -87,7 +87,8 @@
 	GHashTableIter iter;
 	gpointer pool;
 
-	if (n_regions < 2 || g_hash_table_size(c->pools) == 0)
+	if (!policy_is_on(c->off, POLICY_REGION_OWNERS) || n_regions < 2 ||
+	    g_hash_table_size(c->pools) == 0)
 		return false;
 	g_hash_table_iter_init(&iter, c->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool)) {
@@ -177,6 +178,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!policy_is_on(c->off, POLICY_REGION_BALANCE))
+		return false;
 	g_hash_table_iter_init(&iter, c->loads);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct region_load *load = value;
--- a/packages/decide/chain_dispatch.c
+++ b/packages/decide/chain_dispatch.c
@@ -36,9 +36,10 @@
 }
 
 /* Returns whether results of CHAIN_STORAGE_CALLS full calls of the stage exceed the storage. */
-static bool fills_storage(const struct pool *pool, const struct stage *s)
+static bool fills_storage(const struct chain_sched *c, const struct pool *pool,
+			  const struct stage *s)
 {
-	return pool->doc.room_bytes > 0 &&
+	return policy_is_on(c->off, POLICY_SCARCE_ROOM) && pool->doc.room_bytes > 0 &&
 	       s->result_bytes * pool->doc.batch_size * CHAIN_STORAGE_CALLS > pool->doc.room_bytes;
 }
 
@@ -73,8 +74,8 @@
 			struct ready_stage e = {
 				.job = job,
 				.stage = s,
-				.late = job->late,
-				.holds_storage = has_started(s) && fills_storage(pool, s),
+				.late = job->late && policy_is_on(c->off, POLICY_LATE_LAST),
+				.holds_storage = has_started(s) && fills_storage(c, pool, s),
 				.due_ms = chain_stage_due_ms(job, s),
 			};
 			g_array_append_val(ready, e);
@@ -196,7 +197,8 @@
 }
 
 /* Returns the cost of the bytes that would cross data centres if the stage ran at the upstream. */
-static double crossing_ms(const struct ready_stage *e, const struct upstream *u)
+static double crossing_ms(const struct chain_sched *c, const struct ready_stage *e,
+			  const struct upstream *u)
 {
 	int64_t bytes = 0;
 	int64_t in_bytes;
@@ -206,7 +208,7 @@
 		bytes += in_bytes;
 	if (strcmp(e->job->data_centre, u->data_centre) != 0)
 		bytes += e->stage->result_bytes * e->stage->n_pieces;
-	if (bytes == 0)
+	if (bytes == 0 || !policy_is_on(c->off, POLICY_CROSSING_COST))
 		return 0;
 	return CHAIN_CROSSING_MIN_MS + CHAIN_CROSSING_MS_PER_MB * (double)bytes / 1e6;
 }
@@ -222,18 +224,19 @@
 }
 
 /* Returns the estimated cost of assigning the stage to the slot. */
-static double slot_cost_ms(const struct slot *slot, const struct ready_stage *e, int64_t now_ms)
+static double slot_cost_ms(const struct chain_sched *c, const struct slot *slot,
+			   const struct ready_stage *e, int64_t now_ms)
 {
 	const struct upstream *u = slot->upstream;
 	const struct pub_pool *doc = &u->pool->doc;
 	uint32_t batch = max_batch(u->pool);
 	double ms = (double)slot->free_in_ms;
-	double crossing = crossing_ms(e, u);
+	double crossing = crossing_ms(c, e, u);
 	double slack_ms = (double)(e->due_ms - now_ms);
 
 	if (slot->call)
 		ms += doc->piece_ms * slot->call->n;
-	ms += (double)(slot->n_expected / batch) * (double)full_call_ms(u->pool) +
+	ms += (double)((int64_t)(slot->n_expected / batch) * full_call_ms(u->pool)) +
 	      doc->piece_ms * (slot->n_expected % batch);
 	if (!e->late && crossing > slack_ms)
 		crossing = MAX(slack_ms, 0);
@@ -243,7 +246,8 @@
 	return ms + crossing;
 }
 
-static struct slot *choose_slot(GArray *slots, const struct ready_stage *e, int64_t now_ms)
+static struct slot *choose_slot(const struct chain_sched *c, GArray *slots,
+				const struct ready_stage *e, int64_t now_ms)
 {
 	struct slot *best = NULL;
 	double best_ms = 0;
@@ -253,7 +257,7 @@
 		double ms;
 		if (slot->is_full || !may_serve(slot->upstream, e->job))
 			continue;
-		ms = slot_cost_ms(slot, e, now_ms);
+		ms = slot_cost_ms(c, slot, e, now_ms);
 		if (!best || ms < best_ms) {
 			best = slot;
 			best_ms = ms;
@@ -290,7 +294,7 @@
 	 * If only part of the stage ran, its results would take storage while the other
 	 * pieces wait for room.
 	 */
-	if (slot->call && !has_started(e->stage) && fills_storage(pool, e->stage))
+	if (slot->call && !has_started(e->stage) && fills_storage(c, pool, e->stage))
 		may_split = false;
 	if (n == 0 || (slot->call && n < waiting && !may_split))
 		return false;
@@ -307,12 +311,12 @@
 static void fill_calls(struct chain_sched *c, GArray *slots, const struct ready_stage *e,
 		       const struct slot *busy, int64_t now_ms)
 {
-	double limit_ms = crossing_ms(e, busy->upstream);
+	double limit_ms = crossing_ms(c, e, busy->upstream);
 
 	for (guint i = 0; i < slots->len && waiting_pieces(e->stage) > 0; i++) {
 		struct slot *slot = &g_array_index(slots, struct slot, i);
 		if (slot->call && may_serve(slot->upstream, e->job) &&
-		    crossing_ms(e, slot->upstream) <= limit_ms)
+		    crossing_ms(c, e, slot->upstream) <= limit_ms)
 			add_to_call(c, slot, e, true, now_ms);
 	}
 }
@@ -324,7 +328,7 @@
 
 	for (guint i = 0; i < slots->len; i++)
 		g_array_index(slots, struct slot, i).is_full = false;
-	while (waiting_pieces(e->stage) > 0 && (slot = choose_slot(slots, e, now_ms))) {
+	while (waiting_pieces(e->stage) > 0 && (slot = choose_slot(c, slots, e, now_ms))) {
 		if (slot->free_in_ms > 0) {
 			fill_calls(c, slots, e, slot, now_ms);
 			slot->n_expected += waiting_pieces(e->stage);
--- a/packages/decide/chain_internal.h
+++ b/packages/decide/chain_internal.h
@@ -3,6 +3,7 @@
 #define DECIDE_CHAIN_INTERNAL_H
 
 #include "decide/chain.h"
+#include "decide/policy.h"
 
 /* Duration of one stage under load, including the wait in the pool's queue. */
 #define CHAIN_STAGE_TIME_MS 600
@@ -217,6 +218,7 @@
 	GHashTable *calls;     /* id -> struct call */
 	uint64_t next_call;
 	char **owned;	   /* regions that this node owns; NULL: all */
+	uint32_t off;	   /* policies that are switched off */
 	GHashTable *loads; /* region -> struct region_load: of other owners */
 };
 
@@ -306,7 +308,7 @@
  * chain.c: opens stages, releases results that no stage needs any more, and appends commands that
  * report finished stages or the finished chain.
  */
-void chain_advance_job(struct job *job, int64_t now_ms, GArray *out);
+void chain_advance_job(const struct chain_sched *c, struct job *job, int64_t now_ms, GArray *out);
 
 /* chain_dispatch.c: sends waiting pieces of all pools to idle upstreams. */
 void chain_dispatch(struct chain_sched *c, int64_t now_ms, GArray *out);
--- a/packages/decide/chain_result.c
+++ b/packages/decide/chain_result.c
@@ -148,7 +148,7 @@
 	for (uint32_t i = 0; i < call->n; i++) {
 		struct job *job = g_hash_table_lookup(c->jobs, &call->pieces[i].job);
 		if (job)
-			chain_advance_job(job, now_ms, out);
+			chain_advance_job(c, job, now_ms, out);
 	}
 }
 
@@ -174,8 +174,9 @@
  * Durations are measured only for calls without failed pieces, since these shorten a call. An
  * upstream without room for any result of the call receives no calls for a while.
  */
-static void update_measurements(struct call *call, const struct chain_piece_result *results,
-				uint32_t n, int64_t now_ms)
+static void update_measurements(const struct chain_sched *c, struct call *call,
+				const struct chain_piece_result *results, uint32_t n,
+				int64_t now_ms)
 {
 	uint32_t failed = 0;
 	uint32_t no_room = 0;
@@ -185,7 +186,8 @@
 		no_room += results[i].fault == CHAIN_PIECE_NO_ROOM;
 	}
 	if (failed == 0) {
-		update_slowdown(call->upstream, call, now_ms);
+		if (policy_is_on(c->off, POLICY_SLOW_UPSTREAMS))
+			update_slowdown(call->upstream, call, now_ms);
 		update_piece_time(call->upstream->pool, call, now_ms);
 	}
 	if (no_room == n)
@@ -200,7 +202,7 @@
 
 	if (!call)
 		return;
-	update_measurements(call, results, n, now_ms);
+	update_measurements(c, call, results, n, now_ms);
 	call->upstream->failures = 0;
 	if (other_owner_calls > 0)
 		call->upstream->shared_ms = now_ms;
@@ -250,7 +252,7 @@
 	u = call->upstream;
 	if (fault == CHAIN_CALL_REJECTED) {
 		u->backoff_until_ms = now_ms + CHAIN_REJECTED_BACKOFF_MS;
-	} else {
+	} else if (policy_is_on(c->off, POLICY_BACKOFF)) {
 		u->backoff_until_ms = now_ms + MIN(CHAIN_FAILURE_BACKOFF_MS << MIN(u->failures, 8),
 						   CHAIN_FAILURE_BACKOFF_MAX_MS);
 		u->failures++;
--- a/packages/decide/chain_timers.c
+++ b/packages/decide/chain_timers.c
@@ -84,13 +84,15 @@
 		int64_t ready_ms;
 		if (job->delivered) {
 			if (now_ms > job->deadline_at_ms ||
-			    (job->fetched && chain_job_storage_is_low(job)))
+			    (job->fetched && chain_job_storage_is_low(job) &&
+			     policy_is_on(c->off, POLICY_EARLY_RELEASE)))
 				chain_drop_job(c, job);
 			continue;
 		}
 		ready_ms = now_ms + chain_job_remaining_ms(job);
 		job->late = job->late || ready_ms > job->aim_at_ms;
-		free_fetched(c, job, now_ms);
+		if (policy_is_on(c->off, POLICY_EARLY_RELEASE))
+			free_fetched(c, job, now_ms);
 		if (ready_ms > job->deadline_at_ms)
 			chain_refuse(c, job, "first token can't be reached before the deadline",
 				     CHAIN_RETRY_AFTER_MIN_MS, now_ms, out);
@@ -104,6 +106,7 @@
 {
 	requeue_overdue_calls(c, now_ms);
 	check_jobs(c, now_ms, out);
-	chain_hand_off_jobs(c, now_ms, out);
+	if (policy_is_on(c->off, POLICY_HANDOFF))
+		chain_hand_off_jobs(c, now_ms, out);
 	chain_dispatch(c, now_ms, out);
 }
--- a/packages/decide/include/decide/chain.h
+++ b/packages/decide/include/decide/chain.h
@@ -145,6 +145,9 @@
 struct chain_sched *chain_sched_new(void);
 void chain_sched_free(struct chain_sched *c);
 
+/* Sets the mechanisms that are switched off, see policy_is_on(). */
+void chain_set_policies(struct chain_sched *c, uint32_t off);
+
 /* Applies the published pools. Pools that are no longer published are kept. */
 void chain_set_pools(struct chain_sched *c, const struct pub_doc *doc);
 
--- /dev/null
+++ b/packages/decide/include/decide/policy.h
@@ -0,0 +1,48 @@
+/*
+ * Mechanisms of the adapted path that a setting can switch off, so that tests and measurements can
+ * compare a node with and without each. All are on by default.
+ */
+#ifndef DECIDE_POLICY_H
+#define DECIDE_POLICY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum policy {
+	POLICY_PREFIX_AFFINITY,	 /* engines of a shared prompt prefix by hash */
+	POLICY_SESSION_AFFINITY, /* the engine of a session by hash */
+	POLICY_NEAR_INPUTS,	 /* engines near a chain's results */
+	POLICY_CROSSING_COST,	 /* upstreams near a stage's inputs and results */
+	POLICY_LATE_LAST,	 /* late chains behind all others */
+	POLICY_SCARCE_ROOM,	 /* stages served whole where room for results is short */
+	POLICY_EARLY_RELEASE,	 /* results released once they should have been fetched */
+	POLICY_CHAIN_RESTART,	 /* a chain whose results are gone is requested once more */
+	POLICY_HEDGES,		 /* a second attempt while an idempotent one is silent */
+	POLICY_BACKOFF,		 /* pauses for upstreams that failed */
+	POLICY_SLOW_UPSTREAMS,	 /* slowness measured from the duration of calls */
+	POLICY_REGION_OWNERS,	 /* an owner for each region where pools are large enough */
+	POLICY_REGION_BALANCE,	 /* chains moved to regions where less work waits */
+	POLICY_HANDOFF,		 /* chains handed to the next owner */
+	POLICY_PROGRESS,	 /* askers are told finished stages */
+	POLICY_RETRY_AFTER,	 /* retry-after time by the length of the queue */
+	POLICIES_N
+};
+
+/* Returns the policy with that name in the settings; POLICIES_N if there is none. */
+enum policy policy_find(const char *name);
+
+/* Bit i of off is set when policy i is switched off. */
+static inline bool policy_is_on(uint32_t off, enum policy policy)
+{
+	return !(off & (1U << policy));
+}
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/serve/include/serve/srvconf.h
+++ b/packages/serve/include/serve/srvconf.h
@@ -41,7 +41,10 @@
 	char *retry_slack;
 	char *cold_factor;
 	char *cold_slack;
-	char *heartbeat_ms; /* interval between heartbeats of upstreams to the source */
+	char **switched_off; /* names of policies */
+	uint32_t n_switched_off;
+	uint32_t policies_off; /* the same as bits, see policy_is_on() */
+	char *heartbeat_ms;    /* interval between heartbeats of upstreams to the source */
 };
 
 /* True if the file has the "adapter" key, which marks the settings of a node with an adapter. */
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -130,6 +130,7 @@
 	srvconf_free(s->set);
 	s->set = set;
 	srv_regions_configure(s->regions, set);
+	chain_set_policies(s->chains, set->policies_off);
 	log_info("settings_read", "{s:s, s:i}", "cause", cause, "seeds", (int)set->n_seeds);
 }
 
@@ -285,6 +286,7 @@
 	s->regions = srv_regions_new();
 	srv_regions_configure(s->regions, set);
 	s->chains = chain_sched_new();
+	chain_set_policies(s->chains, set->policies_off);
 	s->upstreams = g_hash_table_new(g_str_hash, g_str_equal);
 	s->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->chain_requests = srv_chain_requests_new();
--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -95,7 +95,7 @@
 	for (uint32_t i = 0; i < r->n_attempts; i++)
 		tried[i] = r->attempts[i].upstream->id;
 	tried[r->n_attempts] = NULL;
-	r->select.has_inputs = r->data_centre != NULL;
+	r->select.has_inputs = r->data_centre != NULL && srv_has_policy(r->s, POLICY_NEAR_INPUTS);
 	const struct srv_pick_criteria want = {
 		.service = r->service,
 		.service_name = r->service_name,
@@ -201,7 +201,8 @@
 {
 	const struct srv_req *r = attempt->req;
 
-	return r->handles && (attempt->is_missing_inputs || r->chain == 0);
+	return r->handles && (attempt->is_missing_inputs || r->chain == 0) &&
+	       srv_has_policy(r->s, POLICY_CHAIN_RESTART);
 }
 
 /* Called when an attempt has ended without an answer for the caller. */
@@ -318,7 +319,8 @@
 	    r->n_attempts >= SRV_ATTEMPTS_MAX)
 		return INT64_MAX;
 	if (r->route->kind == PUB_KIND_IDEMPOTENT)
-		return attempt->verdict == SRV_ATTEMPT_PENDING && count_active(r) == 1
+		return attempt->verdict == SRV_ATTEMPT_PENDING && count_active(r) == 1 &&
+				       srv_has_policy(r->s, POLICY_HEDGES)
 			       ? attempt->sent_ms + hedge_delay_ms(r)
 			       : INT64_MAX;
 	if (attempt->is_paused)
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -7,6 +7,7 @@
 #include "decide/chain.h"
 #include "decide/gossip.h"
 #include "decide/lb.h"
+#include "decide/policy.h"
 #include "decide/view.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -117,6 +118,11 @@
 	struct srv_histogram chain_time;
 };
 
+static inline bool srv_has_policy(const struct srv *s, enum policy policy)
+{
+	return policy_is_on(s->set->policies_off, policy);
+}
+
 static inline void srv_count(struct srv *s, enum srv_counter counter)
 {
 	s->counters[counter]++;
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -261,11 +261,11 @@
 	uint32_t n = r->meta.n_parts;
 
 	r->select.is_generation = r->route->kind == PUB_KIND_STREAM;
-	if (n >= 2) {
+	if (n >= 2 && srv_has_policy(r->s, POLICY_PREFIX_AFFINITY)) {
 		r->select.prefix = r->meta.parts[0].id;
 		r->select.prefix_ms = (double)r->meta.parts[0].tokens / PROMPT_TOKENS_PER_MS;
 	}
-	if (n >= 3) {
+	if (n >= 3 && srv_has_policy(r->s, POLICY_SESSION_AFFINITY)) {
 		r->select.session = r->meta.parts[n - 2].id;
 		r->select.session_ms = (double)r->meta.parts[n - 2].tokens / PROMPT_TOKENS_PER_MS;
 	}
--- a/packages/serve/srv_upstream.c
+++ b/packages/serve/srv_upstream.c
@@ -84,7 +84,7 @@
 		return;
 	}
 	update_failure_rate(u, 1, now_ms);
-	if (failure == SRV_FAILURE_BROKEN)
+	if (failure == SRV_FAILURE_BROKEN || !srv_has_policy(s, POLICY_BACKOFF))
 		return;
 	u->blocked_until_ms = now_ms + MIN(BLOCK_MS << MIN(u->fails, 4), BLOCK_MAX_MS);
 	u->fails++;
--- a/packages/serve/srvconf.c
+++ b/packages/serve/srvconf.c
@@ -1,6 +1,7 @@
 #include "serve/srvconf.h"
 
 #include "base/err.h"
+#include "decide/policy.h"
 #include "model/schema.h"
 
 #include <math.h>
@@ -65,6 +66,10 @@
 	SRVCONF_STR(cold_factor, true),
 	SRVCONF_STR(cold_slack, true),
 	SRVCONF_STR(heartbeat_ms, false),
+	{.key = "switched_off",
+	 .type = SCHEMA_STR_LIST,
+	 .off = offsetof(struct srvconf, switched_off),
+	 .off_n = offsetof(struct srvconf, n_switched_off)},
 };
 
 static const struct schema_map map = {fields, G_N_ELEMENTS(fields), sizeof(struct srvconf)};
@@ -115,6 +120,18 @@
 	return true;
 }
 
+static bool read_policies(struct srvconf *set, const char *path, GError **error)
+{
+	for (uint32_t i = 0; i < set->n_switched_off; i++) {
+		enum policy policy = policy_find(set->switched_off[i]);
+		if (policy == POLICIES_N)
+			return err_set(error, ERR_SETTINGS, "%s: switched_off: unknown policy %s",
+				       path, set->switched_off[i]);
+		set->policies_off |= 1U << policy;
+	}
+	return true;
+}
+
 static struct srvconf *load_text(const char *path, const char *text, gsize len, GError **error)
 {
 	GPtrArray *faults = schema_faults_new();
@@ -131,7 +148,7 @@
 	g_ptr_array_unref(faults);
 	if (good && !set->heartbeat_ms)
 		set->heartbeat_ms = g_strdup(HEARTBEAT_MS);
-	if (good && check_numbers(set, path, error))
+	if (good && check_numbers(set, path, error) && read_policies(set, path, error))
 		return set;
 	srvconf_free(set);
 	return NULL;
--- /dev/null
+++ b/tests/unit_settings.c
@@ -0,0 +1,70 @@
+/* Settings of an adapted node: optional keys, and mechanisms that are switched off. */
+#include "run_tests.h"
+
+#include "decide/policy.h"
+#include "serve/srvconf.h"
+
+#include <glib/gstdio.h>
+#include <string.h>
+
+static const char required[] =
+	"adapter: platform\nvm: v\ndata_centre: a\nregion: r\ncaller_address: 127.0.0.1:1\n"
+	"ready_address: 127.0.0.1:2\nlookup_address: 127.0.0.1:3\nadmin_address: 127.0.0.1:4\n"
+	"peer_address: 127.0.0.1:5\nsource_address: 127.0.0.1:6\nlookup_ttl_s: \"5\"\n"
+	"stop_grace_s: \"8\"\nretry_ratio: \"0.2\"\nretry_window_s: \"10\"\nretry_slack: \"54\"\n"
+	"cold_factor: \"1.5\"\ncold_slack: \"5\"\n";
+
+static const struct {
+	const char *name;
+	const char *more;  /* added to the required keys */
+	const char *error; /* part of the message; NULL: the file is valid */
+	uint32_t off;
+	double heartbeat_ms;
+} cases[] = {
+	{"required keys alone", "", NULL, 0, 1200},
+	{"heartbeat", "heartbeat_ms: \"500\"\n", NULL, 0, 500},
+	{"heartbeat of another type", "heartbeat_ms: \"soon\"\n", "heartbeat_ms", 0, 0},
+	{"nothing switched off", "switched_off: []\n", NULL, 0, 1200},
+	{"two switched off", "switched_off: [\"hedges\", \"handoff\"]\n", NULL,
+	 1U << POLICY_HEDGES | 1U << POLICY_HANDOFF, 1200},
+	{"unknown mechanism", "switched_off: [\"hedge\"]\n", "unknown policy hedge", 0, 0},
+};
+
+START_TEST(optional_keys)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strconcat(required, cases[i].more, NULL);
+		char *path = NULL;
+		GError *error = NULL;
+		struct srvconf *set;
+		gint file = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+
+		ck_assert_int_ge(file, 0);
+		g_close(file, NULL);
+		ck_assert(g_file_set_contents(path, text, -1, NULL));
+		set = srvconf_load(path, &error);
+		ck_assert_msg((set == NULL) == (cases[i].error != NULL), "%s: %s", cases[i].name,
+			      error ? error->message : "read");
+		if (set) {
+			ck_assert_msg(set->policies_off == cases[i].off, "%s", cases[i].name);
+			ck_assert_msg(srvconf_number(set->heartbeat_ms) == cases[i].heartbeat_ms,
+				      "%s", cases[i].name);
+		} else {
+			ck_assert_msg(strstr(error->message, cases[i].error) != NULL, "%s: %s",
+				      cases[i].name, error->message);
+		}
+		g_clear_error(&error);
+		srvconf_free(set);
+		g_remove(path);
+		g_free(path);
+		g_free(text);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {optional_keys};
+
+	return run_tests("unit_settings", tests, G_N_ELEMENTS(tests));
+}
