Keep one owner where regions have fewer than three engines of a pool

Change: each region has an owner from three engines a region on average (two once split) in place of 1.5 (1.0).

--- a/packages/decide/chain_balance.c
+++ b/packages/decide/chain_balance.c
@@ -10,10 +10,13 @@
 
 /* Cost of serving a chain in another region: its messages and its request take round trips more. */
 #define MOVE_MS 60.0
-/* Upstreams a region, of the smallest pool on average, from which on each region has an owner. */
-#define SPLIT_UPSTREAMS_MIN 1.5
+/*
+ * Upstreams a region, of the smallest pool on average, from which on each region has an owner: of
+ * three, one becomes idle within a third of the duration of a call.
+ */
+#define SPLIT_UPSTREAMS_MIN 3.0
 /* With fewer there is one owner again. */
-#define JOIN_UPSTREAMS 1.0
+#define JOIN_UPSTREAMS 2.0
 /* Loads that are older don't count: their sender may no longer own the region. */
 #define LOAD_AGE_MAX_MS 500
 
--- a/packages/decide/chain_internal.h
+++ b/packages/decide/chain_internal.h
@@ -34,7 +34,7 @@
  */
 #define CHAIN_MEASURED_TIME_WEIGHT 0.5
 /* Cost of a megabyte of inputs or results that crosses data centres, as a wait. */
-#define CHAIN_CROSSING_MS_PER_MB 70.0
+#define CHAIN_CROSSING_MS_PER_MB 40.0
 /* Least cost of running a stage elsewhere: its call takes a round trip more. */
 #define CHAIN_CROSSING_MIN_MS 20.0
 /* Cost of an upstream whose storage is all in use, as a wait. */
