Leave pools without upstreams out of the number of owners

The scheduler keeps pools that are no longer published; one of them, without upstreams, would have kept all regions under one owner for good. Change: only pools with upstreams count; unit_place/empty_pools_dont_count fails without it. The line chain_handed_over names the region.

--- a/packages/decide/chain_balance.c
+++ b/packages/decide/chain_balance.c
@@ -87,18 +87,22 @@
 bool chain_should_split(const struct chain_sched *c, uint32_t n_regions, bool was_split)
 {
 	double limit = (was_split ? JOIN_UPSTREAMS : SPLIT_UPSTREAMS_MIN) * n_regions;
+	bool any = false;
 	GHashTableIter iter;
 	gpointer pool;
 
-	if (!policy_is_on(c->off, POLICY_REGION_OWNERS) || n_regions < 2 ||
-	    g_hash_table_size(c->pools) == 0)
+	if (!policy_is_on(c->off, POLICY_REGION_OWNERS) || n_regions < 2)
 		return false;
 	g_hash_table_iter_init(&iter, c->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool)) {
-		if (count_listed(pool) < limit)
+		uint32_t n = count_listed(pool);
+		if (n == 0)
+			continue; /* no longer published */
+		if (n < limit)
 			return false;
+		any = true;
 	}
-	return true;
+	return any;
 }
 
 /* Returns the longest wait among the job's pools in this node's regions. */
--- a/packages/decide/chain_dispatch.c
+++ b/packages/decide/chain_dispatch.c
@@ -67,7 +67,9 @@
 
 	for (guint i = 0; i < c->order->len; i++) {
 		struct job *job = g_ptr_array_index(c->order, i);
-		for (uint32_t k = 0; k < job->n_stages && chain_owns_region(c, job->region); k++) {
+		if (!chain_owns_region(c, job->region))
+			continue; /* about to be handed off */
+		for (uint32_t k = 0; k < job->n_stages; k++) {
 			struct stage *s = &job->stages[k];
 			if (s->pool != pool || !s->open || waiting_pieces(s) == 0)
 				continue;
@@ -182,7 +184,10 @@
 	struct chain_cmd cmd; /* command for the call */
 };
 
-/* Returns the data centre where the stage's largest neighbour is: its inputs', or the chain's. */
+/*
+ * Returns the data centre that stores the stage's inputs, and their size; NULL if it has no inputs
+ * or the upstreams that stored them were removed.
+ */
 static const char *input_data_centre(const struct ready_stage *e, int64_t *bytes)
 {
 	*bytes = 0;
@@ -223,7 +228,10 @@
 	return (int64_t)(pool->doc.call_ms + pool->doc.piece_ms * pool->doc.batch_size);
 }
 
-/* Returns the estimated cost of assigning the stage to the slot. */
+/*
+ * Returns the cost in ms of assigning the stage to the slot: the wait, and what would cross. Bytes
+ * count no more than the stage's slack: a chain isn't late for them.
+ */
 static double slot_cost_ms(const struct chain_sched *c, const struct slot *slot,
 			   const struct ready_stage *e, int64_t now_ms)
 {
--- a/packages/serve/srv_chain.c
+++ b/packages/serve/srv_chain.c
@@ -79,8 +79,9 @@
 	hand.asker = cmd->asker;
 	message.kind_case = PEER__MESSAGE__KIND_CHAIN_HAND;
 	message.chain_hand = &hand;
-	log_info("chain_handed_over", "{s:s, s:s, s:s, s:i}", "request", cmd->attempt, "asker",
-		 cmd->asker, "owner", owner->record.peer_address, "results", (int)cmd->n_done);
+	log_info("chain_handed_over", "{s:s, s:s, s:s, s:s, s:i}", "request", cmd->attempt, "asker",
+		 cmd->asker, "owner", owner->record.peer_address, "region", cmd->doc.region,
+		 "results", (int)cmd->n_done);
 	srv_peer_send(s, owner->record.peer_address, &message);
 	srv_chain_wire_clear(&wire);
 	/* the message may be lost: the asker resubmits unless the new owner confirms */
--- a/packages/serve/srv_region.c
+++ b/packages/serve/srv_region.c
@@ -78,6 +78,8 @@
 	/* an owner without a recent heartbeat may be dead, and would lose chains handed to it */
 	if (is_self) {
 		region->other_since_ms = 0;
+		/* a stopping node to which no other is known keeps what it has, and gains nothing
+		 */
 		region->is_owned = s->stop_began_ms == 0 || was_owned;
 	} else if (s->stop_began_ms > 0 || now_ms - owner->heard_ms < HEARTBEAT_AGE_MAX_MS) {
 		if (region->other_since_ms == 0)
@@ -138,7 +140,8 @@
 	set_regions(s);
 }
 
-static void send_load(struct srv *s, Peer__Message *message, int64_t now_ms)
+/* Sends a message once to each other node that owns a region. */
+static void send_to_owners(struct srv *s, Peer__Message *message, int64_t now_ms)
 {
 	GHashTable *sent = g_hash_table_new(g_str_hash, g_str_equal);
 
@@ -177,7 +180,7 @@
 	region.n_pools = n;
 	message.kind_case = PEER__MESSAGE__KIND_REGION_LOAD;
 	message.region_load = &region;
-	send_load(s, &message, now_ms);
+	send_to_owners(s, &message, now_ms);
 }
 
 void srv_region_handle_load(struct srv *s, const Peer__RegionLoad *load)
--- a/tests/unit_place.c
+++ b/tests/unit_place.c
@@ -241,13 +241,30 @@
 }
 END_TEST
 
+/* A pool without upstreams, such as one that is no longer published, doesn't count. */
+START_TEST(empty_pools_dont_count)
+{
+	static const struct site site = {3, 0, 3};
+	struct pub_doc *doc = pub_doc_new();
+
+	start(&site);
+	doc->n_services = 1;
+	doc->services = g_new0(struct pub_service, 1);
+	doc->services[0].name = g_strdup("empty");
+	doc->services[0].pool = (struct pub_pool){.present = true, .slots = 1, .batch_size = 8};
+	pub_doc_build_index(doc);
+	chain_set_pools(sched, doc);
+	pub_doc_unref(doc);
+	ck_assert(chain_should_split(sched, 2, false));
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
-		upstream_of_a_stage,
-		region_of_a_chain,
-		moved_chains_count_there,
-		owner_of_its_own,
+		upstream_of_a_stage, region_of_a_chain,	     moved_chains_count_there,
+		owner_of_its_own,    empty_pools_dont_count,
 	};
 
 	return run_tests("unit_place", tests, G_N_ELEMENTS(tests));
