--- a/tools/plots.sh
+++ b/tools/plots.sh
@@ -100,3 +100,59 @@
 	"$from/policy.csv")
 panels departure "A data centre leaves at $out s and returns cold at $back s; load $factor times capacity" \
 	"seconds since the start" "% complete within the deadline" "${away[adaptive]%, }" "${away[baseline]%, }"
+
+# Decisions on the users' days: decisions.csv has a row for each played day, loss_* are parts of 1 - worth.
+means() { # VERSION COLUMN...: a row for each day, in the order of the file
+	awk -F, -v version="$1" -v columns="${*:2}" '
+		NR == 1 { for (i = 1; i <= NF; i++) at[$i] = i; m = split(columns, want, " "); next }
+		$at["version"] == version && $at["site"] == site {
+			day = $at["day"]
+			if (!(day in n)) order[++days] = day
+			n[day]++
+			for (i = 1; i <= m; i++) sum[day, i] += $at[want[i]]
+		}
+		END { for (d = 1; d <= days; d++) {
+			printf "%s", order[d]
+			for (i = 1; i <= m; i++) printf " %f", sum[order[d], i] / n[order[d]]
+			print "" } }' site=tnblb-spines "$from/decisions.csv"
+}
+for version in before after; do
+	means "$version" worth >"$dir/worth-$version"
+	means "$version" loss_day loss_windows loss_class loss_results loss_regions loss_prefixes \
+		loss_waste loss_other >"$dir/loss-$version"
+done
+gnuplot <<-GNUPLOT
+	set terminal $terminal
+	set output "$to/decisions-worth.$suffix"
+	set title "Worth by day, small site of the third user, mean of three seeds"
+	set style data histogram
+	set style fill solid 0.8 border -1
+	set yrange [0:1]
+	set ylabel "worth"
+	set key top right
+	set grid ytics
+	plot "$dir/worth-before" using 2:xtic(1) title "before" lc rgb "#b35806", \
+	     "$dir/worth-after" using 2 title "after" lc rgb "#1b7837"
+GNUPLOT
+gnuplot <<-GNUPLOT
+	set terminal $terminal
+	set output "$to/decisions-loss.$suffix"
+	set multiplot layout 1,2 title "What a day lacks of 1, by cause"
+	set style data histograms
+	set style histogram rowstacked
+	set style fill solid 0.8 border -1
+	set yrange [0:0.6]
+	set xtics rotate by -35
+	set key top left font ",9" maxrows 8
+	set grid ytics
+	do for [version in "before after"] {
+		set title version
+		file = "$dir/loss-".version
+		plot file using 2:xtic(1) title "whole day", file using 3 title "worst windows", \
+		     file using 4 title "worst class", file using 5 title "results between data centres", \
+		     file using 6 title "bytes between regions", file using 7 title "parts read again", \
+		     file using 8 title "work thrown away", file using 9 title "other prices"
+		unset key
+	}
+	unset multiplot
+GNUPLOT
