Log where each request stands that a shutdown cuts

A node that leaves at the end of its grace period logged only how many connections it cut, so nothing told a request that waited for its chain from one whose upstream was at work. Each now gets a line: its age, what was sent, and its chain's owner, submissions and results.

--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -102,6 +102,7 @@
 	if ((since_ms >= STOP_SERVE_MS && busy == 0) || since_ms >= grace_ms) {
 		log_info("stopping_ends", "{s:I, s:i}", "after_ms", (json_int_t)since_ms, "cut",
 			 (int)busy);
+		srv_req_log_cut(s);
 		stop_loop(s);
 	}
 }
@@ -197,6 +198,7 @@
 
 	if (s->stop_began_ms > 0) {
 		log_info("stop_hurried", "{s:i}", "signal", number);
+		srv_req_log_cut(s);
 		stop_loop(s);
 		return;
 	}
@@ -290,6 +292,7 @@
 	s->upstreams = g_hash_table_new(g_str_hash, g_str_equal);
 	s->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->chain_requests = srv_chain_requests_new();
+	g_queue_init(&s->requests);
 	start_timers(s);
 	s->feed = srv_feed_new(s);
 	if (!srv_peer_start(s, self.incarnation, error) || !srv_endpoints_start(s, error)) {
--- a/packages/serve/srv_chain_client.c
+++ b/packages/serve/srv_chain_client.c
@@ -214,6 +214,23 @@
 	srv_chain_send_end(s, owner, id);
 }
 
+bool srv_chain_get_status(const struct srv *s, uint64_t id, struct srv_chain_status *status)
+{
+	const struct srv_chain_request *request = g_hash_table_lookup(s->chain_requests, &id);
+
+	if (!request)
+		return false;
+	*status = (struct srv_chain_status){
+		.owner = request->owner,
+		.is_acked = request->is_acked,
+		.is_answered = request->is_answered,
+		.attempts = request->attempts,
+		.n_results = request->done->len,
+		.submitted_ms = request->sent_ms,
+	};
+	return true;
+}
+
 void srv_chain_deliver(struct srv *s, uint64_t id, const char *from,
 		       const struct srv_chain_result *result)
 {
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -95,6 +95,7 @@
 	GHashTable *upstreams;	    /* id -> struct srv_upstream */
 	GHashTable *budgets;	    /* service -> struct budget_window (retries) */
 	GHashTable *chain_requests; /* chain id -> struct srv_chain_request */
+	GQueue requests;	    /* struct srv_req: callers' requests in progress */
 	uint64_t next_chain;
 	uv_timer_t tick;
 	uv_timer_t chain_timer;
@@ -210,6 +211,19 @@
 			  void *arg);
 void srv_chain_release(struct srv *s, uint64_t id);
 
+/* State of a requested chain, for the log. */
+struct srv_chain_status {
+	const char *owner;    /* peer address, borrowed */
+	bool is_acked;	      /* the owner has confirmed the chain */
+	bool is_answered;     /* its results are ready */
+	uint32_t attempts;    /* number of submissions */
+	uint32_t n_results;   /* results that owners have reported so far */
+	int64_t submitted_ms; /* when it was last submitted or handed off */
+};
+
+/* Returns false if the chain is unknown or has ended. */
+bool srv_chain_get_status(const struct srv *s, uint64_t id, struct srv_chain_status *status);
+
 /* Notifies the owner that the upstream should have fetched the chain's results by now. */
 void srv_chain_note_fetched(struct srv *s, uint64_t id);
 
@@ -251,6 +265,9 @@
 void srv_req_disconnected(void *arg, struct http_server_request *request);
 void srv_req_drained(void *arg, struct http_server_request *request);
 
+/* Logs each request that is still in progress when the node exits. */
+void srv_req_log_cut(const struct srv *s);
+
 /* srv_endpoints.c: the listeners for lookups, readiness, operators and metrics. */
 bool srv_endpoints_start(struct srv *s, GError **error);
 void srv_endpoints_stop(struct srv *s);
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -42,6 +42,36 @@
 		 (json_int_t)r->meta.tokens_in);
 }
 
+/* Logs where a request stands that ends without an answer because the node exits. */
+static void log_cut(const struct srv_req *r, int64_t now_ms)
+{
+	struct srv_chain_status chain = {.owner = ""};
+	bool has_chain = r->chain && srv_chain_get_status(r->s, r->chain, &chain);
+	uint32_t n_active = 0;
+
+	for (uint32_t i = 0; i < r->n_attempts; i++)
+		n_active += r->attempts[i].call != NULL;
+	log_warn("request_cut",
+		 "{s:s, s:s, s:I, s:I, s:I, s:i, s:i, s:b, s:b, s:s, s:b, s:b, s:i, s:i, s:I}",
+		 "request", r->meta.attempt ? r->meta.attempt : "", "route",
+		 r->route ? r->route->name : "", "total_ms", (json_int_t)(now_ms - r->began_ms),
+		 "after_stop_ms", (json_int_t)(r->began_ms - r->s->stop_began_ms), "left_ms",
+		 (json_int_t)(r->end_at_ms - now_ms), "sends", (int)r->n_attempts, "active",
+		 (int)n_active, "response_started", (int)r->response_started, "chain",
+		 (int)has_chain, "owner", chain.owner, "acked", (int)chain.is_acked, "ready",
+		 (int)chain.is_answered, "submissions", (int)chain.attempts, "results",
+		 (int)chain.n_results, "submitted_ms_ago",
+		 (json_int_t)(has_chain ? now_ms - chain.submitted_ms : -1));
+}
+
+void srv_req_log_cut(const struct srv *s)
+{
+	int64_t now_ms = clock_now_ms();
+
+	for (const GList *at = s->requests.head; at; at = at->next)
+		log_cut(at->data, now_ms);
+}
+
 static void on_timer_closed(uv_handle_t *handle)
 {
 	g_free(handle->data);
@@ -49,6 +79,7 @@
 
 void srv_req_free(struct srv_req *r)
 {
+	g_queue_unlink(&r->s->requests, &r->link);
 	for (uint32_t i = 0; i < r->n_attempts; i++)
 		srv_attempt_cancel(&r->attempts[i]);
 	if (r->chain)
@@ -321,6 +352,8 @@
 	r->partial = g_string_new(NULL);
 	uv_timer_init(&s->loop, &r->timer);
 	r->timer.data = r;
+	r->link.data = r;
+	g_queue_push_tail_link(&s->requests, &r->link);
 	s->adapter->caller->parse_request(&request->headers, &r->meta);
 	r->last_event = r->meta.last_event;
 	start(r);
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -34,6 +34,7 @@
 
 struct srv_req {
 	struct srv *s;
+	GList link; /* in srv->requests */
 	struct http_server_request *http;
 	struct pub_doc *doc; /* configuration in force when the request began */
 	const struct pub_route *route;
