Test that a stopping node answers what it has read

Requests that wait for a chain, or for a silent upstream, while their node stops: each has to get a complete answer before the node exits, 503 if it has not run. Also after a second stop signal.

--- /dev/null
+++ b/tests/proc_stopping.c
@@ -0,0 +1,190 @@
+/*
+ * Graceful shutdown beside upstreams that don't answer. Guards against requests that the node has
+ * read and that end with a closed connection: each gets a complete answer before the node exits.
+ */
+#include "cluster.h"
+
+#include "base/clock.h"
+#include "raw.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TEST_TIMEOUT_S 120
+#define DEADLINE_MS 12000 /* of requests; later than the end of the grace period */
+#define GRACE_MS 8000
+#define IN_FORCE_MS 2500
+
+static struct cluster *c;
+
+static void set_up(void)
+{
+	c = cluster_new(3);
+	cluster_configure(c, 8, "\"timeoutMs\":6000", "\"timeoutMs\":12000");
+	clock_sleep_ms(IN_FORCE_MS);
+}
+
+static void tear_down(void)
+{
+	cluster_free(c);
+}
+
+struct call {
+	const char *target;
+	const char *extra;
+	int64_t after_ms; /* from the stop signal to the request; below 0: before it */
+	int status;
+	const char *part; /* of the answer; NULL: any */
+	int64_t held_ms;  /* longest time until the answer */
+	uint32_t runs;	  /* at all upstreams that run requests */
+	int64_t sent_ms;
+	int64_t took_ms;
+	char attempt[CLUSTER_ADDRESS_BYTES];
+	GString *text;
+};
+
+#define PIECES "X-Currantscale-Pieces: 2,3\r\nX-Currantscale-Piece-Key: k\r\n"
+
+static gpointer run_call(gpointer arg)
+{
+	struct call *call = arg;
+	int64_t wait_ms = call->sent_ms - clock_now_ms();
+	char *request;
+	int fd;
+
+	if (wait_ms > 0)
+		clock_sleep_ms(wait_ms);
+	fd = raw_connect(c->nodes[1].front);
+	request = g_strdup_printf("POST %s HTTP/1.1\r\nHost: h.example\r\n"
+				  "X-Currantscale-Attempt-Id: %s\r\n"
+				  "X-Currantscale-Deadline-Ms: %d\r\n"
+				  "X-Currantscale-Key: key-1\r\nContent-Length: 0\r\n%s\r\n",
+				  call->target, call->attempt, DEADLINE_MS, call->extra);
+	call->sent_ms = clock_now_ms();
+	raw_write_text(fd, request);
+	call->text = raw_read(fd, DEADLINE_MS);
+	call->took_ms = clock_now_ms() - call->sent_ms;
+	g_free(request);
+	return NULL;
+}
+
+static bool is_whole(const struct call *call)
+{
+	const char *end = strstr(call->text->str, "\r\n\r\n");
+	const char *length = strstr(call->text->str, "Content-Length: ");
+
+	return end && length && strlen(end + 4) == strtoul(length + 16, NULL, 10);
+}
+
+static void check_call(struct call *call)
+{
+	char *status = g_strdup_printf("HTTP/1.1 %d ", call->status);
+	const char *text = call->text->str;
+
+	ck_assert_msg(g_str_has_prefix(text, status) && is_whole(call) &&
+			      (!call->part || strstr(text, call->part)),
+		      "%s sent %" G_GINT64_FORMAT
+		      " ms after the signal: '%s' after %" G_GINT64_FORMAT " ms",
+		      call->target, call->after_ms, text, call->took_ms);
+	ck_assert_msg(call->took_ms <= call->held_ms,
+		      "%s sent %" G_GINT64_FORMAT " ms after the signal: held %" G_GINT64_FORMAT
+		      " ms",
+		      call->target, call->after_ms, call->took_ms);
+	ck_assert_uint_eq(stub_count_runs(c->stub, call->attempt), call->runs);
+	g_free(status);
+}
+
+/* Sends the calls and, at the times in signals (-1: no more), SIGTERM to their node. */
+static void run_calls(struct call *calls, size_t n, const int64_t *signals)
+{
+	GThread **threads = g_new0(GThread *, n);
+	int64_t stop_ms = clock_now_ms() + 500;
+
+	for (size_t i = 0; i < n; i++) {
+		calls[i].sent_ms = stop_ms + calls[i].after_ms;
+		g_snprintf(calls[i].attempt, sizeof(calls[i].attempt), "call-%zu", i);
+		threads[i] = g_thread_new("call", run_call, &calls[i]);
+	}
+	for (; *signals >= 0; signals++) {
+		int64_t wait_ms = stop_ms + *signals - clock_now_ms();
+		if (wait_ms > 0)
+			clock_sleep_ms(wait_ms);
+		kill(c->nodes[1].pid, SIGTERM);
+	}
+	for (size_t i = 0; i < n; i++)
+		g_thread_join(threads[i]);
+	ck_assert_int_lt(clock_now_ms() - stop_ms, GRACE_MS);
+	for (size_t i = 0; i < n; i++)
+		check_call(&calls[i]);
+	g_free(threads);
+}
+
+/* The pools refuse all work: no chain becomes ready. */
+START_TEST(waiting_for_chains)
+{
+	struct call calls[] = {
+		{"/chain/x", PIECES, -300, 503, "Retry-After", 7000},
+		{"/chain/x", PIECES, 300, 503, "Retry-After", 6500},
+		{"/chain/x", PIECES, 1200, 503, "Retry-After", 5500},
+		{"/chain/x", PIECES, 4500, 503, "Retry-After", 1000},
+		{"/chain/x", PIECES, 6000, 503, "Retry-After", 1000},
+	};
+
+	stub_set_fault(c->stub, "first-1", STUB_FAULT_SHED);
+	run_calls(calls, G_N_ELEMENTS(calls), (const int64_t[]){0, -1});
+}
+END_TEST
+
+/* Upstreams got the requests and are silent: the answer promises nothing. */
+START_TEST(waiting_for_upstreams)
+{
+	struct call calls[] = {
+		{"/tell/x", "", -300, 504, NULL, 8000, .runs = 1},
+		{"/tell/x", "", 1000, 504, NULL, 7000, .runs = 1},
+		{"/once/x", "", 6500, 504, NULL, 1200, .runs = 1},
+	};
+
+	stub_set_fault(c->stub, "model-1", STUB_FAULT_HANG);
+	stub_set_fault(c->stub, "model-2", STUB_FAULT_HANG);
+	stub_set_fault(c->stub, "plain-1", STUB_FAULT_HANG);
+	stub_set_fault(c->stub, "plain-2", STUB_FAULT_HANG);
+	run_calls(calls, G_N_ELEMENTS(calls), (const int64_t[]){0, -1});
+}
+END_TEST
+
+/* A second signal ends the shutdown at once, but not without answers. */
+START_TEST(hurried)
+{
+	struct call calls[] = {
+		{"/chain/x", PIECES, -300, 503, "Retry-After", 2000},
+		{"/chain/x", PIECES, 200, 503, "Retry-After", 1500},
+		{"/tell/x", "", -200, 504, NULL, 2000, .runs = 1},
+	};
+
+	stub_set_fault(c->stub, "first-1", STUB_FAULT_SHED);
+	stub_set_fault(c->stub, "model-1", STUB_FAULT_HANG);
+	stub_set_fault(c->stub, "model-2", STUB_FAULT_HANG);
+	run_calls(calls, G_N_ELEMENTS(calls), (const int64_t[]){0, 1000, -1});
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {waiting_for_chains, waiting_for_upstreams, hurried};
+	Suite *suite = suite_create("proc_stopping");
+	TCase *tcase = tcase_create("all");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
+		tcase_add_test(tcase, tests[i]);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed > 0;
+}
