Answer every request before a stopping node leaves

Callers saw: a node that had read a whole request closed the connection without an answer, 7.5 s after its stop signal.

Cause: the node's own end was no deadline of its requests. They were held to the caller's deadline or the route's timeout, often seconds after the node had gone, and what was left then was cut. Class: a time limit of the process that isn't passed on to the work in it.

Change: at the stop signal each request's end becomes the earlier of its own and 700 ms before the end of the grace period (500 ms margin as before, 200 ms to write the answers). What hasn't been sent to an upstream by then is refused (503, not run, Retry-After: another node can serve it); what has been sent is answered 504. A stream that isn't sent 2 s before that end is refused at once, and so is one that arrives later than 3 s after the signal: it would be cut. Chains get that limit as their deadline, so their owner refuses them at once if they can't make it. A second signal ends requests in the same way. The node also waits for answers that aren't fully written; it counted connections with a request in progress only.

Ruled out: lost chains or owners (each waiting chain was confirmed by a live owner), a hang in the writing of answers (nothing was written at all).

--- a/packages/http/http_server.c
+++ b/packages/http/http_server.c
@@ -172,3 +172,12 @@
 {
 	return s->n_busy;
 }
+
+uint32_t http_server_unfinished_connections(const struct http_server *s)
+{
+	uint32_t n = 0;
+
+	for (const struct http_server_conn *c = s->conns; c; c = c->next)
+		n += c->state == CONN_BUSY || c->pending_writes > 0;
+	return n;
+}
--- a/packages/http/include/http/http_server.h
+++ b/packages/http/include/http/http_server.h
@@ -76,6 +76,9 @@
 /* Returns the number of connections with a request in progress. */
 uint32_t http_server_busy_connections(const struct http_server *s);
 
+/* The same, with those whose last response isn't written yet. */
+uint32_t http_server_unfinished_connections(const struct http_server *s);
+
 /* Sends a complete response. headers may be NULL. */
 void http_server_respond(struct http_server_request *request, int status,
 			 const struct hdr_list *headers, const void *body, size_t len);
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -1,4 +1,4 @@
-/* A serving node: startup, timers, readiness, settings reload and graceful shutdown. */
+/* A serving node: startup, timers, readiness and settings reload. */
 #include "srv_int.h"
 
 #include "base/clock.h"
@@ -14,15 +14,6 @@
 /* A longer pause between two ticks means that the process was suspended. */
 #define CLOCK_GAP_MS 1000
 #define MS_PER_S 1000.0
-/*
- * Graceful shutdown. The node keeps serving until callers have dropped its address: they keep it
- * for the TTL of a lookup, and other nodes list it until one or two gossip rounds have passed.
- */
-#define STOP_SERVE_MS 3300
-/* Once this long has passed since the stop signal, idle connections are closed. */
-#define STOP_DRAIN_MS 2800
-/* Remaining requests are cut this long before stop_grace_s has passed. */
-#define STOP_MARGIN_MS 500
 #define SETTINGS_CHECK_TICKS 10
 
 void srv_histogram_observe(struct srv_histogram *h, int64_t ms)
@@ -83,30 +74,6 @@
 					 });
 }
 
-static void stop_loop(struct srv *s)
-{
-	s->stopped = true;
-	uv_stop(&s->loop);
-}
-
-static void advance_shutdown(struct srv *s, int64_t now_ms)
-{
-	int64_t grace_ms =
-		(int64_t)(srvconf_number(s->set->stop_grace_s) * MS_PER_S) - STOP_MARGIN_MS;
-	int64_t since_ms = now_ms - s->stop_began_ms;
-	uint32_t busy = (s->front ? http_server_busy_connections(s->front) : 0) +
-			chain_count_jobs(s->chains);
-
-	if (s->front && since_ms >= STOP_DRAIN_MS)
-		http_server_drain(s->front);
-	if ((since_ms >= STOP_SERVE_MS && busy == 0) || since_ms >= grace_ms) {
-		log_info("stopping_ends", "{s:I, s:i}", "after_ms", (json_int_t)since_ms, "cut",
-			 (int)busy);
-		srv_req_log_cut(s);
-		stop_loop(s);
-	}
-}
-
 /* Applies the changed settings file. A change of the node's own addresses needs a restart. */
 static void reload(struct srv *s, const char *cause)
 {
@@ -176,8 +143,7 @@
 	srv_region_send_load(s, now_ms);
 	srv_chain_tick(s, now_ms);
 	update_ready(s, now_ms);
-	if (s->stop_began_ms > 0)
-		advance_shutdown(s, now_ms);
+	srv_stop_tick(s, now_ms);
 	if (++ticks % SETTINGS_CHECK_TICKS != 0)
 		return;
 	check_settings_file(s);
@@ -196,18 +162,7 @@
 {
 	struct srv *s = signal->data;
 
-	if (s->stop_began_ms > 0) {
-		log_info("stop_hurried", "{s:i}", "signal", number);
-		srv_req_log_cut(s);
-		stop_loop(s);
-		return;
-	}
-	s->stop_began_ms = clock_now_ms();
-	log_info("stopping", "{s:i, s:i, s:i}", "signal", number, "requests",
-		 s->front ? (int)http_server_busy_connections(s->front) : 0, "chains",
-		 (int)chain_count_jobs(s->chains));
-	if (s->front)
-		http_server_announce_close(s->front);
+	srv_stop_begin(s, number, clock_now_ms());
 	update_ready(s, s->stop_began_ms);
 }
 
@@ -293,6 +248,7 @@
 	s->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->chain_requests = srv_chain_requests_new();
 	g_queue_init(&s->requests);
+	s->stop_by_ms = INT64_MAX;
 	start_timers(s);
 	s->feed = srv_feed_new(s);
 	if (!srv_peer_start(s, self.incarnation, error) || !srv_endpoints_start(s, error)) {
--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -62,7 +62,7 @@
 	attempt->upstream->in_flight--;
 }
 
-static uint32_t count_active(const struct srv_req *r)
+uint32_t srv_req_count_active(const struct srv_req *r)
 {
 	uint32_t n = 0;
 
@@ -149,6 +149,12 @@
 	on_end(attempt, HTTP_CLIENT_NOT_SENT);
 }
 
+/* Returns the latest time for a further attempt; INT64_MAX: the node isn't stopping. */
+static int64_t send_by_ms(const struct srv_req *r)
+{
+	return srv_stop_send_by_ms(r->s, r->route->kind == PUB_KIND_STREAM);
+}
+
 /* Returns why no further attempt is allowed; NULL if one is allowed. */
 static const char *no_send_reason(struct srv_req *r, int64_t now_ms)
 {
@@ -156,6 +162,8 @@
 		return "too many attempts";
 	if (r->end_at_ms - now_ms < SEND_TIME_MIN_MS)
 		return "too little time left before the deadline or route timeout";
+	if (now_ms >= send_by_ms(r))
+		return "node is shutting down";
 	if (r->runs > 0 && !srv_req_is_repeatable(r))
 		return "may have run and must not be repeated";
 	if (r->runs >= (uint32_t)MAX(r->route->max_upstreams, 1))
@@ -177,7 +185,7 @@
 		send_to(r, u, now_ms);
 		return;
 	}
-	if (count_active(r) > 0)
+	if (srv_req_count_active(r) > 0)
 		return; /* no hedge is possible; wait for the active attempt */
 	if (!r->response_started && srv_req_forward_failure(r))
 		return;
@@ -213,7 +221,7 @@
 	log_attempt(attempt, outcome);
 	if (r->winner == attempt)
 		r->winner = NULL;
-	if (r->winner || count_active(r) > 0)
+	if (r->winner || srv_req_count_active(r) > 0)
 		return;
 	g_string_truncate(r->partial, 0);
 	if (r->response_started && !(r->streaming && r->route->resumable)) {
@@ -319,7 +327,7 @@
 	    r->n_attempts >= SRV_ATTEMPTS_MAX)
 		return INT64_MAX;
 	if (r->route->kind == PUB_KIND_IDEMPOTENT)
-		return attempt->verdict == SRV_ATTEMPT_PENDING && count_active(r) == 1 &&
+		return attempt->verdict == SRV_ATTEMPT_PENDING && srv_req_count_active(r) == 1 &&
 				       srv_has_policy(r->s, POLICY_HEDGES)
 			       ? attempt->sent_ms + hedge_delay_ms(r)
 			       : INT64_MAX;
@@ -343,7 +351,9 @@
 			srv_upstream_note_failure(r->s, attempt->upstream, SRV_FAILURE_BROKEN,
 						  clock_now_ms());
 	}
-	if (was_sent)
+	if (r->end_at_ms == r->s->stop_by_ms)
+		srv_req_end_stopped(r, was_sent);
+	else if (was_sent)
 		srv_req_fail(r, 504, "deadline or route timeout expired");
 	else
 		srv_req_refuse(r, 0, "deadline or route timeout expired");
@@ -399,6 +409,10 @@
 		handle_deadline(r);
 		return;
 	}
+	if (now_ms >= send_by_ms(r) && srv_req_count_active(r) == 0) {
+		srv_req_end_stopped(r, r->runs > 0 || r->response_started);
+		return;
+	}
 	if (r->chain && now_ms >= r->fetch_check_at_ms)
 		note_fetched(r, now_ms);
 	if (now_ms >= silence_deadline_ms(r))
@@ -414,6 +428,8 @@
 
 	if (r->chain)
 		at_ms = MIN(at_ms, r->fetch_check_at_ms);
+	if (srv_req_count_active(r) == 0)
+		at_ms = MIN(at_ms, send_by_ms(r));
 
 	uv_timer_start(&r->timer, on_timer, (uint64_t)MAX(at_ms - now_ms, 1), 0);
 }
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -106,7 +106,8 @@
 	uv_signal_t on_hup;
 	int64_t started_ms;
 	int64_t last_tick_ms;
-	int64_t stop_began_ms;			/* 0: not stopping */
+	int64_t stop_began_ms; /* 0: not stopping */
+	int64_t stop_by_ms;    /* all requests are answered by then; INT64_MAX: not stopping */
 	struct view_revision snapshot_revision; /* of the newest snapshot applied */
 	int64_t snapshot_requested_ms; /* when a snapshot was last requested from another node */
 	GPtrArray *regions; /* struct srv_region: those of the data centres in the settings */
@@ -265,8 +266,18 @@
 void srv_req_disconnected(void *arg, struct http_server_request *request);
 void srv_req_drained(void *arg, struct http_server_request *request);
 
-/* Logs each request that is still in progress when the node exits. */
-void srv_req_log_cut(const struct srv *s);
+/* Applies srv_stop_by_ms to the requests in progress. */
+void srv_req_bound_all(struct srv *s);
+
+/* srv_stop.c: graceful shutdown. A second call, at a second signal, ends it at once. */
+void srv_stop_begin(struct srv *s, int signal, int64_t now_ms);
+void srv_stop_tick(struct srv *s, int64_t now_ms);
+
+/* Returns whether a request that arrives now is served. */
+bool srv_stop_admits(const struct srv *s, bool is_stream, int64_t now_ms);
+
+/* Returns the latest time at which a request may be sent to an upstream; INT64_MAX: any. */
+int64_t srv_stop_send_by_ms(const struct srv *s, bool is_stream);
 
 /* srv_endpoints.c: the listeners for lookups, readiness, operators and metrics. */
 bool srv_endpoints_start(struct srv *s, GError **error);
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -16,6 +16,8 @@
 #define DEFAULT_DEADLINE_MS 30000
 #define PROMPT_TOKENS_PER_MS 38.4 /* prefill rate of an engine, as the users specify it */
 #define CALLER_LATENCY_MS 5	  /* time for a request to travel from the caller to the node */
+#define SHUTDOWN_RETRY_MS 100	  /* another node can serve the request at once */
+#define SHUTDOWN_REASON "node is shutting down"
 
 void srv_req_log(struct srv_req *r, const char *outcome, int status)
 {
@@ -42,36 +44,23 @@
 		 (json_int_t)r->meta.tokens_in);
 }
 
-/* Logs where a request stands that ends without an answer because the node exits. */
-static void log_cut(const struct srv_req *r, int64_t now_ms)
+/* Logs where a request stands that ends because the node is shutting down. */
+static void log_stopped(const struct srv_req *r, int64_t now_ms)
 {
 	struct srv_chain_status chain = {.owner = ""};
 	bool has_chain = r->chain && srv_chain_get_status(r->s, r->chain, &chain);
-	uint32_t n_active = 0;
 
-	for (uint32_t i = 0; i < r->n_attempts; i++)
-		n_active += r->attempts[i].call != NULL;
-	log_warn("request_cut",
-		 "{s:s, s:s, s:I, s:I, s:I, s:i, s:i, s:b, s:b, s:s, s:b, s:b, s:i, s:i, s:I}",
-		 "request", r->meta.attempt ? r->meta.attempt : "", "route",
-		 r->route ? r->route->name : "", "total_ms", (json_int_t)(now_ms - r->began_ms),
-		 "after_stop_ms", (json_int_t)(r->began_ms - r->s->stop_began_ms), "left_ms",
-		 (json_int_t)(r->end_at_ms - now_ms), "sends", (int)r->n_attempts, "active",
-		 (int)n_active, "response_started", (int)r->response_started, "chain",
-		 (int)has_chain, "owner", chain.owner, "acked", (int)chain.is_acked, "ready",
-		 (int)chain.is_answered, "submissions", (int)chain.attempts, "results",
-		 (int)chain.n_results, "submitted_ms_ago",
+	log_info("request_stopped",
+		 "{s:s, s:I, s:I, s:i, s:i, s:b, s:b, s:s, s:b, s:b, s:i, s:i, s:I}", "request",
+		 r->meta.attempt, "after_stop_ms", (json_int_t)(r->began_ms - r->s->stop_began_ms),
+		 "total_ms", (json_int_t)(now_ms - r->began_ms), "sends", (int)r->n_attempts,
+		 "active", (int)srv_req_count_active(r), "response_started",
+		 (int)r->response_started, "chain", (int)has_chain, "owner", chain.owner, "acked",
+		 (int)chain.is_acked, "ready", (int)chain.is_answered, "submissions",
+		 (int)chain.attempts, "results", (int)chain.n_results, "submitted_ms_ago",
 		 (json_int_t)(has_chain ? now_ms - chain.submitted_ms : -1));
 }
 
-void srv_req_log_cut(const struct srv *s)
-{
-	int64_t now_ms = clock_now_ms();
-
-	for (const GList *at = s->requests.head; at; at = at->next)
-		log_cut(at->data, now_ms);
-}
-
 static void on_timer_closed(uv_handle_t *handle)
 {
 	g_free(handle->data);
@@ -210,7 +199,8 @@
 	int64_t deadline_ms = r->meta.deadline_ms > 0 ? r->meta.deadline_ms : DEFAULT_DEADLINE_MS;
 	int64_t timeout_ms = r->route->timeout_ms > 0 ? r->route->timeout_ms : deadline_ms;
 
-	r->end_at_ms = r->began_ms + MIN(deadline_ms - CALLER_LATENCY_MS, timeout_ms);
+	r->end_at_ms = MIN(r->began_ms + MIN(deadline_ms - CALLER_LATENCY_MS, timeout_ms),
+			   r->s->stop_by_ms);
 	r->aim_at_ms = r->began_ms - CALLER_LATENCY_MS +
 		       (r->route->aim_ms > 0 ? r->route->aim_ms : deadline_ms);
 }
@@ -242,6 +232,14 @@
 	return false;
 }
 
+/* Returns by when a stopping node needs the first token; INT64_MAX: it isn't stopping. */
+static int64_t latest_first_token_ms(const struct srv_req *r)
+{
+	int64_t send_by_ms = srv_stop_send_by_ms(r->s, r->route->kind == PUB_KIND_STREAM);
+
+	return send_by_ms == INT64_MAX ? INT64_MAX : send_by_ms + CHAIN_FIRST_TOKEN_MS;
+}
+
 static void start_chain(struct srv_req *r)
 {
 	struct chain_stage_spec stages[PUB_STAGES_MAX];
@@ -261,7 +259,7 @@
 		.stages = stages,
 		.n_stages = r->route->n_stages,
 		.aim_at_ms = r->aim_at_ms,
-		.deadline_at_ms = r->end_at_ms,
+		.deadline_at_ms = MIN(r->end_at_ms, latest_first_token_ms(r)),
 		.rank = r->rank,
 		.regions = r->regions,
 	};
@@ -323,6 +321,10 @@
 		srv_req_reject(r, 400, "attempt id is missing");
 		return;
 	}
+	if (!srv_stop_admits(s, r->route->kind == PUB_KIND_STREAM, clock_now_ms())) {
+		srv_req_refuse(r, SHUTDOWN_RETRY_MS, SHUTDOWN_REASON);
+		return;
+	}
 	set_deadlines(r);
 	r->rank = r->account && r->account->rank >= 0 ? r->account->rank : r->route->rank;
 	r->regions = intersect_regions(r->route->regions, r->account ? r->account->regions : NULL);
@@ -388,3 +390,21 @@
 	else
 		srv_req_refuse(r, NO_UPSTREAM_RETRY_MS, reason);
 }
+
+void srv_req_bound_all(struct srv *s)
+{
+	for (const GList *at = s->requests.head; at; at = at->next) {
+		struct srv_req *r = at->data;
+		r->end_at_ms = MIN(r->end_at_ms, s->stop_by_ms);
+		srv_req_arm_timer(r);
+	}
+}
+
+void srv_req_end_stopped(struct srv_req *r, bool was_sent)
+{
+	log_stopped(r, clock_now_ms());
+	if (was_sent)
+		srv_req_fail(r, 504, SHUTDOWN_REASON);
+	else
+		srv_req_refuse(r, SHUTDOWN_RETRY_MS, SHUTDOWN_REASON);
+}
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -79,7 +79,7 @@
 void srv_req_set_reason(struct srv_req *r, const char *reason);
 bool srv_req_is_repeatable(const struct srv_req *r);
 
-/* The next four functions end a request and free it. */
+/* The next five functions end a request and free it. */
 
 /* For a request that has not run: the caller may retry it after retry_ms (0: no hint). */
 void srv_req_refuse(struct srv_req *r, int64_t retry_ms, const char *reason);
@@ -93,6 +93,9 @@
 /* For a request that can't be sent again: fails it if it may have run, refuses it otherwise. */
 void srv_req_end_unserved(struct srv_req *r, const char *reason);
 
+/* For a request that the node can't complete before it exits. */
+void srv_req_end_stopped(struct srv_req *r, bool was_sent);
+
 /* Starts a new chain after the results of the previous one were lost. */
 void srv_req_restart_chain(struct srv_req *r);
 
@@ -103,6 +106,9 @@
 struct srv_upstream *srv_req_pick(struct srv_req *r, int64_t now_ms);
 void srv_attempt_cancel(struct srv_attempt *attempt);
 
+/* Returns the number of attempts in progress. */
+uint32_t srv_req_count_active(const struct srv_req *r);
+
 /* Sets the timer to the earliest of the request's timeouts. */
 void srv_req_arm_timer(struct srv_req *r);
 
--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -253,6 +253,37 @@
 }
 END_TEST
 
+/*
+ * Guards against leaving before an answer is written: an answer to a slow reader isn't a request in
+ * progress any more, but counts as unfinished until the last byte has gone.
+ */
+START_TEST(counts_unwritten_answers)
+{
+	static char body[16 * 1024 * 1024]; /* more than the kernel's buffers hold */
+	GString *response;
+	int fd;
+
+	start_server();
+	fd = raw_connect(http_server_address(server));
+	raw_write_text(fd, "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	run_loop(20);
+	ck_assert_uint_eq(http_server_unfinished_connections(server), 1);
+	memset(body, 'x', sizeof(body));
+	http_server_respond(last_request, 200, NULL, body, sizeof(body));
+	run_loop(20);
+	ck_assert_uint_eq(http_server_busy_connections(server), 0);
+	ck_assert_uint_eq(http_server_unfinished_connections(server), 1);
+	for (int i = 0; i < 100 && http_server_unfinished_connections(server) > 0; i++) {
+		response = raw_read(fd, 1);
+		g_string_free(response, TRUE);
+		run_loop(5);
+	}
+	ck_assert_uint_eq(http_server_unfinished_connections(server), 0);
+	close(fd);
+	stop_server(NULL);
+}
+END_TEST
+
 /* HTTP client */
 
 static struct {
@@ -477,6 +508,7 @@
 		notices_who_leaves,
 		answers_pipelined_in_turn,
 		drains,
+		counts_unwritten_answers,
 		takes_answers,
 		knows_what_was_not_sent,
 		once_takes_fresh_connections,
