Let the stand-in's engines crash on a prompt part

Cause: the users report a prompt part that ends each engine that begins to write an answer on it. The stand-in could cut single answers, not end an engine, so no test could show what the fleet does then. Change: stub_set_crash_part() names a part (any but the last). Engines answer 421 to requests for another start or another engine. stub_part_run_ms(), stub_count_part_runs() and stub_crash_ms() tell when runs and crashes came.

--- a/packages/emul/include/emul/stub.h
+++ b/packages/emul/include/emul/stub.h
@@ -98,6 +98,24 @@
 void stub_restore_store(struct stub *s, int64_t copy_age_ms, int64_t rewrite_ms);
 void stub_set_epoch_header(struct stub *s, enum stub_epoch_header header);
 
+/*
+ * From now on, each stream engine that begins an answer to a request with this prompt part (any but
+ * the last) crashes some tens of ms later: its answers are reset, in part in the middle of an
+ * event, and connections to it are refused for down_ms. Then it starts at the same address with a
+ * new id or a new time of birth and is published again; the entry of its former start lapses some
+ * seconds after the crash. Engines keep the ids they were added with in all functions here. While a
+ * part is set, some streams have neither a length nor chunks. part 0: engines no longer crash.
+ */
+void stub_set_crash_part(struct stub *s, uint64_t part, int64_t down_ms);
+
+/* Time of the crash number k, from 0, of all engines; 0: there were fewer. */
+int64_t stub_crash_ms(struct stub *s, uint32_t k);
+
+/* Number of requests with this prompt part (any but the last) that stream engines began to run. */
+uint32_t stub_count_part_runs(struct stub *s, uint64_t part);
+/* Time of the run number k of them, from 0; 0: there were fewer. */
+int64_t stub_part_run_ms(struct stub *s, uint64_t part, uint32_t k);
+
 /* Number of runs of an attempt on all engines except pool engines. */
 uint32_t stub_count_runs(struct stub *s, const char *attempt);
 void stub_get_stats(struct stub *s, const char *id, struct stub_stats *stats);
--- a/packages/emul/stub.c
+++ b/packages/emul/stub.c
@@ -37,6 +37,7 @@
 	for (guint i = 0; i < s->starting->len; i++)
 		stub_engine_start(g_ptr_array_index(s->starting, i));
 	g_ptr_array_set_size(s->starting, 0);
+	stub_crash_tick(s, clock_now_ms());
 	stub_store_tick(s, clock_now_ms());
 	if (s->stopping)
 		uv_stop(&s->loop);
@@ -63,6 +64,7 @@
 	s->watches = g_ptr_array_new();
 	s->engines = g_hash_table_new(g_str_hash, g_str_equal);
 	s->starting = g_ptr_array_new();
+	stub_crash_init(s);
 	if (!stub_store_start(s, error)) {
 		g_free(s);
 		return NULL;
@@ -135,6 +137,8 @@
 	e->s = s;
 	e->options = *options;
 	e->id = g_strdup(options->id);
+	e->instance = g_strdup(options->id);
+	e->born = 1;
 	e->service = g_strdup(options->service);
 	e->zone = g_strdup(options->zone);
 	e->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -153,23 +157,26 @@
 	stub_publish(s, options->id, "ready");
 }
 
-void stub_publish(struct stub *s, const char *id, const char *state)
+void stub_engine_publish(struct stub_engine *e, const char *state)
 {
-	struct stub_engine *e;
-	char *key = g_strdup_printf("servers/%s", id);
+	char *key = g_strdup_printf("servers/%s", e->instance);
 	char *value = NULL;
 
-	pthread_mutex_lock(&s->lock);
-	e = g_hash_table_lookup(s->engines, id);
 	if (state)
 		value = g_strdup_printf("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
 					"\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
 					"\"coldLeftMs\":0,\"sequence\":%" G_GUINT64_FORMAT
-					",\"born\":1}",
-					e->service, http_server_address(e->listener), e->zone,
-					state, ++s->sequence);
-	pthread_mutex_unlock(&s->lock);
-	stub_put(s, key, value);
+					",\"born\":%" G_GINT64_FORMAT "}",
+					e->service, e->address, e->zone, state, ++e->s->sequence,
+					e->born);
+	stub_store_write(e->s, key, value);
 	g_free(key);
 	g_free(value);
 }
+
+void stub_publish(struct stub *s, const char *id, const char *state)
+{
+	pthread_mutex_lock(&s->lock);
+	stub_engine_publish(g_hash_table_lookup(s->engines, id), state);
+	pthread_mutex_unlock(&s->lock);
+}
--- a/packages/emul/stub_engine.c
+++ b/packages/emul/stub_engine.c
@@ -2,6 +2,7 @@
 #include "stub_int.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -90,6 +91,11 @@
 
 static void on_event(uv_timer_t *timer);
 
+static char *event_text(const struct stub_run *run)
+{
+	return g_strdup_printf("id: %u\ndata: token %u\n\n", run->next_event, run->next_event);
+}
+
 static void stream_event(struct stub_run *run)
 {
 	struct stub_engine *e = run->engine;
@@ -101,7 +107,8 @@
 		run->next_event = last ? (uint32_t)strtoul(last, NULL, 10) + 1 : 0;
 		put_signature(&headers, e, attempt_of(run->request));
 		hdr_add(&headers, "Content-Type", "text/event-stream");
-		http_server_begin(run->request, 200, &headers, HTTP_SERVER_LENGTH_UNKNOWN);
+		http_server_begin(run->request, 200, &headers,
+				  stub_crash_note_answer(e, run->request));
 		hdr_clear(&headers);
 		run->started = true;
 	}
@@ -110,7 +117,7 @@
 		end_run(run);
 		return;
 	}
-	event = g_strdup_printf("id: %u\ndata: token %u\n\n", run->next_event, run->next_event);
+	event = event_text(run);
 	if (e->fault == STUB_FAULT_TRUNCATE && run->next_event > 0) {
 		http_server_write(run->request, event, strlen(event) / 2);
 		http_server_abort(run->request);
@@ -129,8 +136,7 @@
 
 	if (g_hash_table_size(e->results) >= e->options.results_max)
 		return json_pack("{s:s}", "reason", "room");
-	handle = g_strdup_printf("%s/%s-%u", http_server_address(e->listener), e->id,
-				 e->next_result++);
+	handle = g_strdup_printf("%s/%s-%u", e->address, e->id, e->next_result++);
 	g_hash_table_add(e->results, handle);
 	return json_pack("{s:s}", "handle", handle);
 }
@@ -194,6 +200,14 @@
 	       hdr_get(&request->headers, "Kv-From") || !*attempt_of(request);
 }
 
+/* True if the request is for another start of the engine, or for another engine. */
+static bool is_misdirected(const struct stub_engine *e, const struct http_server_request *request)
+{
+	const char *expect = hdr_get(&request->headers, "X-Currantscale-Expect-Instance");
+
+	return expect && strcmp(expect, e->instance) != 0;
+}
+
 static void record_run(struct stub_engine *e, const char *attempt)
 {
 	uint32_t n = GPOINTER_TO_UINT(g_hash_table_lookup(e->runs, attempt)) + 1;
@@ -210,6 +224,8 @@
 	int64_t start_ms = now_ms;
 
 	record_run(e, attempt_of(request));
+	if (e->options.kind == STUB_STREAM)
+		stub_crash_note_run(e, request);
 	if (e->options.kind == STUB_POOL) {
 		start_ms = MAX(now_ms, e->busy_until_ms);
 		e->busy_until_ms = start_ms + e->options.work_ms;
@@ -270,7 +286,7 @@
 		free_results(e, request);
 	else if (e->fault == STUB_FAULT_SHED)
 		refuse(request, 503);
-	else if (e->fault == STUB_FAULT_MISDIRECTED)
+	else if (e->fault == STUB_FAULT_MISDIRECTED || is_misdirected(e, request))
 		refuse(request, 421);
 	else if (!has_inputs(e->s, request))
 		refuse(request, 409);
@@ -298,7 +314,42 @@
 		.on_disconnect = on_disconnect,
 		.arg = e,
 	};
+	const char *address = e->address ? e->address : "127.0.0.1:0";
+	GError *error = NULL;
+
+	e->listener = http_server_new(&e->s->loop, address, &handler, &stub_http_limits, &error);
+	if (!e->listener) {
+		log_warn("stub_engine_down", "{s:s, s:s}", "engine", e->id, "reason",
+			 error->message);
+		g_error_free(error);
+		return;
+	}
+	if (!e->address)
+		e->address = g_strdup(http_server_address(e->listener));
+}
+
+/* Resets the run's answer, in the middle of an event if is_mid_event. */
+static void cut_run(struct stub_run *run, bool is_mid_event)
+{
+	char *event = event_text(run);
+
+	if (run->started && is_mid_event)
+		http_server_write(run->request, event, strlen(event) / 2);
+	http_server_abort(run->request);
+	end_run(run);
+	g_free(event);
+}
 
-	e->listener =
-		http_server_new(&e->s->loop, "127.0.0.1:0", &handler, &stub_http_limits, NULL);
+void stub_engine_stop(struct stub_engine *e)
+{
+	GList *runs = g_hash_table_get_values(e->open);
+	bool is_mid_event = true;
+
+	for (GList *at = runs; at; at = at->next) {
+		cut_run(at->data, is_mid_event);
+		is_mid_event = !is_mid_event;
+	}
+	g_list_free(runs);
+	http_server_free(e->listener);
+	e->listener = NULL;
 }
--- a/packages/emul/stub_int.h
+++ b/packages/emul/stub_int.h
@@ -16,11 +16,16 @@
 
 struct stub_engine {
 	struct stub *s;
-	char *id;
+	char *id;	/* as added */
+	char *instance; /* id of the current start, as published */
+	char *address;	/* NULL until the engine has listened for the first time */
+	int64_t born;	/* rises with each start */
 	char *service;
 	char *zone;
 	struct stub_engine_options options;
-	struct http_server *listener;
+	struct http_server *listener; /* NULL: the engine is down */
+	int64_t crash_at_ms;	      /* 0: none is due */
+	int64_t back_at_ms;	      /* end of the time after a crash; 0: the engine is up */
 	enum stub_fault fault;
 	GHashTable *runs;    /* attempt id -> number of runs */
 	GHashTable *results; /* handles of the stored results */
@@ -49,9 +54,23 @@
 	enum stub_store_fault store_fault;
 	int64_t compacted_revision; /* newest revision when STUB_STORE_COMPACTED was last set */
 	uint64_t sequence;
+	uint64_t crash_part; /* 0: none */
+	int64_t down_ms;     /* time that an engine is down after a crash */
+	GArray *crashes;     /* int64_t; times of all crashes */
+	GArray *lapses;	     /* struct stub_lapse; entries of crashed engines, in order of time */
+	GHashTable *parts;   /* prompt part -> GArray of int64_t, times of its runs */
+	uint32_t answers;    /* streams begun while a crash part was set */
 	bool stopping;
 };
 
+/* The entry of a start that has crashed. It lapses unless it has been written again by then. */
+struct stub_lapse {
+	struct stub_engine *engine;
+	char *instance;
+	int64_t born;
+	int64_t at_ms;
+};
+
 struct stub_item {
 	char *key;
 	char *value; /* NULL if the key was deleted */
@@ -62,9 +81,25 @@
 /* stub_store.c */
 bool stub_store_start(struct stub *s, GError **error);
 void stub_store_tick(struct stub *s, int64_t now_ms);
+/* As stub_put(), for callers that hold the lock. */
+void stub_store_write(struct stub *s, const char *key, const char *value);
+
+/* stub.c: as stub_publish(), for callers that hold the lock. */
+void stub_engine_publish(struct stub_engine *e, const char *state);
 
 /* stub_engine.c */
+/* Listens, at the former address if there is one. listener stays NULL if that fails. */
 void stub_engine_start(struct stub_engine *e);
+/* Closes the listener, resets all answers and closes all connections. */
+void stub_engine_stop(struct stub_engine *e);
+
+/* stub_crash.c */
+void stub_crash_init(struct stub *s);
+void stub_crash_tick(struct stub *s, int64_t now_ms);
+/* A stream engine begins to run a request. */
+void stub_crash_note_run(struct stub_engine *e, const struct http_server_request *request);
+/* A stream engine begins an answer. Returns the length to begin it with. */
+int64_t stub_crash_note_answer(struct stub_engine *e, const struct http_server_request *request);
 
 /* Answers with a JSON body and the given header fields (NULL: none). */
 void stub_answer_json(struct http_server_request *request, int status,
--- a/packages/emul/stub_store.c
+++ b/packages/emul/stub_store.c
@@ -22,10 +22,15 @@
 	g_array_append_val(s->log, item);
 }
 
+void stub_store_write(struct stub *s, const char *key, const char *value)
+{
+	append(s, g_strdup(key), g_strdup(value));
+}
+
 void stub_put(struct stub *s, const char *key, const char *value)
 {
 	pthread_mutex_lock(&s->lock);
-	append(s, g_strdup(key), g_strdup(value));
+	stub_store_write(s, key, value);
 	pthread_mutex_unlock(&s->lock);
 }
 
