Forget the crashes that a part caused once it is sound again

What callers see: after the part was answered well in a trial, requests with parts that had come only together with it were refused for a while. Cause: the crashes of the part counted against those others as soon as it was cleared. Change: a good answer that begins a trial's time after the part's last crash drops the crashes that the part explains, and reports of them that come again. A good answer that is older clears the part alone, so the crashes count against the next one.

--- a/packages/decide/quarantine.c
+++ b/packages/decide/quarantine.c
@@ -107,7 +107,6 @@
 	report->upstream = upstream;
 	report->at_ms = at_ms;
 	report->heard_ms = now_ms;
-	report->first = report;
 	report->parts = g_array_new(FALSE, FALSE, sizeof(struct report_part));
 	g_ptr_array_insert(q->reports, (gint)place, report);
 	return report;
@@ -178,7 +177,7 @@
 		return;
 	for (guint i = 0; i < q->reports->len; i++) {
 		const struct report *report = g_ptr_array_index(q->reports, i);
-		if (!report->first->explained) {
+		if (!report->explained) {
 			victim = i;
 			break;
 		}
@@ -193,7 +192,7 @@
 	int64_t at_ms = MIN(crash->at_ms, now_ms);
 	bool changed = false;
 
-	if (now_ms - at_ms > QUARANTINE_KEEP_BLOCKED_MS)
+	if (now_ms - at_ms > QUARANTINE_KEEP_BLOCKED_MS || quarantine_is_forgotten(q, crash))
 		return false;
 	for (uint32_t i = 0; i < crash->n_parts; i++)
 		changed |= add_part(q, &crash->parts[i], crash->upstream, at_ms, now_ms);
@@ -220,7 +219,7 @@
 
 bool quarantine_is_told(const struct report *report, int64_t now_ms)
 {
-	return report->first->explained || now_ms - report->at_ms <= TELL_MS;
+	return report->explained || now_ms - report->at_ms <= TELL_MS;
 }
 
 void quarantine_foreach_crash(struct quarantine *q,
--- a/packages/decide/quarantine_check.c
+++ b/packages/decide/quarantine_check.c
@@ -116,7 +116,7 @@
 	};
 	for (guint i = 0; i < q->reports->len && change->n < QUARANTINE_CHANGE_CRASHES_MAX; i++) {
 		const struct report *report = g_ptr_array_index(q->reports, i);
-		if (!report->first->explained || report->first->cause != suspect->part ||
+		if (!report->explained || report->cause != suspect->part ||
 		    !quarantine_find_part(report, suspect->part))
 			continue;
 		if (change->n > 0 && report->at_ms - counted_ms < QUARANTINE_SPACING_MS)
--- a/packages/decide/quarantine_good.c
+++ b/packages/decide/quarantine_good.c
@@ -13,6 +13,28 @@
 	return good && quarantine_outweighs(good->at_ms, crash_ms);
 }
 
+void quarantine_mark_recovered(struct quarantine *q, uint64_t part, int64_t last_crash_ms)
+{
+	struct good *good = g_hash_table_lookup(q->goods, &part);
+
+	good->has_recovered = true;
+	good->recovered_ms = last_crash_ms;
+}
+
+static bool has_recovered(const struct good *good, int64_t crash_ms)
+{
+	return good && good->has_recovered && crash_ms <= good->recovered_ms;
+}
+
+bool quarantine_is_forgotten(const struct quarantine *q, const struct quarantine_crash *crash)
+{
+	for (uint32_t i = 0; i < crash->n_parts; i++) {
+		if (has_recovered(quarantine_find_good(q, crash->parts[i].id), crash->at_ms))
+			return true;
+	}
+	return false;
+}
+
 static void drop_good(struct quarantine *q, struct good *good)
 {
 	g_queue_unlink(&q->good_order, &good->link);
@@ -126,7 +148,7 @@
 		const struct good *good = quarantine_find_good(q, part);
 		if (!good || !good->has_own || !quarantine_outweighs(good->own_ms, crash->at_ms))
 			continue;
-		if (count_spaced(q, part) < 2)
+		if (!has_recovered(good, crash->at_ms) && count_spaced(q, part) < 2)
 			continue;
 		goods[n++] = (struct quarantine_good){.part = part, .at_ms = good->own_ms};
 	}
--- a/packages/decide/quarantine_internal.h
+++ b/packages/decide/quarantine_internal.h
@@ -26,9 +26,9 @@
 	uint64_t upstream;
 	int64_t at_ms;
 	int64_t heard_ms;     /* when this node first knew of it */
-	struct report *first; /* of the same crash; set by each verdict, as are the following */
-	bool explained;	      /* by a part in quarantine; set in the crash's first report */
+	bool explained;	      /* a part in quarantine explains the crash; set by each verdict */
 	uint64_t cause;	      /* that part */
+	struct report *first; /* of the same crash; valid within a verdict only */
 	GArray *parts;	      /* struct report_part, in order of id */
 };
 
@@ -37,7 +37,9 @@
 	int64_t at_ms;
 	bool has_own;
 	int64_t own_ms; /* this node's own latest one */
-	GList link;	/* in quarantine.good_order */
+	bool has_recovered;
+	int64_t recovered_ms; /* crashes with the part up to then are forgotten */
+	GList link;	      /* in quarantine.good_order */
 };
 
 /* A part with crashes that count against it. */
@@ -73,6 +75,10 @@
 }
 
 const struct good *quarantine_find_good(const struct quarantine *q, uint64_t part);
+/* Marks the part as sound again after its crashes up to last_crash_ms. */
+void quarantine_mark_recovered(struct quarantine *q, uint64_t part, int64_t last_crash_ms);
+/* Returns whether a part of the crash has recovered since. */
+bool quarantine_is_forgotten(const struct quarantine *q, const struct quarantine_crash *crash);
 bool quarantine_is_cleared(const struct quarantine *q, uint64_t part, int64_t crash_ms);
 
 /* Returns the report's entry of the part, or NULL. */
@@ -81,6 +87,9 @@
 /* Returns whether the others are told of the report. */
 bool quarantine_is_told(const struct report *report, int64_t now_ms);
 
+/* Nodes' times of a crash differ by the transit of the reports. */
+#define QUARANTINE_TRIAL_SLACK_MS 5000
+
 struct suspect *quarantine_find_suspect(const struct quarantine *q, uint64_t part);
 
 /* Time from a part's last crash until its next trial, by the number of failed ones. */
--- a/packages/decide/quarantine_verdict.c
+++ b/packages/decide/quarantine_verdict.c
@@ -4,9 +4,6 @@
  */
 #include "quarantine_internal.h"
 
-/* Nodes' times of a crash differ by the transit of the reports. */
-#define TRIAL_SLACK_MS 5000
-
 const int64_t quarantine_trial_wait_ms[QUARANTINE_TRIALS_MAX] = {60000, 300000, 1800000};
 
 struct suspect *quarantine_find_suspect(const struct quarantine *q, uint64_t part)
@@ -150,7 +147,7 @@
 		return;
 	if (cause->n_failed < QUARANTINE_TRIALS_MAX &&
 	    report->at_ms - cause->last_ms >=
-		    quarantine_trial_wait_ms[cause->n_failed] - TRIAL_SLACK_MS)
+		    quarantine_trial_wait_ms[cause->n_failed] - QUARANTINE_TRIAL_SLACK_MS)
 		cause->n_failed++;
 	count_crash(cause, part, report->at_ms);
 }
@@ -204,9 +201,40 @@
 	group_reports(q);
 	for (guint i = 0; i < q->reports->len; i++)
 		judge_report(q, i);
+	for (guint i = 0; i < q->reports->len; i++) {
+		struct report *report = g_ptr_array_index(q->reports, i);
+		report->explained = report->first->explained;
+		report->cause = report->first->cause;
+	}
 	q->has_changes = true;
 }
 
+/* Returns whether the part was answered well long after its last crash, as in a trial. */
+static bool has_recovered(const struct quarantine *q, const struct suspect *suspect)
+{
+	const struct good *good = quarantine_find_good(q, suspect->part);
+
+	return good && good->at_ms - suspect->last_ms >=
+			       quarantine_trial_wait_ms[0] - QUARANTINE_TRIAL_SLACK_MS;
+}
+
+/*
+ * Forgets the crashes of parts in quarantine that are sound again; these parts have caused them, so
+ * they don't count against others now.
+ */
+static void forget_recovered(struct quarantine *q)
+{
+	for (guint i = q->reports->len; i > 0; i--) {
+		const struct report *report = g_ptr_array_index(q->reports, i - 1);
+		const struct suspect *cause =
+			report->explained ? quarantine_find_suspect(q, report->cause) : NULL;
+		if (!cause || !has_recovered(q, cause))
+			continue;
+		quarantine_mark_recovered(q, cause->part, cause->last_ms);
+		g_ptr_array_remove_index(q->reports, i - 1);
+	}
+}
+
 static void mark_cleared(struct quarantine *q)
 {
 	for (guint i = 0; i < q->reports->len; i++) {
@@ -222,8 +250,8 @@
 
 static int64_t expiry_ms_of(const struct quarantine *q, const struct report *report)
 {
-	if (report->first->explained)
-		return quarantine_find_suspect(q, report->first->cause)->last_ms +
+	if (report->explained)
+		return quarantine_find_suspect(q, report->cause)->last_ms +
 		       QUARANTINE_KEEP_BLOCKED_MS;
 	return report->heard_ms + QUARANTINE_KEEP_MS;
 }
@@ -257,6 +285,7 @@
 	if (!q->dirty && now_ms < q->expires_ms)
 		return;
 	if (q->dirty) {
+		forget_recovered(q);
 		mark_cleared(q);
 		judge(q);
 	}
