Refuse prompts with a part that crashes upstreams

Cause: the end of an engine counted against the engine and its service, never against what it had begun to answer. Each request was new to each node.

Change: a node that loses a stream at most 1.5 s after its head tells all live nodes which parts the prompt had, but for those with a recent good answer; after three crashes of one part at different moments every node refuses it at once (503, not run, Retry-After until the next trial), before any stage runs and again before each send. Good answers clear a part, and nodes that have them contradict a report. A request whose part has a crash against it is sent once. The setting `switched_off: [quarantine]` turns it off.

Ruled out: repeats of a request (each was sent once), overload of engines that come back cold (they end 50 to 150 ms after a request has begun, not by rate).

--- a/packages/decide/include/decide/policy.h
+++ b/packages/decide/include/decide/policy.h
@@ -29,6 +29,7 @@
 	POLICY_HANDOFF,		 /* chains handed to the next owner */
 	POLICY_PROGRESS,	 /* askers are told finished stages */
 	POLICY_RETRY_AFTER,	 /* retry-after time by the length of the queue */
+	POLICY_QUARANTINE,	 /* prompt parts that crash upstreams are refused */
 	POLICIES_N
 };
 
--- a/packages/decide/policy.c
+++ b/packages/decide/policy.c
@@ -19,6 +19,7 @@
 	[POLICY_HANDOFF] = "handoff",
 	[POLICY_PROGRESS] = "progress",
 	[POLICY_RETRY_AFTER] = "retry_after",
+	[POLICY_QUARANTINE] = "quarantine",
 };
 
 enum policy policy_find(const char *name)
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -53,6 +53,10 @@
 typedef struct Peer__ChainEnd Peer__ChainEnd;
 typedef struct Peer__PoolLoad Peer__PoolLoad;
 typedef struct Peer__RegionLoad Peer__RegionLoad;
+typedef struct Peer__PromptPart Peer__PromptPart;
+typedef struct Peer__CrashReport Peer__CrashReport;
+typedef struct Peer__GoodReport Peer__GoodReport;
+typedef struct Peer__PromptEvidence Peer__PromptEvidence;
 typedef struct Peer__Message Peer__Message;
 
 
@@ -833,6 +837,73 @@
     , (char *)protobuf_c_empty_string, 0,NULL }
 
 
+struct  Peer__PromptPart
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * position in the prompt
+   */
+  uint32_t depth;
+};
+#define PEER__PROMPT_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__prompt_part__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * An upstream that ended under requests that it had just begun to answer.
+ */
+struct  Peer__CrashReport
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its id and start
+   */
+  uint64_t upstream;
+  uint64_t age_ms;
+  size_t n_parts;
+  Peer__PromptPart **parts;
+};
+#define PEER__CRASH_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__crash_report__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * The latest good answer to a request with the part.
+ */
+struct  Peer__GoodReport
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  uint64_t age_ms;
+};
+#define PEER__GOOD_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__good_report__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Evidence for and against prompt parts that crash upstreams.
+ */
+struct  Peer__PromptEvidence
+{
+  ProtobufCMessage base;
+  size_t n_crashes;
+  Peer__CrashReport **crashes;
+  size_t n_goods;
+  Peer__GoodReport **goods;
+  /*
+   * contradicts a crash report; its receiver tells the others
+   */
+  protobuf_c_boolean is_reply;
+};
+#define PEER__PROMPT_EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__prompt_evidence__descriptor) \
+    , 0,NULL, 0,NULL, 0 }
+
+
 typedef enum {
   PEER__MESSAGE__KIND__NOT_SET = 0,
   PEER__MESSAGE__KIND_DIGEST = 10,
@@ -860,7 +931,8 @@
   PEER__MESSAGE__KIND_CHAIN_PROGRESS = 55,
   PEER__MESSAGE__KIND_PUBLISHED_ASK = 56,
   PEER__MESSAGE__KIND_PUBLISHED_REPLY = 57,
-  PEER__MESSAGE__KIND_REGION_LOAD = 58
+  PEER__MESSAGE__KIND_REGION_LOAD = 58,
+  PEER__MESSAGE__KIND_PROMPT_EVIDENCE = 59
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -907,6 +979,7 @@
     Peer__PublishedAsk *published_ask;
     Peer__PublishedReply *published_reply;
     Peer__RegionLoad *region_load;
+    Peer__PromptEvidence *prompt_evidence;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -1636,6 +1709,82 @@
 void   peer__region_load__free_unpacked
                      (Peer__RegionLoad *message,
                       ProtobufCAllocator *allocator);
+/* Peer__PromptPart methods */
+void   peer__prompt_part__init
+                     (Peer__PromptPart         *message);
+size_t peer__prompt_part__get_packed_size
+                     (const Peer__PromptPart   *message);
+size_t peer__prompt_part__pack
+                     (const Peer__PromptPart   *message,
+                      uint8_t             *out);
+size_t peer__prompt_part__pack_to_buffer
+                     (const Peer__PromptPart   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PromptPart *
+       peer__prompt_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__prompt_part__free_unpacked
+                     (Peer__PromptPart *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__CrashReport methods */
+void   peer__crash_report__init
+                     (Peer__CrashReport         *message);
+size_t peer__crash_report__get_packed_size
+                     (const Peer__CrashReport   *message);
+size_t peer__crash_report__pack
+                     (const Peer__CrashReport   *message,
+                      uint8_t             *out);
+size_t peer__crash_report__pack_to_buffer
+                     (const Peer__CrashReport   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__CrashReport *
+       peer__crash_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__crash_report__free_unpacked
+                     (Peer__CrashReport *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__GoodReport methods */
+void   peer__good_report__init
+                     (Peer__GoodReport         *message);
+size_t peer__good_report__get_packed_size
+                     (const Peer__GoodReport   *message);
+size_t peer__good_report__pack
+                     (const Peer__GoodReport   *message,
+                      uint8_t             *out);
+size_t peer__good_report__pack_to_buffer
+                     (const Peer__GoodReport   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__GoodReport *
+       peer__good_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__good_report__free_unpacked
+                     (Peer__GoodReport *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__PromptEvidence methods */
+void   peer__prompt_evidence__init
+                     (Peer__PromptEvidence         *message);
+size_t peer__prompt_evidence__get_packed_size
+                     (const Peer__PromptEvidence   *message);
+size_t peer__prompt_evidence__pack
+                     (const Peer__PromptEvidence   *message,
+                      uint8_t             *out);
+size_t peer__prompt_evidence__pack_to_buffer
+                     (const Peer__PromptEvidence   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PromptEvidence *
+       peer__prompt_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__prompt_evidence__free_unpacked
+                     (Peer__PromptEvidence *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Message methods */
 void   peer__message__init
                      (Peer__Message         *message);
@@ -1771,6 +1920,18 @@
 typedef void (*Peer__RegionLoad_Closure)
                  (const Peer__RegionLoad *message,
                   void *closure_data);
+typedef void (*Peer__PromptPart_Closure)
+                 (const Peer__PromptPart *message,
+                  void *closure_data);
+typedef void (*Peer__CrashReport_Closure)
+                 (const Peer__CrashReport *message,
+                  void *closure_data);
+typedef void (*Peer__GoodReport_Closure)
+                 (const Peer__GoodReport *message,
+                  void *closure_data);
+typedef void (*Peer__PromptEvidence_Closure)
+                 (const Peer__PromptEvidence *message,
+                  void *closure_data);
 typedef void (*Peer__Message_Closure)
                  (const Peer__Message *message,
                   void *closure_data);
@@ -1819,6 +1980,10 @@
 extern const ProtobufCMessageDescriptor peer__chain_end__descriptor;
 extern const ProtobufCMessageDescriptor peer__pool_load__descriptor;
 extern const ProtobufCMessageDescriptor peer__region_load__descriptor;
+extern const ProtobufCMessageDescriptor peer__prompt_part__descriptor;
+extern const ProtobufCMessageDescriptor peer__crash_report__descriptor;
+extern const ProtobufCMessageDescriptor peer__good_report__descriptor;
+extern const ProtobufCMessageDescriptor peer__prompt_evidence__descriptor;
 extern const ProtobufCMessageDescriptor peer__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -1717,6 +1717,186 @@
   assert(message->base.descriptor == &peer__region_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__prompt_part__init
+                     (Peer__PromptPart         *message)
+{
+  static const Peer__PromptPart init_value = PEER__PROMPT_PART__INIT;
+  *message = init_value;
+}
+size_t peer__prompt_part__get_packed_size
+                     (const Peer__PromptPart *message)
+{
+  assert(message->base.descriptor == &peer__prompt_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__prompt_part__pack
+                     (const Peer__PromptPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__prompt_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__prompt_part__pack_to_buffer
+                     (const Peer__PromptPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__prompt_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PromptPart *
+       peer__prompt_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PromptPart *)
+     protobuf_c_message_unpack (&peer__prompt_part__descriptor,
+                                allocator, len, data);
+}
+void   peer__prompt_part__free_unpacked
+                     (Peer__PromptPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__prompt_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__crash_report__init
+                     (Peer__CrashReport         *message)
+{
+  static const Peer__CrashReport init_value = PEER__CRASH_REPORT__INIT;
+  *message = init_value;
+}
+size_t peer__crash_report__get_packed_size
+                     (const Peer__CrashReport *message)
+{
+  assert(message->base.descriptor == &peer__crash_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__crash_report__pack
+                     (const Peer__CrashReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__crash_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__crash_report__pack_to_buffer
+                     (const Peer__CrashReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__crash_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__CrashReport *
+       peer__crash_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__CrashReport *)
+     protobuf_c_message_unpack (&peer__crash_report__descriptor,
+                                allocator, len, data);
+}
+void   peer__crash_report__free_unpacked
+                     (Peer__CrashReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__crash_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__good_report__init
+                     (Peer__GoodReport         *message)
+{
+  static const Peer__GoodReport init_value = PEER__GOOD_REPORT__INIT;
+  *message = init_value;
+}
+size_t peer__good_report__get_packed_size
+                     (const Peer__GoodReport *message)
+{
+  assert(message->base.descriptor == &peer__good_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__good_report__pack
+                     (const Peer__GoodReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__good_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__good_report__pack_to_buffer
+                     (const Peer__GoodReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__good_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__GoodReport *
+       peer__good_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__GoodReport *)
+     protobuf_c_message_unpack (&peer__good_report__descriptor,
+                                allocator, len, data);
+}
+void   peer__good_report__free_unpacked
+                     (Peer__GoodReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__good_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__prompt_evidence__init
+                     (Peer__PromptEvidence         *message)
+{
+  static const Peer__PromptEvidence init_value = PEER__PROMPT_EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t peer__prompt_evidence__get_packed_size
+                     (const Peer__PromptEvidence *message)
+{
+  assert(message->base.descriptor == &peer__prompt_evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__prompt_evidence__pack
+                     (const Peer__PromptEvidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__prompt_evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__prompt_evidence__pack_to_buffer
+                     (const Peer__PromptEvidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__prompt_evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PromptEvidence *
+       peer__prompt_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PromptEvidence *)
+     protobuf_c_message_unpack (&peer__prompt_evidence__descriptor,
+                                allocator, len, data);
+}
+void   peer__prompt_evidence__free_unpacked
+                     (Peer__PromptEvidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__prompt_evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__message__init
                      (Peer__Message         *message)
 {
@@ -4746,7 +4926,237 @@
   (ProtobufCMessageInit) peer__region_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[32] =
+static const ProtobufCFieldDescriptor peer__prompt_part__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PromptPart, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "depth",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PromptPart, depth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__prompt_part__field_indices_by_name[] = {
+  1,   /* field[1] = depth */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange peer__prompt_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__prompt_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PromptPart",
+  "PromptPart",
+  "Peer__PromptPart",
+  "peer",
+  sizeof(Peer__PromptPart),
+  2,
+  peer__prompt_part__field_descriptors,
+  peer__prompt_part__field_indices_by_name,
+  1,  peer__prompt_part__number_ranges,
+  (ProtobufCMessageInit) peer__prompt_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__crash_report__field_descriptors[3] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CrashReport, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CrashReport, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__CrashReport, n_parts),
+    offsetof(Peer__CrashReport, parts),
+    &peer__prompt_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__crash_report__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  2,   /* field[2] = parts */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange peer__crash_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__crash_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.CrashReport",
+  "CrashReport",
+  "Peer__CrashReport",
+  "peer",
+  sizeof(Peer__CrashReport),
+  3,
+  peer__crash_report__field_descriptors,
+  peer__crash_report__field_indices_by_name,
+  1,  peer__crash_report__number_ranges,
+  (ProtobufCMessageInit) peer__crash_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__good_report__field_descriptors[2] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__GoodReport, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__GoodReport, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__good_report__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = part */
+};
+static const ProtobufCIntRange peer__good_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__good_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.GoodReport",
+  "GoodReport",
+  "Peer__GoodReport",
+  "peer",
+  sizeof(Peer__GoodReport),
+  2,
+  peer__good_report__field_descriptors,
+  peer__good_report__field_indices_by_name,
+  1,  peer__good_report__number_ranges,
+  (ProtobufCMessageInit) peer__good_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__prompt_evidence__field_descriptors[3] =
+{
+  {
+    "crashes",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__PromptEvidence, n_crashes),
+    offsetof(Peer__PromptEvidence, crashes),
+    &peer__crash_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "goods",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__PromptEvidence, n_goods),
+    offsetof(Peer__PromptEvidence, goods),
+    &peer__good_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_reply",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PromptEvidence, is_reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__prompt_evidence__field_indices_by_name[] = {
+  0,   /* field[0] = crashes */
+  1,   /* field[1] = goods */
+  2,   /* field[2] = is_reply */
+};
+static const ProtobufCIntRange peer__prompt_evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__prompt_evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PromptEvidence",
+  "PromptEvidence",
+  "Peer__PromptEvidence",
+  "peer",
+  sizeof(Peer__PromptEvidence),
+  3,
+  peer__prompt_evidence__field_descriptors,
+  peer__prompt_evidence__field_indices_by_name,
+  1,  peer__prompt_evidence__number_ranges,
+  (ProtobufCMessageInit) peer__prompt_evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[33] =
 {
   {
     "from_vm",
@@ -5132,6 +5542,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prompt_evidence",
+    59,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, prompt_evidence),
+    &peer__prompt_evidence__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
   23,   /* field[23] = beat */
@@ -5152,6 +5574,7 @@
   15,   /* field[15] = offer_ack */
   16,   /* field[16] = owner */
   17,   /* field[17] = owner_ask */
+  32,   /* field[32] = prompt_evidence */
   29,   /* field[29] = published_ask */
   30,   /* field[30] = published_reply */
   31,   /* field[31] = region_load */
@@ -5174,7 +5597,7 @@
   { 30, 14 },
   { 40, 18 },
   { 50, 23 },
-  { 0, 32 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -5184,7 +5607,7 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  32,
+  33,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
   5,  peer__message__number_ranges,
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -1,5 +1,5 @@
 /* A serving node: startup, timers, readiness and settings reload. */
-#include "srv_int.h"
+#include "srv_quarantine.h"
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -142,6 +142,7 @@
 	srv_regions_update(s, now_ms);
 	srv_region_send_load(s, now_ms);
 	srv_chain_tick(s, now_ms);
+	srv_quarantine_tick(s, now_ms);
 	update_ready(s, now_ms);
 	srv_stop_tick(s, now_ms);
 	if (++ticks % SETTINGS_CHECK_TICKS != 0)
@@ -242,6 +243,7 @@
 	s->view = view_new((int64_t)srvconf_number(s->set->heartbeat_ms));
 	s->regions = srv_regions_new();
 	srv_regions_configure(s->regions, set);
+	s->quarantine = quarantine_new();
 	s->chains = chain_sched_new();
 	chain_set_policies(s->chains, set->policies_off);
 	s->upstreams = g_hash_table_new(g_str_hash, g_str_equal);
@@ -293,6 +295,7 @@
 	g_hash_table_destroy(s->chain_requests);
 	g_hash_table_destroy(s->budgets);
 	chain_sched_free(s->chains);
+	quarantine_free(s->quarantine);
 	g_ptr_array_unref(s->regions);
 	view_free(s->view);
 	gossip_free(s->fleet);
--- a/packages/serve/srv_answer.c
+++ b/packages/serve/srv_answer.c
@@ -85,9 +85,11 @@
 	attempt->is_missing_inputs = head->status == 409 && attempt->verdict == SRV_ATTEMPT_NOT_RUN;
 	if (attempt->verdict == SRV_ATTEMPT_ACCEPTED && !answer.attempt)
 		attempt->verdict = SRV_ATTEMPT_INVALID;
-	if (attempt->verdict == SRV_ATTEMPT_ACCEPTED)
+	if (attempt->verdict == SRV_ATTEMPT_ACCEPTED) {
+		attempt->begun_ms = attempt->last_data_ms;
 		accept_answer(attempt, head);
-	else if (attempt->verdict == SRV_ATTEMPT_FAILED && !r->winner)
+	}
+	if (attempt->verdict == SRV_ATTEMPT_FAILED && !r->winner)
 		buffer_head(attempt, head);
 	if (attempt->call)
 		srv_req_arm_timer(r);
@@ -174,11 +176,25 @@
 	}
 }
 
+void srv_attempt_note_good(struct srv_attempt *attempt)
+{
+	struct srv_req *r = attempt->req;
+
+	if (attempt->is_good_noted || attempt->begun_ms == 0 || r->route->kind != PUB_KIND_STREAM ||
+	    attempt->status >= 300)
+		return;
+	attempt->is_good_noted = true;
+	srv_quarantine_note_good(r->s, &r->meta, attempt->begun_ms);
+}
+
 void srv_attempt_handle_data(struct srv_attempt *attempt, const void *data, size_t len)
 {
 	struct srv_req *r = attempt->req;
 
 	attempt->last_data_ms = clock_now_ms();
+	if (attempt->begun_ms > 0 &&
+	    attempt->last_data_ms - attempt->begun_ms > QUARANTINE_BEGIN_MS)
+		srv_attempt_note_good(attempt);
 	if (r->winner == attempt) {
 		note_first_byte(r);
 		if (r->streaming) {
--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -155,6 +155,15 @@
 	return srv_stop_send_by_ms(r->s, r->route->kind == PUB_KIND_STREAM);
 }
 
+/* True if the request may be the cause of a crash: it is run once only. */
+static bool is_doubted(const struct srv_req *r)
+{
+	struct quarantine_verdict verdict;
+
+	srv_quarantine_check(r->s, &r->meta, &verdict);
+	return verdict.state != QUARANTINE_CLEAR;
+}
+
 /* Returns why no further attempt is allowed; NULL if one is allowed. */
 static const char *no_send_reason(struct srv_req *r, int64_t now_ms)
 {
@@ -170,6 +179,8 @@
 		return "route's attempt limit reached";
 	if (count_refusals(r) >= REFUSALS_MAX)
 		return "refused by too many upstreams";
+	if (r->runs > 0 && is_doubted(r))
+		return "a part of the prompt may crash upstreams";
 	if (r->n_attempts > 0 && !srv_retry_allowed(r->s, r->service_name, now_ms))
 		return "retry budget exhausted";
 	return NULL;
@@ -179,9 +190,18 @@
 {
 	int64_t now_ms = clock_now_ms();
 	const char *reason = no_send_reason(r, now_ms);
-	struct srv_upstream *u = reason ? NULL : srv_req_pick(r, now_ms);
+	struct quarantine_verdict verdict;
+	struct srv_upstream *u;
 
+	srv_quarantine_check(r->s, &r->meta, &verdict);
+	if (verdict.state == QUARANTINE_BLOCKED && srv_req_count_active(r) == 0) {
+		srv_req_end_quarantined(r, &verdict);
+		return;
+	}
+	u = reason || verdict.state == QUARANTINE_BLOCKED ? NULL : srv_req_pick(r, now_ms);
 	if (u) {
+		if (verdict.state == QUARANTINE_TRIAL)
+			quarantine_note_trial(r->s->quarantine, verdict.part, now_ms);
 		send_to(r, u, now_ms);
 		return;
 	}
@@ -235,6 +255,14 @@
 		srv_req_send(r);
 }
 
+/* Notes a broken answer as evidence, unless it had gone on for so long that it was begun well. */
+static void note_break(struct srv_attempt *attempt, int64_t now_ms)
+{
+	if (attempt->begun_ms > 0 && now_ms - attempt->begun_ms <= QUARANTINE_BEGIN_MS)
+		srv_quarantine_note_crash(attempt->req->s, &attempt->req->meta, attempt->upstream,
+					  attempt->begun_ms);
+}
+
 static void handle_complete(struct srv_attempt *attempt)
 {
 	struct srv_req *r = attempt->req;
@@ -243,6 +271,7 @@
 	switch (attempt->verdict) {
 	case SRV_ATTEMPT_ACCEPTED:
 		srv_upstream_note_success(attempt->upstream, now_ms);
+		srv_attempt_note_good(attempt);
 		srv_attempt_handle_end(attempt);
 		break;
 	case SRV_ATTEMPT_NOT_RUN:
@@ -289,6 +318,8 @@
 			retry_or_end(attempt, "refused");
 			break;
 		}
+		if (end == HTTP_CLIENT_BROKEN)
+			note_break(attempt, now_ms);
 		if (attempt->verdict != SRV_ATTEMPT_ACCEPTED || !r->response_started)
 			attempt->verdict = SRV_ATTEMPT_INVALID;
 		r->runs++;
@@ -367,7 +398,7 @@
 {
 	struct srv_attempt *attempt = last_active(r);
 
-	if (no_send_reason(r, now_ms)) {
+	if (no_send_reason(r, now_ms) || is_doubted(r)) {
 		attempt->last_data_ms = now_ms; /* restart the silence timeout */
 		attempt->sent_ms = now_ms;
 		srv_req_arm_timer(r);
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -38,7 +38,11 @@
 	X(SRV_SOURCE_CALLS, "source_calls_total", "calls to the source of configuration")          \
 	X(SRV_SOURCE_FAILURES, "source_failed_total",                                              \
 	  "source calls that were refused, lost or malformed")                                     \
-	X(SRV_LOOKUPS, "lookups_total", "address lookups answered")
+	X(SRV_LOOKUPS, "lookups_total", "address lookups answered")                                \
+	X(SRV_CRASH_REPORTS, "crash_reports_total",                                                \
+	  "crashes of upstreams reported to other nodes, with the prompt parts")                   \
+	X(SRV_QUARANTINED, "quarantined_total",                                                    \
+	  "requests refused because a part of their prompt crashes upstreams")
 
 enum srv_counter {
 #define SRV_ENUM(id, name, help) id,
@@ -71,6 +75,7 @@
 	int64_t seen_ms; /* when the upstream was last in the published view */
 };
 
+struct quarantine;
 struct srv_feed;
 struct srv_chain_request;
 
@@ -84,6 +89,9 @@
 	struct view_state *view;
 	struct gossip *fleet;
 	struct chain_sched *chains;
+	struct quarantine *quarantine;
+	int64_t reports_since_ms; /* start of the second in which n_reports crashes were reported */
+	uint32_t n_reports;
 	struct peer *peer;
 	uv_poll_t peer_poll;
 	struct http_server *front; /* callers' listener; NULL until the node is first ready */
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -1,5 +1,5 @@
 /* Peer messages: heartbeat gossip with reports of unreachable upstreams, and dispatch by kind. */
-#include "srv_int.h"
+#include "srv_quarantine.h"
 
 #include "base/clock.h"
 #include "base/fetch.h"
@@ -132,6 +132,8 @@
 				now_ms);
 	for (uint32_t i = 0; i < n; i++)
 		send_beat(s, targets[i], now_ms);
+	if (n > 0)
+		srv_quarantine_round(s, targets[prng_below(&s->prng, n)], now_ms);
 }
 
 static void log_membership(struct srv *s, const char *from, int64_t now_ms)
@@ -151,7 +153,9 @@
 		decode_member(&records[n++], beat->members[i]);
 	if (gossip_merge(s->fleet, records, n, now_ms)) {
 		log_membership(s, from, now_ms);
-		send_beat(s, from, now_ms); /* a joining node learns the membership at once */
+		/* a joining node learns the membership and the evidence at once */
+		send_beat(s, from, now_ms);
+		srv_quarantine_send_all(s, from, now_ms);
 	}
 	for (size_t i = 0; i < beat->n_troubles; i++)
 		srv_upstream_note_report(s, beat->troubles[i]->upstream, beat->troubles[i]->wait_ms,
@@ -171,6 +175,9 @@
 	case PEER__MESSAGE__KIND_PUBLISHED_REPLY:
 		srv_snapshot_message(s, message);
 		break;
+	case PEER__MESSAGE__KIND_PROMPT_EVIDENCE:
+		srv_quarantine_message(s, message->from_vm, message->prompt_evidence);
+		break;
 	default:
 		srv_chain_message(s, message);
 	}
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -17,6 +17,7 @@
 #define PROMPT_TOKENS_PER_MS 38.4 /* prefill rate of an engine, as the users specify it */
 #define CALLER_LATENCY_MS 5	  /* time for a request to travel from the caller to the node */
 #define SHUTDOWN_RETRY_MS 100	  /* another node can serve the request at once */
+#define QUARANTINE_REASON "a part of the prompt crashes upstreams"
 #define SHUTDOWN_REASON "node is shutting down"
 
 void srv_req_log(struct srv_req *r, const char *outcome, int status)
@@ -303,6 +304,7 @@
 static void start(struct srv_req *r)
 {
 	struct srv *s = r->s;
+	struct quarantine_verdict verdict;
 
 	if (!s->view->doc || !s->view->complete) {
 		srv_req_refuse(r, NO_CONFIG_RETRY_MS, "no configuration received yet");
@@ -326,6 +328,11 @@
 		return;
 	}
 	set_deadlines(r);
+	srv_quarantine_check(s, &r->meta, &verdict);
+	if (verdict.state == QUARANTINE_BLOCKED) {
+		srv_req_end_quarantined(r, &verdict);
+		return;
+	}
 	r->rank = r->account && r->account->rank >= 0 ? r->account->rank : r->route->rank;
 	r->regions = intersect_regions(r->route->regions, r->account ? r->account->regions : NULL);
 	r->service_name = choose_service(r->route, r->meta.attempt);
@@ -391,6 +398,16 @@
 		srv_req_refuse(r, NO_UPSTREAM_RETRY_MS, reason);
 }
 
+void srv_req_end_quarantined(struct srv_req *r, const struct quarantine_verdict *verdict)
+{
+	srv_quarantine_log_refusal(&r->meta, verdict);
+	srv_count(r->s, SRV_QUARANTINED);
+	if (r->response_started || r->runs > 0)
+		srv_req_fail(r, 502, QUARANTINE_REASON);
+	else
+		srv_req_refuse(r, verdict->retry_after_ms, QUARANTINE_REASON);
+}
+
 void srv_req_bound_all(struct srv *s)
 {
 	for (const GList *at = s->requests.head; at; at = at->next) {
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -2,7 +2,7 @@
 #ifndef SERVE_SRV_REQ_INT_H
 #define SERVE_SRV_REQ_INT_H
 
-#include "srv_int.h"
+#include "srv_quarantine.h"
 
 struct srv_req;
 
@@ -27,6 +27,8 @@
 	int status;
 	int64_t sent_ms;
 	int64_t last_data_ms; /* when bytes of the answer last arrived; sent_ms before that */
+	int64_t begun_ms;     /* when an accepted answer's head arrived; 0: not yet */
+	bool is_good_noted;
 	bool is_paused;
 	bool is_wrong_address;	/* not sent, or the address belongs to another upstream */
 	bool is_missing_inputs; /* the upstream could not fetch the chain's results */
@@ -79,7 +81,7 @@
 void srv_req_set_reason(struct srv_req *r, const char *reason);
 bool srv_req_is_repeatable(const struct srv_req *r);
 
-/* The next five functions end a request and free it. */
+/* The next six functions end a request and free it. */
 
 /* For a request that has not run: the caller may retry it after retry_ms (0: no hint). */
 void srv_req_refuse(struct srv_req *r, int64_t retry_ms, const char *reason);
@@ -93,6 +95,9 @@
 /* For a request that can't be sent again: fails it if it may have run, refuses it otherwise. */
 void srv_req_end_unserved(struct srv_req *r, const char *reason);
 
+/* For a request whose prompt has a part in quarantine; fails it if it may have run. */
+void srv_req_end_quarantined(struct srv_req *r, const struct quarantine_verdict *verdict);
+
 /* For a request that the node can't complete before it exits. */
 void srv_req_end_stopped(struct srv_req *r, bool was_sent);
 
@@ -120,6 +125,9 @@
 void srv_attempt_handle_data(struct srv_attempt *attempt, const void *data, size_t len);
 void srv_attempt_handle_end(struct srv_attempt *attempt);
 
+/* Notes that a stream was begun well; does nothing if it was noted before. */
+void srv_attempt_note_good(struct srv_attempt *attempt);
+
 /*
  * Ends the request with a failure that an upstream reported and that is buffered. Returns false if
  * there is none.
