Read an upstream's software version and the stream that a caller resumes

Entries carry the version of the upstream's software, and callers name the attempt that began the stream they resume; neither was read. An entry without a version, or with one that isn't text, names no upstream to use. A change of version counts as a change for routing. The caller's field isn't passed on.

--- a/packages/decide/view.c
+++ b/packages/decide/view.c
@@ -130,6 +130,7 @@
 	return a->leaving != b->leaving || a->born_ms != b->born_ms ||
 	       strcmp(a->address, b->address) != 0 || strcmp(a->service, b->service) != 0 ||
 	       strcmp(a->data_centre, b->data_centre) != 0 ||
+	       g_strcmp0(a->version, b->version) != 0 ||
 	       (a->cold_left_ms > 0) != (b->cold_left_ms > 0);
 }
 
--- a/packages/model/include/model/pub.h
+++ b/packages/model/include/model/pub.h
@@ -116,6 +116,7 @@
 	char *service;
 	char *address;
 	char *data_centre;
+	char *version; /* of its software; upstreams of several may serve a service */
 	bool leaving;
 	int64_t cold_left_ms; /* remaining cold start when the entry was written */
 	int64_t slots;
--- a/packages/model/pub.c
+++ b/packages/model/pub.c
@@ -115,5 +115,6 @@
 	g_free(upstream->service);
 	g_free(upstream->address);
 	g_free(upstream->data_centre);
+	g_free(upstream->version);
 	g_free(upstream);
 }
--- a/packages/serve/include/serve/adapter.h
+++ b/packages/serve/include/serve/adapter.h
@@ -34,6 +34,8 @@
 	uint32_t n_pieces;
 	const char *piece_key;
 	int64_t last_event; /* last event id received by the caller; -1: none */
+	/* attempt that brought the first event of the stream that this one resumes */
+	const char *resumes;
 };
 
 /* Metadata added to a request that is forwarded to an upstream. */
--- a/tests/unit_published.c
+++ b/tests/unit_published.c
@@ -117,6 +117,7 @@
 	hdr_add(&in, "X-Currantscale-Token-Usage", "1460,80");
 	hdr_add(&in, "X-Currantscale-Pieces", "0,3,12");
 	hdr_add(&in, "X-Currantscale-Deadline-Ms", "8000");
+	hdr_add(&in, "resumes", "first");
 	platform_ops.caller->parse_request(&in, &parsed);
 	ck_assert_str_eq(parsed.attempt, "id");
 	ck_assert_uint_eq(parsed.n_parts, 3);
@@ -128,11 +129,13 @@
 	ck_assert_uint_eq(parsed.pieces[2], 12);
 	ck_assert_int_eq(parsed.deadline_ms, 8000);
 	ck_assert_int_eq(parsed.last_event, -1);
+	ck_assert_str_eq(parsed.resumes, "first");
 	hdr_clear(&in);
 	hdr_add(&in, "X-Currantscale-Prompt-Prefix", "zz:1,:,5:");
 	hdr_add(&in, "X-Currantscale-Pieces", "a,b");
 	hdr_add(&in, "X-Currantscale-Deadline-Ms", "soon");
 	platform_ops.caller->parse_request(&in, &parsed);
+	ck_assert_ptr_null(parsed.resumes);
 	ck_assert_uint_eq(parsed.n_parts, 0);
 	ck_assert_uint_eq(parsed.n_pieces, 0);
 	ck_assert_int_eq(parsed.deadline_ms, 0);
@@ -152,7 +155,8 @@
 						.last_event = 5};
 	static const char *const removed[] = {"Connection", "X-Hop",
 					      "Kv-From",    "X-Currantscale-Key",
-					      "Expect",	    "X-Currantscale-Kv-Hold"};
+					      "Expect",	    "X-Currantscale-Kv-Hold",
+					      "Resumes"};
 	struct hdr_list in = {0};
 	struct hdr_list out = {0};
 
@@ -249,10 +253,44 @@
 }
 END_TEST
 
+#define ENTRY(version)                                                                             \
+	"{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":1,"   \
+	"\"coldLeftMs\":0" version "}"
+
+static const struct {
+	const char *text;
+	const char *version; /* NULL: the entry names no upstream to use */
+} entry_cases[] = {
+	{ENTRY(",\"version\":\"v2\""), "v2"},
+	{ENTRY(",\"version\":\"\""), ""},
+	{ENTRY(""), NULL},
+	{ENTRY(",\"version\":2"), NULL},
+	{ENTRY(",\"version\":null"), NULL},
+	{ENTRY(",\"version\":[\"v2\"]"), NULL},
+};
+
+START_TEST(entries)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(entry_cases); i++) {
+		json_t *root = json_loads(entry_cases[i].text, 0, NULL);
+		char *why = NULL;
+		struct pub_upstream *u = platform_parse_upstream("i", root, &why);
+		ck_assert_msg((u == NULL) == (entry_cases[i].version == NULL) &&
+				      (u == NULL) == (why != NULL),
+			      "%s", entry_cases[i].text);
+		if (u)
+			ck_assert_str_eq(u->version, entry_cases[i].version);
+		pub_upstream_free(u);
+		g_free(why);
+		json_decref(root);
+	}
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *const tests[] = {epochs,	documents, longest_prefix,
-				      requests, forwards,  results};
+	const TTest *const tests[] = {epochs,	entries,  documents, longest_prefix,
+				      requests, forwards, results};
 
 	return run_tests("unit_published", tests, G_N_ELEMENTS(tests));
 }
