--- a/packages/decide/gossip.c
+++ b/packages/decide/gossip.c
@@ -315,3 +315,45 @@
 	}
 	return share;
 }
+
+struct ranked {
+	const struct gossip_member *member;
+	uint64_t weight;
+};
+
+/* Inserts a member into the n best so far; returns their new number. */
+static uint32_t insert_ranked(struct ranked *best, uint32_t n, uint32_t capacity,
+			      struct ranked added)
+{
+	uint32_t at = n < capacity ? n : capacity - 1;
+
+	if (n == capacity && added.weight <= best[at].weight)
+		return n;
+	for (; at > 0 && best[at - 1].weight < added.weight; at--)
+		best[at] = best[at - 1];
+	best[at] = added;
+	return MIN(n + 1, capacity);
+}
+
+uint32_t gossip_rank(const struct gossip *f, uint64_t key, char (*addresses)[GOSSIP_NAME_BYTES],
+		     uint32_t capacity, int64_t now_ms)
+{
+	struct ranked best[GOSSIP_RANK_MAX];
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t n = 0;
+
+	capacity = MIN(capacity, GOSSIP_RANK_MAX);
+	g_hash_table_iter_init(&iter, f->members);
+	while (capacity > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gossip_member *m = value;
+		const char *address = m->record.peer_address;
+		if (m->record.leaving || !gossip_is_alive(f, m, now_ms))
+			continue;
+		n = insert_ranked(best, n, capacity,
+				  (struct ranked){m, XXH64(address, strlen(address), key)});
+	}
+	for (uint32_t i = 0; i < n; i++)
+		g_strlcpy(addresses[i], best[i].member->record.peer_address, GOSSIP_NAME_BYTES);
+	return n;
+}
--- a/packages/decide/include/decide/gossip.h
+++ b/packages/decide/include/decide/gossip.h
@@ -67,6 +67,7 @@
  */
 #define GOSSIP_JOIN_INTERVAL_MS 100
 #define GOSSIP_MEMBERS_MAX 4096
+#define GOSSIP_RANK_MAX 8 /* most addresses that gossip_rank() returns */
 
 /* What a member announces about itself. */
 struct gossip_record {
@@ -169,6 +170,13 @@
 };
 struct gossip_share gossip_compute_share(const struct gossip *f, const char *task, int64_t now_ms);
 
+/*
+ * Writes the addresses of up to capacity other members that are alive and not leaving, in the order
+ * of a rendezvous hash of the key, which is the same at all nodes. Returns the number written.
+ */
+uint32_t gossip_rank(const struct gossip *f, uint64_t key, char (*addresses)[GOSSIP_NAME_BYTES],
+		     uint32_t capacity, int64_t now_ms);
+
 #ifdef __cplusplus
 }
 #endif
