--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -53,6 +53,10 @@
 typedef struct Peer__ChainEnd Peer__ChainEnd;
 typedef struct Peer__PoolLoad Peer__PoolLoad;
 typedef struct Peer__RegionLoad Peer__RegionLoad;
+typedef struct Peer__StreamOrigin Peer__StreamOrigin;
+typedef struct Peer__OriginNote Peer__OriginNote;
+typedef struct Peer__OriginAsk Peer__OriginAsk;
+typedef struct Peer__OriginReply Peer__OriginReply;
 typedef struct Peer__Message Peer__Message;
 
 
@@ -726,10 +730,14 @@
    * of the source, with the revision
    */
   int64_t epoch;
+  /*
+   * of its software
+   */
+  char *version;
 };
 #define PEER__PUBLISHED_UPSTREAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__published_upstream__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Peer__PublishedReply
@@ -833,6 +841,85 @@
     , (char *)protobuf_c_empty_string, 0,NULL }
 
 
+/*
+ * Version of the upstream that began a stream.
+ */
+struct  Peer__StreamOrigin
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the attempt that brought its first event
+   */
+  uint64_t stream;
+  char *service;
+  char *version;
+  uint32_t age_ms;
+  /*
+   * the version isn't known for sure and must not be used
+   */
+  protobuf_c_boolean uncertain;
+};
+#define PEER__STREAM_ORIGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__stream_origin__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Origins for the receiver to keep.
+ */
+struct  Peer__OriginNote
+{
+  ProtobufCMessage base;
+  size_t n_origins;
+  Peer__StreamOrigin **origins;
+};
+#define PEER__ORIGIN_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__origin_note__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * Requests the origin of a stream.
+ */
+struct  Peer__OriginAsk
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  char *service;
+};
+#define PEER__ORIGIN_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__origin_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
+struct  Peer__OriginReply
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  /*
+   * absent if the sender doesn't know it
+   */
+  Peer__StreamOrigin *origin;
+  /*
+   * of the service, that the sender has seen lately
+   */
+  size_t n_versions;
+  char **versions;
+  /*
+   * the sender can't have missed one
+   */
+  protobuf_c_boolean following;
+  /*
+   * usable ones of the origin's version
+   */
+  size_t n_upstreams;
+  char **upstreams;
+};
+#define PEER__ORIGIN_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__origin_reply__descriptor) \
+    , 0, NULL, 0,NULL, 0, 0,NULL }
+
+
 typedef enum {
   PEER__MESSAGE__KIND__NOT_SET = 0,
   PEER__MESSAGE__KIND_DIGEST = 10,
@@ -860,7 +947,10 @@
   PEER__MESSAGE__KIND_CHAIN_PROGRESS = 55,
   PEER__MESSAGE__KIND_PUBLISHED_ASK = 56,
   PEER__MESSAGE__KIND_PUBLISHED_REPLY = 57,
-  PEER__MESSAGE__KIND_REGION_LOAD = 58
+  PEER__MESSAGE__KIND_REGION_LOAD = 58,
+  PEER__MESSAGE__KIND_ORIGIN_NOTE = 59,
+  PEER__MESSAGE__KIND_ORIGIN_ASK = 60,
+  PEER__MESSAGE__KIND_ORIGIN_REPLY = 61
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -907,6 +997,9 @@
     Peer__PublishedAsk *published_ask;
     Peer__PublishedReply *published_reply;
     Peer__RegionLoad *region_load;
+    Peer__OriginNote *origin_note;
+    Peer__OriginAsk *origin_ask;
+    Peer__OriginReply *origin_reply;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -1636,6 +1729,82 @@
 void   peer__region_load__free_unpacked
                      (Peer__RegionLoad *message,
                       ProtobufCAllocator *allocator);
+/* Peer__StreamOrigin methods */
+void   peer__stream_origin__init
+                     (Peer__StreamOrigin         *message);
+size_t peer__stream_origin__get_packed_size
+                     (const Peer__StreamOrigin   *message);
+size_t peer__stream_origin__pack
+                     (const Peer__StreamOrigin   *message,
+                      uint8_t             *out);
+size_t peer__stream_origin__pack_to_buffer
+                     (const Peer__StreamOrigin   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__StreamOrigin *
+       peer__stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__stream_origin__free_unpacked
+                     (Peer__StreamOrigin *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__OriginNote methods */
+void   peer__origin_note__init
+                     (Peer__OriginNote         *message);
+size_t peer__origin_note__get_packed_size
+                     (const Peer__OriginNote   *message);
+size_t peer__origin_note__pack
+                     (const Peer__OriginNote   *message,
+                      uint8_t             *out);
+size_t peer__origin_note__pack_to_buffer
+                     (const Peer__OriginNote   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__OriginNote *
+       peer__origin_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__origin_note__free_unpacked
+                     (Peer__OriginNote *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__OriginAsk methods */
+void   peer__origin_ask__init
+                     (Peer__OriginAsk         *message);
+size_t peer__origin_ask__get_packed_size
+                     (const Peer__OriginAsk   *message);
+size_t peer__origin_ask__pack
+                     (const Peer__OriginAsk   *message,
+                      uint8_t             *out);
+size_t peer__origin_ask__pack_to_buffer
+                     (const Peer__OriginAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__OriginAsk *
+       peer__origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__origin_ask__free_unpacked
+                     (Peer__OriginAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__OriginReply methods */
+void   peer__origin_reply__init
+                     (Peer__OriginReply         *message);
+size_t peer__origin_reply__get_packed_size
+                     (const Peer__OriginReply   *message);
+size_t peer__origin_reply__pack
+                     (const Peer__OriginReply   *message,
+                      uint8_t             *out);
+size_t peer__origin_reply__pack_to_buffer
+                     (const Peer__OriginReply   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__OriginReply *
+       peer__origin_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__origin_reply__free_unpacked
+                     (Peer__OriginReply *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Message methods */
 void   peer__message__init
                      (Peer__Message         *message);
@@ -1771,6 +1940,18 @@
 typedef void (*Peer__RegionLoad_Closure)
                  (const Peer__RegionLoad *message,
                   void *closure_data);
+typedef void (*Peer__StreamOrigin_Closure)
+                 (const Peer__StreamOrigin *message,
+                  void *closure_data);
+typedef void (*Peer__OriginNote_Closure)
+                 (const Peer__OriginNote *message,
+                  void *closure_data);
+typedef void (*Peer__OriginAsk_Closure)
+                 (const Peer__OriginAsk *message,
+                  void *closure_data);
+typedef void (*Peer__OriginReply_Closure)
+                 (const Peer__OriginReply *message,
+                  void *closure_data);
 typedef void (*Peer__Message_Closure)
                  (const Peer__Message *message,
                   void *closure_data);
@@ -1819,6 +2000,10 @@
 extern const ProtobufCMessageDescriptor peer__chain_end__descriptor;
 extern const ProtobufCMessageDescriptor peer__pool_load__descriptor;
 extern const ProtobufCMessageDescriptor peer__region_load__descriptor;
+extern const ProtobufCMessageDescriptor peer__stream_origin__descriptor;
+extern const ProtobufCMessageDescriptor peer__origin_note__descriptor;
+extern const ProtobufCMessageDescriptor peer__origin_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__origin_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -1717,6 +1717,186 @@
   assert(message->base.descriptor == &peer__region_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__stream_origin__init
+                     (Peer__StreamOrigin         *message)
+{
+  static const Peer__StreamOrigin init_value = PEER__STREAM_ORIGIN__INIT;
+  *message = init_value;
+}
+size_t peer__stream_origin__get_packed_size
+                     (const Peer__StreamOrigin *message)
+{
+  assert(message->base.descriptor == &peer__stream_origin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__stream_origin__pack
+                     (const Peer__StreamOrigin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__stream_origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__stream_origin__pack_to_buffer
+                     (const Peer__StreamOrigin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__stream_origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__StreamOrigin *
+       peer__stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__StreamOrigin *)
+     protobuf_c_message_unpack (&peer__stream_origin__descriptor,
+                                allocator, len, data);
+}
+void   peer__stream_origin__free_unpacked
+                     (Peer__StreamOrigin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__stream_origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__origin_note__init
+                     (Peer__OriginNote         *message)
+{
+  static const Peer__OriginNote init_value = PEER__ORIGIN_NOTE__INIT;
+  *message = init_value;
+}
+size_t peer__origin_note__get_packed_size
+                     (const Peer__OriginNote *message)
+{
+  assert(message->base.descriptor == &peer__origin_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__origin_note__pack
+                     (const Peer__OriginNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__origin_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__origin_note__pack_to_buffer
+                     (const Peer__OriginNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__origin_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__OriginNote *
+       peer__origin_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__OriginNote *)
+     protobuf_c_message_unpack (&peer__origin_note__descriptor,
+                                allocator, len, data);
+}
+void   peer__origin_note__free_unpacked
+                     (Peer__OriginNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__origin_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__origin_ask__init
+                     (Peer__OriginAsk         *message)
+{
+  static const Peer__OriginAsk init_value = PEER__ORIGIN_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__origin_ask__get_packed_size
+                     (const Peer__OriginAsk *message)
+{
+  assert(message->base.descriptor == &peer__origin_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__origin_ask__pack
+                     (const Peer__OriginAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__origin_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__origin_ask__pack_to_buffer
+                     (const Peer__OriginAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__origin_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__OriginAsk *
+       peer__origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__OriginAsk *)
+     protobuf_c_message_unpack (&peer__origin_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__origin_ask__free_unpacked
+                     (Peer__OriginAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__origin_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__origin_reply__init
+                     (Peer__OriginReply         *message)
+{
+  static const Peer__OriginReply init_value = PEER__ORIGIN_REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__origin_reply__get_packed_size
+                     (const Peer__OriginReply *message)
+{
+  assert(message->base.descriptor == &peer__origin_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__origin_reply__pack
+                     (const Peer__OriginReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__origin_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__origin_reply__pack_to_buffer
+                     (const Peer__OriginReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__origin_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__OriginReply *
+       peer__origin_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__OriginReply *)
+     protobuf_c_message_unpack (&peer__origin_reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__origin_reply__free_unpacked
+                     (Peer__OriginReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__origin_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__message__init
                      (Peer__Message         *message)
 {
@@ -4206,7 +4386,7 @@
   (ProtobufCMessageInit) peer__published_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__published_upstream__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer__published_upstream__field_descriptors[12] =
 {
   {
     "id",
@@ -4340,6 +4520,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedUpstream, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__published_upstream__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -4353,11 +4545,12 @@
   8,   /* field[8] = sequence */
   1,   /* field[1] = service */
   6,   /* field[6] = slots */
+  11,   /* field[11] = version */
 };
 static const ProtobufCIntRange peer__published_upstream__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor peer__published_upstream__descriptor =
 {
@@ -4367,7 +4560,7 @@
   "Peer__PublishedUpstream",
   "peer",
   sizeof(Peer__PublishedUpstream),
-  11,
+  12,
   peer__published_upstream__field_descriptors,
   peer__published_upstream__field_indices_by_name,
   1,  peer__published_upstream__number_ranges,
@@ -4746,7 +4939,276 @@
   (ProtobufCMessageInit) peer__region_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[32] =
+static const ProtobufCFieldDescriptor peer__stream_origin__field_descriptors[5] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uncertain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, uncertain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__stream_origin__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  1,   /* field[1] = service */
+  0,   /* field[0] = stream */
+  4,   /* field[4] = uncertain */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange peer__stream_origin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__stream_origin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.StreamOrigin",
+  "StreamOrigin",
+  "Peer__StreamOrigin",
+  "peer",
+  sizeof(Peer__StreamOrigin),
+  5,
+  peer__stream_origin__field_descriptors,
+  peer__stream_origin__field_indices_by_name,
+  1,  peer__stream_origin__number_ranges,
+  (ProtobufCMessageInit) peer__stream_origin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__origin_note__field_descriptors[1] =
+{
+  {
+    "origins",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__OriginNote, n_origins),
+    offsetof(Peer__OriginNote, origins),
+    &peer__stream_origin__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__origin_note__field_indices_by_name[] = {
+  0,   /* field[0] = origins */
+};
+static const ProtobufCIntRange peer__origin_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__origin_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.OriginNote",
+  "OriginNote",
+  "Peer__OriginNote",
+  "peer",
+  sizeof(Peer__OriginNote),
+  1,
+  peer__origin_note__field_descriptors,
+  peer__origin_note__field_indices_by_name,
+  1,  peer__origin_note__number_ranges,
+  (ProtobufCMessageInit) peer__origin_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__origin_ask__field_descriptors[2] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OriginAsk, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OriginAsk, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__origin_ask__field_indices_by_name[] = {
+  1,   /* field[1] = service */
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange peer__origin_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__origin_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.OriginAsk",
+  "OriginAsk",
+  "Peer__OriginAsk",
+  "peer",
+  sizeof(Peer__OriginAsk),
+  2,
+  peer__origin_ask__field_descriptors,
+  peer__origin_ask__field_indices_by_name,
+  1,  peer__origin_ask__number_ranges,
+  (ProtobufCMessageInit) peer__origin_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__origin_reply__field_descriptors[5] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OriginReply, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OriginReply, origin),
+    &peer__stream_origin__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__OriginReply, n_versions),
+    offsetof(Peer__OriginReply, versions),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "following",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OriginReply, following),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__OriginReply, n_upstreams),
+    offsetof(Peer__OriginReply, upstreams),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__origin_reply__field_indices_by_name[] = {
+  3,   /* field[3] = following */
+  1,   /* field[1] = origin */
+  0,   /* field[0] = stream */
+  4,   /* field[4] = upstreams */
+  2,   /* field[2] = versions */
+};
+static const ProtobufCIntRange peer__origin_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__origin_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.OriginReply",
+  "OriginReply",
+  "Peer__OriginReply",
+  "peer",
+  sizeof(Peer__OriginReply),
+  5,
+  peer__origin_reply__field_descriptors,
+  peer__origin_reply__field_indices_by_name,
+  1,  peer__origin_reply__number_ranges,
+  (ProtobufCMessageInit) peer__origin_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[35] =
 {
   {
     "from_vm",
@@ -5132,6 +5594,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "origin_note",
+    59,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, origin_note),
+    &peer__origin_note__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin_ask",
+    60,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, origin_ask),
+    &peer__origin_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin_reply",
+    61,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, origin_reply),
+    &peer__origin_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
   23,   /* field[23] = beat */
@@ -5150,6 +5648,9 @@
   20,   /* field[20] = list_reply */
   14,   /* field[14] = offer */
   15,   /* field[15] = offer_ack */
+  33,   /* field[33] = origin_ask */
+  32,   /* field[32] = origin_note */
+  34,   /* field[34] = origin_reply */
   16,   /* field[16] = owner */
   17,   /* field[17] = owner_ask */
   29,   /* field[29] = published_ask */
@@ -5174,7 +5675,7 @@
   { 30, 14 },
   { 40, 18 },
   { 50, 23 },
-  { 0, 32 }
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -5184,7 +5685,7 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  32,
+  35,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
   5,  peer__message__number_ranges,
--- a/packages/serve/srv_snapshot.c
+++ b/packages/serve/srv_snapshot.c
@@ -76,6 +76,7 @@
 	out->service = u->doc->service;
 	out->address = u->doc->address;
 	out->data_centre = u->doc->data_centre;
+	out->version = u->doc->version;
 	out->leaving = u->doc->leaving;
 	out->cold_left_ms = MAX(u->cold_until_ms - now_ms, 0);
 	out->slots = u->doc->slots;
@@ -132,6 +133,7 @@
 	doc->service = g_strdup(in->service);
 	doc->address = g_strdup(in->address);
 	doc->data_centre = g_strdup(in->data_centre);
+	doc->version = g_strdup(in->version);
 	doc->leaving = in->leaving;
 	doc->cold_left_ms = in->cold_left_ms;
 	doc->slots = in->slots;
