Treat a stream that ends inside an event as broken off

Callers got half an event, and the end of the stream in good order, when an engine without length and chunks closed its connection inside an event: the rest was written out as if complete. Such an end counts as a broken connection now: a stream that may be resumed goes on elsewhere, any other is reset.

proc_adapter: streams_resume (2 events of 6) and streams_cut (passed on as whole) failed before, with a stub that closes inside its second event; both pass now. The test client tells a reset from a close.

--- a/packages/emul/include/emul/stub.h
+++ b/packages/emul/include/emul/stub.h
@@ -27,6 +27,7 @@
 	STUB_FAULT_TRUNCATE,  /* resets in the middle of the response */
 	STUB_FAULT_NO_LENGTH, /* response without a length, ended by a close */
 	STUB_FAULT_NO_LENGTH_RESET, /* response without a length, reset in the middle */
+	STUB_FAULT_NO_LENGTH_CUT,   /* stream without a length, closed inside its second event */
 	STUB_FAULT_WRONG_ATTEMPT,   /* response headers carry another attempt id */
 	STUB_FAULT_DUPLICATE,	    /* not implemented; acts as STUB_FAULT_NONE */
 	STUB_FAULT_MISDIRECTED,	    /* 421, not executed */
--- a/packages/emul/stub_engine.c
+++ b/packages/emul/stub_engine.c
@@ -101,7 +101,10 @@
 		run->next_event = last ? (uint32_t)strtoul(last, NULL, 10) + 1 : 0;
 		put_signature(&headers, e, attempt_of(run->request));
 		hdr_add(&headers, "Content-Type", "text/event-stream");
-		http_server_begin(run->request, 200, &headers, HTTP_SERVER_LENGTH_UNKNOWN);
+		http_server_begin(run->request, 200, &headers,
+				  e->fault == STUB_FAULT_NO_LENGTH_CUT
+					  ? HTTP_SERVER_UNTIL_CLOSE
+					  : HTTP_SERVER_LENGTH_UNKNOWN);
 		hdr_clear(&headers);
 		run->started = true;
 	}
@@ -111,7 +114,11 @@
 		return;
 	}
 	event = g_strdup_printf("id: %u\ndata: token %u\n\n", run->next_event, run->next_event);
-	if (e->fault == STUB_FAULT_TRUNCATE && run->next_event > 0) {
+	if (e->fault == STUB_FAULT_NO_LENGTH_CUT && run->next_event > 0) {
+		http_server_write(run->request, event, strlen(event) / 2);
+		http_server_finish(run->request);
+		end_run(run);
+	} else if (e->fault == STUB_FAULT_TRUNCATE && run->next_event > 0) {
 		http_server_write(run->request, event, strlen(event) / 2);
 		http_server_abort(run->request);
 		end_run(run);
--- a/packages/serve/srv_answer.c
+++ b/packages/serve/srv_answer.c
@@ -16,6 +16,9 @@
 #define QUEUED_BYTES_MAX (256 * 1024)
 /* Limit of an incomplete event; beyond it, bytes are passed on as they arrive. */
 #define PARTIAL_BYTES_MAX (1024 * 1024)
+#define EVENT_END_BYTES_MAX 3 /* of the blank line that ends an event, and the line end before it  \
+			       */
+#define STATUS_REDIRECT 300   /* lower ones are successes */
 
 static enum srv_attempt_verdict classify(const struct http_client_head *head,
 					 const struct adapter_answer *answer)
@@ -55,6 +58,7 @@
 	struct srv_req *r = attempt->req;
 
 	r->winner = attempt;
+	g_string_truncate(r->tail, 0);
 	for (uint32_t i = 0; i < r->n_attempts; i++) {
 		if (&r->attempts[i] != attempt)
 			srv_attempt_cancel(&r->attempts[i]);
@@ -160,6 +164,26 @@
 	}
 }
 
+static void note_tail(struct srv_req *r, const char *data, size_t len)
+{
+	if (len > EVENT_END_BYTES_MAX) {
+		data += len - EVENT_END_BYTES_MAX;
+		len = EVENT_END_BYTES_MAX;
+	}
+	g_string_append_len(r->tail, data, (gssize)len);
+	if (r->tail->len > EVENT_END_BYTES_MAX)
+		g_string_erase(r->tail, 0, (gssize)(r->tail->len - EVENT_END_BYTES_MAX));
+}
+
+bool srv_attempt_is_cut(const struct srv_attempt *attempt)
+{
+	const struct srv_req *r = attempt->req;
+
+	return r->winner == attempt && r->route->kind == PUB_KIND_STREAM &&
+	       r->status < STATUS_REDIRECT && r->tail->len > 0 &&
+	       !g_str_has_suffix(r->tail->str, "\n\n") && !g_str_has_suffix(r->tail->str, "\n\r\n");
+}
+
 static void forward_data(struct srv_attempt *attempt, const void *data, size_t len)
 {
 	struct srv_req *r = attempt->req;
@@ -181,6 +205,7 @@
 	attempt->last_data_ms = clock_now_ms();
 	if (r->winner == attempt) {
 		note_first_byte(r);
+		note_tail(r, data, len);
 		if (r->streaming) {
 			forward_data(attempt, data, len);
 			return;
--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -264,6 +264,9 @@
 	struct srv_req *r = attempt->req;
 	int64_t now_ms = clock_now_ms();
 
+	if (end == HTTP_CLIENT_DONE && attempt->verdict == SRV_ATTEMPT_ACCEPTED &&
+	    srv_attempt_is_cut(attempt))
+		end = HTTP_CLIENT_BROKEN;
 	switch (end) {
 	case HTTP_CLIENT_DONE:
 		handle_complete(attempt);
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -60,6 +60,7 @@
 	hdr_clear(&r->head);
 	g_byte_array_unref(r->body);
 	g_string_free(r->partial, TRUE);
+	g_string_free(r->tail, TRUE);
 	g_free(r->reason);
 	uv_timer_stop(&r->timer);
 	uv_close((uv_handle_t *)&r->timer, on_timer_closed);
@@ -319,6 +320,7 @@
 	r->end_at_ms = r->began_ms;
 	r->body = g_byte_array_new();
 	r->partial = g_string_new(NULL);
+	r->tail = g_string_new(NULL);
 	uv_timer_init(&s->loop, &r->timer);
 	r->timer.data = r;
 	s->adapter->caller->parse_request(&request->headers, &r->meta);
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -66,7 +66,8 @@
 	int status;
 	int64_t length_bytes; /* of the buffered answer, as for http_server_begin() */
 	GByteArray *body;
-	GString *partial;   /* an incomplete event of a resumable stream */
+	GString *partial; /* an incomplete event of a resumable stream */
+	GString *tail;	  /* the last bytes of the attempt's answer, to see whether an event ends */
 	int64_t last_event; /* id of the last event sent to the caller; -1: none */
 	uv_timer_t timer;
 	char *reason; /* why the request ended, for the log and the answer */
@@ -113,6 +114,9 @@
 void srv_attempt_handle_data(struct srv_attempt *attempt, const void *data, size_t len);
 void srv_attempt_handle_end(struct srv_attempt *attempt);
 
+/* Returns whether the answer is a stream that ends inside an event: it was broken off. */
+bool srv_attempt_is_cut(const struct srv_attempt *attempt);
+
 /*
  * Ends the request with a failure that an upstream reported and that is buffered. Returns false if
  * there is none.
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -284,7 +284,7 @@
 }
 
 /* Sets status, body and whole from the raw text of an answer. */
-static void read_answer(struct cluster_answer *answer)
+static void read_answer(struct cluster_answer *answer, bool was_reset)
 {
 	const char *head = answer->text->str;
 	const char *end = strstr(head, "\r\n\r\n");
@@ -304,7 +304,7 @@
 		answer->body = g_string_free(body, FALSE);
 	} else {
 		answer->body = g_strndup(end + 4, got);
-		answer->whole = true;
+		answer->whole = !was_reset;
 	}
 }
 
@@ -330,6 +330,7 @@
 {
 	int fd = connect_to(c->nodes[node].front);
 	char *request;
+	bool was_reset;
 
 	*answer = (struct cluster_answer){0};
 	g_snprintf(attempt, attempt_bytes, "attempt-%d", g_atomic_int_add(&c->next_attempt, 1));
@@ -343,10 +344,10 @@
 				  "X-Currantscale-Key: key-1\r\nConnection: close\r\n%s\r\n",
 				  method, target, attempt, extra ? extra : "");
 	raw_write_text(fd, request);
-	answer->text = raw_read(fd, ANSWER_MS);
+	answer->text = raw_read_to_end(fd, ANSWER_MS, &was_reset);
 	close(fd);
 	g_free(request);
-	read_answer(answer);
+	read_answer(answer, was_reset);
 }
 
 void cluster_send(struct cluster *c, uint32_t node, const char *method, const char *target,
--- a/tests/proc_adapter.c
+++ b/tests/proc_adapter.c
@@ -169,16 +169,30 @@
 	return n;
 }
 
+/* Ways in which an engine breaks a stream off inside its second event. */
+static const struct {
+	enum stub_fault fault;
+	const char *id; /* the engine, if one alone does */
+} cuts[] = {
+	{STUB_FAULT_TRUNCATE, "model-1"},
+	{STUB_FAULT_NO_LENGTH_CUT, "model-2"},
+};
+
 START_TEST(streams_resume)
 {
 	struct cluster_answer answer;
 
-	stub_set_fault(c->stub, "model-1", STUB_FAULT_TRUNCATE);
-	for (uint32_t node = 0; node < c->n_nodes; node++) {
-		cluster_send(c, node, "POST", "/resume/x", "Content-Length: 0\r\n", &answer);
-		ck_assert_msg(answer.status == 200 && answer.whole, "%s", answer.text->str);
-		ck_assert_int_eq(count_events(answer.body), 6);
-		cluster_answer_clear(&answer);
+	for (size_t i = 0; i < G_N_ELEMENTS(cuts); i++) {
+		stub_set_fault(c->stub, cuts[i].id, cuts[i].fault);
+		for (uint32_t node = 0; node < c->n_nodes; node++) {
+			cluster_send(c, node, "POST", "/resume/x", "Content-Length: 0\r\n",
+				     &answer);
+			ck_assert_msg(answer.status == 200 && answer.whole, "case %zu: %s", i,
+				      answer.text->str);
+			ck_assert_int_eq(count_events(answer.body), 6);
+			cluster_answer_clear(&answer);
+		}
+		stub_set_fault(c->stub, cuts[i].id, STUB_FAULT_NONE);
 	}
 }
 END_TEST
@@ -188,12 +202,14 @@
 {
 	struct cluster_answer answer;
 
-	stub_set_fault(c->stub, "model-1", STUB_FAULT_TRUNCATE);
-	stub_set_fault(c->stub, "model-2", STUB_FAULT_TRUNCATE);
-	cluster_send(c, 0, "POST", "/tell/x", "Content-Length: 0\r\n", &answer);
-	ck_assert_int_eq(answer.status, 200);
-	ck_assert(!answer.whole);
-	cluster_answer_clear(&answer);
+	for (size_t i = 0; i < G_N_ELEMENTS(cuts); i++) {
+		stub_set_fault(c->stub, "model-1", cuts[i].fault);
+		stub_set_fault(c->stub, "model-2", cuts[i].fault);
+		cluster_send(c, 0, "POST", "/tell/x", "Content-Length: 0\r\n", &answer);
+		ck_assert_int_eq(answer.status, 200);
+		ck_assert_msg(!answer.whole, "case %zu: %s", i, answer.text->str);
+		cluster_answer_clear(&answer);
+	}
 }
 END_TEST
 
@@ -759,12 +775,15 @@
 	Suite *suite = suite_create("proc_adapter");
 	TCase *tcase = tcase_create("all");
 	SRunner *runner = srunner_create(suite);
+	const char *only = getenv("TEST_ONLY");
 	int failed;
 
 	tcase_add_checked_fixture(tcase, set_up, tear_down);
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
-	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
-		tcase_add_test(tcase, tests[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
+		if (!only || strcmp(only, tests[i]->name) == 0)
+			tcase_add_test(tcase, tests[i]);
+	}
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
--- a/tests/raw.c
+++ b/tests/raw.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <check.h>
+#include <errno.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -42,7 +43,7 @@
 	raw_write(fd, text, strlen(text));
 }
 
-GString *raw_read(int fd, int64_t wait_ms)
+GString *raw_read_to_end(int fd, int64_t wait_ms, bool *was_reset)
 {
 	struct pollfd poller = {.fd = fd, .events = POLLIN};
 	GString *text = g_string_new(NULL);
@@ -54,9 +55,17 @@
 		if (n > 0)
 			g_string_append_len(text, block, n);
 	}
+	*was_reset = n < 0 && errno == ECONNRESET;
 	return text;
 }
 
+GString *raw_read(int fd, int64_t wait_ms)
+{
+	bool was_reset;
+
+	return raw_read_to_end(fd, wait_ms, &was_reset);
+}
+
 GString *raw_unchunk(const GString *response)
 {
 	GString *body = g_string_new(NULL);
