Let the stand-in serve engines of several software versions

Seen: streams could go on at another software version unnoticed, as all engines of the stand-in were v1 and wrote the same events. Cause: entries had a fixed version and a fixed time of start, and an engine ran what was meant for the engine that had its address before. Change: engines have a version, which their entries and events name; an engine changes it under its id, with or without a restart, and another engine can take its address. An engine refuses a request that names another one (421), as the users' engines do.

--- a/packages/emul/include/emul/stub.h
+++ b/packages/emul/include/emul/stub.h
@@ -41,6 +41,9 @@
 	int64_t gap_ms;	      /* between events of a stream */
 	uint32_t events;      /* number of events in a stream */
 	uint32_t results_max; /* number of results that a pool engine can store */
+	const char *version;  /* of its software, as its entry and its events say; NULL: "v1" */
+	/* engine that ends, whose entry stays, and whose address this one takes; NULL: none */
+	const char *address_of;
 };
 
 /* Counters of an engine. */
@@ -89,6 +92,13 @@
 /* Publishes the state of an engine; NULL deletes its entry. The engine itself keeps running. */
 void stub_publish(struct stub *s, const char *id, const char *state);
 void stub_set_fault(struct stub *s, const char *id, enum stub_fault fault);
+
+/*
+ * Gives an engine another version of its software under its id, and publishes it as ready. If it
+ * restarts, it breaks off its runs, answers nothing for a moment and has a new time of start.
+ * If not, runs in progress end at the version that they began with.
+ */
+void stub_set_version(struct stub *s, const char *id, const char *version, bool restarts);
 void stub_set_store_fault(struct stub *s, enum stub_store_fault fault);
 
 /*
--- a/packages/emul/stub.c
+++ b/packages/emul/stub.c
@@ -127,10 +127,25 @@
 	return n;
 }
 
+void stub_start(struct stub *s, struct stub_engine *e)
+{
+	bool is_starting = true;
+
+	pthread_mutex_lock(&s->lock);
+	e->is_starting = true;
+	g_ptr_array_add(s->starting, e);
+	pthread_mutex_unlock(&s->lock);
+	while (is_starting) {
+		clock_sleep_ms(TICK_INTERVAL_MS);
+		pthread_mutex_lock(&s->lock);
+		is_starting = e->is_starting;
+		pthread_mutex_unlock(&s->lock);
+	}
+}
+
 void stub_add_engine(struct stub *s, const struct stub_engine_options *options)
 {
 	struct stub_engine *e = g_new0(struct stub_engine, 1);
-	bool started = false;
 
 	e->s = s;
 	e->options = *options;
@@ -140,16 +155,14 @@
 	e->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	e->results = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	e->open = g_hash_table_new(NULL, NULL);
+	e->version = stub_version_of(options);
+	e->born_ms = stub_next_born_ms(e);
 	pthread_mutex_lock(&s->lock);
+	if (options->address_of)
+		e->predecessor = g_hash_table_lookup(s->engines, options->address_of);
 	g_hash_table_insert(s->engines, e->id, e);
-	g_ptr_array_add(s->starting, e);
 	pthread_mutex_unlock(&s->lock);
-	while (!started) {
-		clock_sleep_ms(TICK_INTERVAL_MS);
-		pthread_mutex_lock(&s->lock);
-		started = e->listener != NULL;
-		pthread_mutex_unlock(&s->lock);
-	}
+	stub_start(s, e);
 	stub_publish(s, options->id, "ready");
 }
 
@@ -163,11 +176,11 @@
 	e = g_hash_table_lookup(s->engines, id);
 	if (state)
 		value = g_strdup_printf("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-					"\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+					"\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
 					"\"coldLeftMs\":0,\"sequence\":%" G_GUINT64_FORMAT
-					",\"born\":1}",
+					",\"born\":%" G_GINT64_FORMAT "}",
 					e->service, http_server_address(e->listener), e->zone,
-					state, ++s->sequence);
+					e->version, state, ++s->sequence, e->born_ms);
 	pthread_mutex_unlock(&s->lock);
 	stub_put(s, key, value);
 	g_free(key);
--- a/packages/emul/stub_engine.c
+++ b/packages/emul/stub_engine.c
@@ -16,6 +16,7 @@
 	struct stub_engine *engine;
 	struct http_server_request *request; /* NULL after the client has disconnected */
 	uv_timer_t timer;
+	const char *version; /* of the engine when the run began */
 	uint32_t next_event;
 	bool started;
 };
@@ -110,7 +111,8 @@
 		end_run(run);
 		return;
 	}
-	event = g_strdup_printf("id: %u\ndata: token %u\n\n", run->next_event, run->next_event);
+	event = g_strdup_printf("id: %u\ndata: %s token %u\n\n", run->next_event, run->version,
+				run->next_event);
 	if (e->fault == STUB_FAULT_TRUNCATE && run->next_event > 0) {
 		http_server_write(run->request, event, strlen(event) / 2);
 		http_server_abort(run->request);
@@ -215,6 +217,7 @@
 		e->busy_until_ms = start_ms + e->options.work_ms;
 	}
 	run->engine = e;
+	run->version = e->version;
 	run->request = request;
 	uv_timer_init(&e->s->loop, &run->timer);
 	run->timer.data = run;
@@ -259,18 +262,36 @@
 	return held;
 }
 
+/* True if the request names another engine, which had this address before. */
+static bool is_for_another(const struct stub_engine *e, const struct http_server_request *request)
+{
+	const char *expect = hdr_get(&request->headers, "X-Currantscale-Expect-Instance");
+
+	return expect && strcmp(expect, e->id) != 0;
+}
+
+/* Returns the engine that has the address now. */
+static struct stub_engine *current(struct stub_engine *e)
+{
+	while (e->successor)
+		e = e->successor;
+	return e;
+}
+
 static void on_request(void *arg, struct http_server_request *request)
 {
-	struct stub_engine *e = arg;
+	struct stub_engine *e = current(arg);
 
 	pthread_mutex_lock(&e->s->lock);
 	e->stats.arrivals++;
 	e->stats.bad += is_invalid(e, request);
 	if (e->options.kind == STUB_POOL && strcmp(request->target, "/-/stage-free") == 0)
 		free_results(e, request);
+	else if (clock_now_ms() < e->down_until_ms)
+		http_server_abort(request);
 	else if (e->fault == STUB_FAULT_SHED)
 		refuse(request, 503);
-	else if (e->fault == STUB_FAULT_MISDIRECTED)
+	else if (e->fault == STUB_FAULT_MISDIRECTED || is_for_another(e, request))
 		refuse(request, 421);
 	else if (!has_inputs(e->s, request))
 		refuse(request, 409);
@@ -281,7 +302,7 @@
 
 static void on_disconnect(void *arg, struct http_server_request *request)
 {
-	struct stub_engine *e = arg;
+	struct stub_engine *e = current(arg);
 	struct stub_run *run = g_hash_table_lookup(e->open, request);
 
 	/* takes no lock: if the engine closes the connection, on_event() already holds it */
@@ -291,7 +312,19 @@
 	run->request = NULL;
 }
 
-void stub_engine_start(struct stub_engine *e)
+static void break_off_runs(struct stub_engine *e)
+{
+	GList *runs = g_hash_table_get_values(e->open);
+
+	for (GList *at = runs; at; at = at->next) {
+		struct stub_run *run = at->data;
+		http_server_abort(run->request);
+		end_run(run);
+	}
+	g_list_free(runs);
+}
+
+static void open_listener(struct stub_engine *e)
 {
 	const struct http_server_handler handler = {
 		.on_request = on_request,
@@ -302,3 +335,18 @@
 	e->listener =
 		http_server_new(&e->s->loop, "127.0.0.1:0", &handler, &stub_http_limits, NULL);
 }
+
+void stub_engine_start(struct stub_engine *e)
+{
+	if (e->predecessor) {
+		break_off_runs(e->predecessor);
+		e->listener = e->predecessor->listener;
+		e->predecessor->successor = e;
+		e->predecessor = NULL;
+	} else if (e->listener) {
+		break_off_runs(e);
+	} else {
+		open_listener(e);
+	}
+	e->is_starting = false;
+}
--- a/packages/emul/stub_int.h
+++ b/packages/emul/stub_int.h
@@ -19,8 +19,14 @@
 	char *id;
 	char *service;
 	char *zone;
+	const char *version; /* of its software; interned */
+	int64_t born_ms;     /* when it last started, as its entry says */
+	int64_t down_until_ms;
 	struct stub_engine_options options;
 	struct http_server *listener;
+	struct stub_engine *predecessor; /* engine whose address it takes; NULL: none */
+	struct stub_engine *successor;	 /* engine that has its address now; NULL: none */
+	bool is_starting;		 /* the loop has yet to start it */
 	enum stub_fault fault;
 	GHashTable *runs;    /* attempt id -> number of runs */
 	GHashTable *results; /* handles of the stored results */
@@ -45,7 +51,7 @@
 	enum stub_epoch_header epoch_header;
 	GPtrArray *watches;  /* struct stub_watch */
 	GHashTable *engines; /* id -> struct stub_engine */
-	GPtrArray *starting; /* engines whose listener the loop has yet to open */
+	GPtrArray *starting; /* engines that the loop has yet to start */
 	enum stub_store_fault store_fault;
 	int64_t compacted_revision; /* newest revision when STUB_STORE_COMPACTED was last set */
 	uint64_t sequence;
@@ -63,9 +69,17 @@
 bool stub_store_start(struct stub *s, GError **error);
 void stub_store_tick(struct stub *s, int64_t now_ms);
 
-/* stub_engine.c */
+/* stub_engine.c: starts an engine, or starts it again; either breaks off what ran at its address.
+ */
 void stub_engine_start(struct stub_engine *e);
 
+/* stub_version.c */
+const char *stub_version_of(const struct stub_engine_options *options);
+int64_t stub_next_born_ms(const struct stub_engine *e);
+
+/* stub.c: has the loop start an engine, and waits until it has. */
+void stub_start(struct stub *s, struct stub_engine *e);
+
 /* Answers with a JSON body and the given header fields (NULL: none). */
 void stub_answer_json(struct http_server_request *request, int status,
 		      const struct hdr_list *fields, json_t *root);
