--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -308,7 +308,7 @@
 	}
 }
 
-static int connect_to(const char *address)
+int cluster_connect(const char *address)
 {
 	struct sockaddr_in addr = {.sin_family = AF_INET};
 	char host[CLUSTER_ADDRESS_BYTES];
@@ -328,7 +328,7 @@
 		      const char *extra, char *attempt, size_t attempt_bytes,
 		      struct cluster_answer *answer)
 {
-	int fd = connect_to(c->nodes[node].front);
+	int fd = cluster_connect(c->nodes[node].front);
 	char *request;
 
 	*answer = (struct cluster_answer){0};
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -64,6 +64,9 @@
 		      const char *extra, char *attempt, size_t attempt_bytes,
 		      struct cluster_answer *answer);
 
+/* Connects to a listener; returns -1 if there is none. */
+int cluster_connect(const char *address);
+
 /* Sends a GET to any listener. Returns the body (g_free()); NULL if the response is incomplete. */
 char *cluster_get(const char *address, const char *target, int *status);
 
