Let the soak draw software versions and take streams up

Seen: the soak had one software version, and its callers never took up a stream. Change: it publishes, removes and restarts engines of a second version, and its callers leave streams and take them up at any node. It checks from what they see that at most two streams hold events of two versions, and that of 12 or more taken up at nodes in touch, while two engines of their version serve, the share that goes on is at least half of the share of new ones that begin. A last phase kills a node while callers go on. The fault phase is 3 s longer, so the faults it had are as many.

--- a/tests/proc_soak.c
+++ b/tests/proc_soak.c
@@ -1,12 +1,13 @@
 /*
  * Soak test, under load, of nodes that serve through the adapter. Nodes are killed, paused and
- * restarted, engines fail, the source becomes unavailable or returns from a copy and the
- * configuration changes, in an
- * order that the seed decides. The answers to callers are checked against the runs at engines.
+ * restarted, engines fail or change their version, the source becomes unavailable or returns from
+ * a copy and the configuration changes, in an order that the seed decides. The answers to callers
+ * are checked against the runs at engines; then callers go on while one node is killed.
  * SOAK_SEED, SOAK_SECONDS and SOAK_NODES configure it; with odd seeds the fleet has two regions.
  */
 #include "cluster.h"
 #include "run_tests.h"
+#include "takeup.h"
 
 #include "base/clock.h"
 #include "base/prng.h"
@@ -16,12 +17,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FAULTS_S 12 /* faults are injected for this long: about 17 in all */
+#define FAULTS_S 15 /* faults are injected for this long: about 21 in all */
 #define NODES 4
 #define CALLERS 6
 #define FAULT_INTERVAL_MS 700 /* mean interval between faults */
 #define RECOVERY_MS 6000      /* time to recover after the last fault */
+#define CALM_MS 3000	      /* with all nodes but one in touch */
 #define EVENTS 6
+#define TAKE_UP_OF 3	     /* one in this many requests is a stream that may be taken up */
 #define COPY_AGE_MAX_MS 5000 /* of the copies that the source is restored from */
 #define REWRITE_MAX_MS 1500  /* until lost changes are written again */
 
@@ -64,6 +67,10 @@
 
 	while (g_atomic_int_get(&running)) {
 		size_t k = prng_below(&prng, G_N_ELEMENTS(kinds));
+		if (prng_below(&prng, TAKE_UP_OF) == 0) {
+			takeup_play(&prng);
+			continue;
+		}
 		uint32_t node = (uint32_t)prng_below(&prng, a->n_nodes);
 		struct outcome o = {.kind = kinds[k].kind};
 		struct cluster_answer answer;
@@ -81,11 +88,14 @@
 	return NULL;
 }
 
+static const char *const ids[] = {"plain-1", "plain-2", "model-1", "model-2", "model-3", "model-4"};
+
 static void fault_engine(struct prng *prng, enum stub_fault new_fault)
 {
-	static const char *const ids[] = {"plain-1", "plain-2", "model-1", "model-2"};
+	const char *id = ids[prng_below(prng, G_N_ELEMENTS(ids))];
 
-	stub_set_fault(a->stub, ids[prng_below(prng, G_N_ELEMENTS(ids))], new_fault);
+	stub_set_fault(a->stub, id, new_fault);
+	takeup_note_fault(id, new_fault != STUB_FAULT_NONE);
 }
 
 /* Kills or pauses a running node, resumes a paused one, or starts a stopped one. */
@@ -104,25 +114,32 @@
 	} else {
 		cluster_signal(a, i, SIGKILL);
 	}
+	takeup_note_node(i, a->nodes[i].pid != 0 && !paused[i]);
 }
 
-static void clear_faults(bool *paused)
+static void set_source(enum stub_store_fault fault)
 {
-	static const char *const ids[] = {"plain-1", "plain-2", "model-1", "model-2"};
+	stub_set_store_fault(a->stub, fault);
+	takeup_note_source(fault == STUB_STORE_OK);
+}
 
+static void clear_faults(bool *paused)
+{
 	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
 		stub_set_fault(a->stub, ids[i], STUB_FAULT_NONE);
-	stub_set_store_fault(a->stub, STUB_STORE_OK);
+	set_source(STUB_STORE_OK);
+	takeup_restore_versions();
 	for (uint32_t i = 0; i < a->n_nodes; i++) {
 		if (a->nodes[i].pid == 0)
 			cluster_start_node(a, i);
 		else if (paused[i])
 			cluster_signal(a, i, SIGCONT);
 		paused[i] = false;
+		takeup_note_node(i, true);
 	}
 }
 
-static void inject_faults(struct prng *prng, int64_t seconds)
+static void inject_faults(struct prng *prng)
 {
 	static const enum stub_fault faults[] = {STUB_FAULT_SHED,
 						 STUB_FAULT_CLOSE,
@@ -136,11 +153,12 @@
 	static const enum stub_store_fault store_faults[] = {STUB_STORE_UNAVAILABLE,
 							     STUB_STORE_HANG, STUB_STORE_COMPACTED};
 	bool paused[CLUSTER_NODES_MAX] = {false};
-	int64_t end_ms = clock_now_ms() + seconds * CLOCK_MS_PER_S;
+	enum stub_store_fault source = STUB_STORE_OK;
+	int64_t end_ms = clock_now_ms() + env_number("SOAK_SECONDS", FAULTS_S) * CLOCK_MS_PER_S;
 	int version = 100;
 
 	while (clock_now_ms() < end_ms) {
-		switch (prng_below(prng, 9)) {
+		switch (prng_below(prng, 11)) {
 		case 0:
 		case 1:
 			fault_engine(prng, faults[prng_below(prng, G_N_ELEMENTS(faults))]);
@@ -153,16 +171,22 @@
 			fault_node(prng, paused);
 			break;
 		case 5:
-			stub_set_store_fault(
-				a->stub,
-				store_faults[prng_below(prng, G_N_ELEMENTS(store_faults))]);
+			source = store_faults[prng_below(prng, G_N_ELEMENTS(store_faults))];
+			set_source(source);
 			break;
 		case 6:
-			stub_set_store_fault(a->stub, STUB_STORE_OK);
+			source = STUB_STORE_OK;
+			set_source(source);
 			break;
 		case 7:
 			stub_restore_store(a->stub, (int64_t)prng_below(prng, COPY_AGE_MAX_MS),
 					   (int64_t)prng_below(prng, REWRITE_MAX_MS));
+			takeup_note_source(source == STUB_STORE_OK);
+			break;
+		case 8:
+		case 9:
+			if (source == STUB_STORE_OK)
+				takeup_change_versions(prng);
 			break;
 		default:
 			version += 1 + (int)prng_below(prng, 3);
@@ -254,24 +278,42 @@
 	ck_assert_uint_eq(first.bad + second.bad, 0);
 }
 
-START_TEST(holds_promises)
+/* Callers take up the streams of a killed node at nodes in touch. */
+static void kill_one(struct prng *prng)
+{
+	cluster_signal(a, 0, SIGKILL);
+	takeup_note_node(0, false);
+	clock_sleep_ms(CALM_MS);
+}
+
+static void with_callers(struct prng *prng, void (*run)(struct prng *))
 {
-	struct prng prng = {.state = (uint64_t)env_number("SOAK_SEED", 1)};
 	GThread *callers[CALLERS];
 
-	a = (env_number("SOAK_SEED", 1) % 2 == 1 ? cluster_new_regions : cluster_new)(
-		(uint32_t)env_number("SOAK_NODES", NODES));
-	outcomes = g_array_new(FALSE, FALSE, sizeof(struct outcome));
 	g_atomic_int_set(&running, 1);
 	for (guint i = 0; i < CALLERS; i++)
 		callers[i] = g_thread_new("caller", run_caller, GUINT_TO_POINTER(i));
-	inject_faults(&prng, env_number("SOAK_SECONDS", FAULTS_S));
+	run(prng);
 	g_atomic_int_set(&running, 0);
 	for (guint i = 0; i < CALLERS; i++)
 		g_thread_join(callers[i]);
+}
+
+START_TEST(holds_promises)
+{
+	struct prng prng = {.state = (uint64_t)env_number("SOAK_SEED", 1)};
+	uint32_t violations;
+
+	a = (env_number("SOAK_SEED", 1) % 2 == 1 ? cluster_new_regions : cluster_new)(
+		(uint32_t)env_number("SOAK_NODES", NODES));
+	outcomes = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	takeup_start(a);
+	with_callers(&prng, inject_faults);
 	check_recovery();
-	ck_assert_msg(check_all_outcomes() == 0, "seed %" G_GINT64_FORMAT,
-		      env_number("SOAK_SEED", 1));
+	with_callers(&prng, kill_one);
+	violations = check_all_outcomes() + takeup_check();
+	fflush(stdout);
+	ck_assert_msg(violations == 0, "seed %" G_GINT64_FORMAT, env_number("SOAK_SEED", 1));
 	cluster_free(a);
 }
 END_TEST
