--- a/tests/proc_versions.c
+++ b/tests/proc_versions.c
@@ -19,7 +19,7 @@
 #define LEAVE_AT 3	 /* id of the last event that a caller reads before it leaves */
 #define SETTLE_MS 400	 /* until every node knows of a change at the source */
 #define OUTAGE_MS 2500	 /* until every node knows that the source is away, or back */
-#define REFUSED_MS 600	 /* a refusal at once takes less */
+#define REFUSED_MS 400	 /* a refusal at once takes less */
 #define IN_TOUCH_MS 4000 /* after its start, by which a node has to serve fully */
 #define REWRITE_MS 8000	 /* beyond the end of a test */
 #define NODE_MASK(i) (1u << (i))
@@ -117,8 +117,7 @@
 
 static void finish(void)
 {
-	for (uint32_t i = 0; i < STREAMS; i++)
-		stream_finish(&streams[i]);
+	stream_finish_all(streams, STREAMS);
 }
 
 static void send_tries(unsigned nodes)
--- a/tests/stream.c
+++ b/tests/stream.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #define SILENCE_MS 3000 /* a caller leaves after a silence that is longer */
+#define POLL_MS 2
 #define BLOCK_BYTES 4096
 #define EVENT_END "\n\n"
 
@@ -63,6 +64,7 @@
 	st->upstream[0] = '\0';
 	st->is_whole = false;
 	st->sent_ms = clock_now_ms();
+	st->heard_ms = st->sent_ms;
 	st->took_ms = 0;
 	g_snprintf(st->attempt, sizeof(st->attempt), "attempt-%d",
 		   g_atomic_int_add(&c->next_attempt, 1));
@@ -124,22 +126,31 @@
 	g_string_free(body, TRUE);
 }
 
-bool stream_read(struct stream *st, int until)
+/* Waits for more of the answer; ends the try if none came for too long. */
+static void receive(struct stream *st, int wait_ms)
 {
+	struct pollfd poller = {.fd = st->fd, .events = POLLIN};
 	char block[BLOCK_BYTES];
+	ssize_t n = 0;
 
-	while (st->fd >= 0 && st->last < until) {
-		struct pollfd poller = {.fd = st->fd, .events = POLLIN};
-		ssize_t n = poll(&poller, 1, SILENCE_MS) > 0 ? recv(st->fd, block, sizeof(block), 0)
-							     : 0;
-		if (n <= 0) {
-			st->took_ms = clock_now_ms() - st->sent_ms;
-			stream_close(st);
-			break;
-		}
-		g_string_append_len(st->text, block, n);
-		read_events(st);
+	if (poll(&poller, 1, wait_ms) > 0)
+		n = recv(st->fd, block, sizeof(block), 0);
+	else if (clock_now_ms() - st->heard_ms < SILENCE_MS)
+		return;
+	if (n <= 0) {
+		st->took_ms = clock_now_ms() - st->sent_ms;
+		stream_close(st);
+		return;
 	}
+	st->heard_ms = clock_now_ms();
+	g_string_append_len(st->text, block, n);
+	read_events(st);
+}
+
+bool stream_read(struct stream *st, int until)
+{
+	while (st->fd >= 0 && st->last < until)
+		receive(st, SILENCE_MS);
 	return st->last >= until;
 }
 
@@ -147,3 +158,18 @@
 {
 	stream_read(st, INT_MAX);
 }
+
+void stream_finish_all(struct stream *streams, size_t n)
+{
+	bool any = true;
+
+	while (any) {
+		any = false;
+		for (size_t i = 0; i < n; i++) {
+			if (streams[i].fd >= 0)
+				receive(&streams[i], 0);
+			any |= streams[i].fd >= 0;
+		}
+		clock_sleep_ms(POLL_MS);
+	}
+}
--- a/tests/stream.h
+++ b/tests/stream.h
@@ -21,7 +21,8 @@
 	int status;			/* 0: no answer */
 	int n_events;
 	int64_t sent_ms;
-	int64_t took_ms; /* from the request to the end of the answer */
+	int64_t heard_ms; /* when its last bytes came */
+	int64_t took_ms;  /* from the request to the end of the answer */
 	GString *text;
 	gsize read_bytes; /* of the body, whose events have been counted */
 	int fd;		  /* -1: ended */
@@ -41,6 +42,9 @@
 /* Reads to the end of the try. */
 void stream_finish(struct stream *st);
 
+/* The same for several, whose tries run at once. */
+void stream_finish_all(struct stream *streams, size_t n);
+
 /* Closes the connection, as a caller does that leaves; what has been read stays. */
 void stream_close(struct stream *st);
 void stream_clear(struct stream *st);
