Keep streams at the software version that began them

Seen: a stream that broke off, in one answer or at its caller, went on at an engine of another software version of its service. Cause: nothing tied a stream to the version of the engine that began it. Change: srv_origin.c notes the version of the attempt whose first event is passed on, tells two nodes while more than one version could be meant, asks three when a caller resumes a stream that isn't known, and hands its records over at SIGTERM. Candidates for going on are upstreams of that version in a fresh view. The request line says the version, where it was learned and its age; counters for resumptions, unknown versions and versions without upstream. New versions get resumable streams 3 s after their first entry, so the tests with two versions wait 3.4 s (was 0.4), and taken_up_at_any_node now asks for streams of both versions.

--- a/packages/decide/include/decide/stream_origin.h
+++ b/packages/decide/include/decide/stream_origin.h
@@ -79,6 +79,9 @@
 /* Notes that the process was paused: what it knew before is out of date. */
 void stream_origin_note_pause(struct stream_origin *o, int64_t now_ms);
 
+/* Returns the time of the newest view; 0: there was none. */
+int64_t stream_origin_as_of_ms(const struct stream_origin *o);
+
 /* Returns whether the view is recent enough for its versions to be trusted. */
 bool stream_origin_is_fresh(const struct stream_origin *o, int64_t now_ms);
 
--- a/packages/decide/stream_origin.c
+++ b/packages/decide/stream_origin.c
@@ -134,6 +134,11 @@
 	o->valid_from_ms = now_ms;
 }
 
+int64_t stream_origin_as_of_ms(const struct stream_origin *o)
+{
+	return o->as_of_ms;
+}
+
 bool stream_origin_is_fresh(const struct stream_origin *o, int64_t now_ms)
 {
 	return o->as_of_ms > 0 && now_ms - o->as_of_ms <= STREAM_ORIGIN_FRESH_MS &&
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -164,6 +164,7 @@
 		log_warn("clock_gap", "{s:I}", "gap_ms", (json_int_t)gap_ms);
 		gossip_skip_gap(s->fleet, gap_ms);
 	}
+	srv_origin_note_tick(s, now_ms);
 	s->last_tick_ms = now_ms;
 	srv_feed_tick(s->feed, now_ms);
 	srv_snapshot_tick(s, now_ms);
@@ -173,6 +174,7 @@
 	}
 	srv_regions_update(s, now_ms);
 	srv_region_send_load(s, now_ms);
+	srv_origin_tick(s, now_ms);
 	srv_chain_tick(s, now_ms);
 	update_ready(s, now_ms);
 	if (s->stop_began_ms > 0)
@@ -207,6 +209,7 @@
 	if (s->front)
 		http_server_announce_close(s->front);
 	update_ready(s, s->stop_began_ms);
+	srv_origin_hand_over(s, s->stop_began_ms);
 }
 
 static void on_reload_signal(uv_signal_t *signal, int number)
@@ -287,6 +290,8 @@
 	srv_regions_configure(s->regions, set);
 	s->chains = chain_sched_new();
 	chain_set_policies(s->chains, set->policies_off);
+	s->origins = stream_origin_new();
+	s->resumptions = g_hash_table_new(NULL, NULL);
 	s->upstreams = g_hash_table_new(g_str_hash, g_str_equal);
 	s->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->chain_requests = srv_chain_requests_new();
@@ -333,6 +338,8 @@
 	uv_run(&s->loop, UV_RUN_NOWAIT);
 	g_hash_table_destroy(s->chain_requests);
 	g_hash_table_destroy(s->budgets);
+	stream_origin_free(s->origins);
+	g_hash_table_destroy(s->resumptions);
 	chain_sched_free(s->chains);
 	g_ptr_array_unref(s->regions);
 	view_free(s->view);
--- a/packages/serve/srv_answer.c
+++ b/packages/serve/srv_answer.c
@@ -16,9 +16,9 @@
 #define QUEUED_BYTES_MAX (256 * 1024)
 /* Limit of an incomplete event; beyond it, bytes are passed on as they arrive. */
 #define PARTIAL_BYTES_MAX (1024 * 1024)
-#define EVENT_END_BYTES_MAX 3 /* of the blank line that ends an event, and the line end before it  \
-			       */
-#define STATUS_REDIRECT 300   /* lower ones are successes */
+/* The blank line that ends an event, and the end of the line before it. */
+#define EVENT_END_BYTES_MAX 3
+#define STATUS_REDIRECT 300 /* lower ones are successes */
 
 static enum srv_attempt_verdict classify(const struct http_client_head *head,
 					 const struct adapter_answer *answer)
@@ -50,6 +50,7 @@
 
 	r->response_started = true;
 	r->streaming = true;
+	srv_origin_note_answer(attempt);
 	http_server_begin(r->http, r->status, &r->head, r->length_bytes);
 }
 
@@ -136,6 +137,7 @@
 		return; /* the caller has received this event from a former attempt */
 	if (id >= 0)
 		r->last_event = id;
+	srv_origin_note_event(r);
 	http_server_write(r->http, event, len);
 }
 
@@ -184,6 +186,12 @@
 	       !g_str_has_suffix(r->tail->str, "\n\n") && !g_str_has_suffix(r->tail->str, "\n\r\n");
 }
 
+static void forward_bytes(struct srv_req *r, const void *data, size_t len)
+{
+	srv_origin_note_event(r);
+	http_server_write(r->http, data, len);
+}
+
 static void forward_data(struct srv_attempt *attempt, const void *data, size_t len)
 {
 	struct srv_req *r = attempt->req;
@@ -191,7 +199,7 @@
 	if (r->route->resumable && r->partial->len + len <= PARTIAL_BYTES_MAX)
 		forward_events(r, data, len);
 	else
-		http_server_write(r->http, data, len);
+		forward_bytes(r, data, len);
 	if (http_server_queued_bytes(r->http) > QUEUED_BYTES_MAX && !attempt->is_paused) {
 		attempt->is_paused = true;
 		http_client_pause(attempt->call, true);
@@ -235,6 +243,7 @@
 	struct srv_req *r = attempt->req;
 
 	note_first_byte(r);
+	srv_origin_note_complete(r);
 	srv_count(r->s, SRV_SERVED);
 	srv_req_log(r, "served", r->status);
 	if (r->streaming) {
--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -91,19 +91,27 @@
 struct srv_upstream *srv_req_pick(struct srv_req *r, int64_t now_ms)
 {
 	const char *tried[SRV_ATTEMPTS_MAX + 1];
+	struct srv_upstream *u;
 
 	for (uint32_t i = 0; i < r->n_attempts; i++)
 		tried[i] = r->attempts[i].upstream->id;
 	tried[r->n_attempts] = NULL;
 	r->select.has_inputs = r->data_centre != NULL && srv_has_policy(r->s, POLICY_NEAR_INPUTS);
-	const struct srv_pick_criteria want = {
+	struct srv_pick_criteria want = {
 		.service = r->service,
 		.service_name = r->service_name,
 		.regions = r->regions,
 		.data_centre = r->data_centre,
 		.select = r->select,
+		.version = r->origin.version,
+		.candidates = r->origin.candidates,
+		.is_settled = srv_origin_begins(r),
 		.tried = tried,
 	};
+	u = srv_upstream_pick(r->s, &want, now_ms);
+	if (u || !want.is_settled)
+		return u;
+	want.is_settled = false;
 	return srv_upstream_pick(r->s, &want, now_ms);
 }
 
@@ -131,7 +139,12 @@
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 	};
 	*attempt = (struct srv_attempt){
-		.req = r, .upstream = u, .sent_ms = now_ms, .last_data_ms = now_ms};
+		.req = r,
+		.upstream = u,
+		.version = srv_origin_version_of(r->s, u),
+		.sent_ms = now_ms,
+		.last_data_ms = now_ms,
+	};
 	r->fetch_check_at_ms = now_ms + FETCH_DELAY_MS;
 	srv_count(r->s, SRV_SENDS);
 	if (r->n_attempts > 1) {
@@ -181,6 +194,10 @@
 		return; /* no hedge is possible; wait for the active attempt */
 	if (!r->response_started && srv_req_forward_failure(r))
 		return;
+	if (!reason && srv_origin_is_none_left(r)) {
+		srv_origin_end_none_left(r);
+		return;
+	}
 	srv_req_end_unserved(r, reason ? reason : "no upstream available");
 }
 
@@ -216,7 +233,7 @@
 	if (r->winner || count_active(r) > 0)
 		return;
 	g_string_truncate(r->partial, 0);
-	if (r->response_started && !(r->streaming && r->route->resumable)) {
+	if (r->response_started && !srv_origin_may_go_on(r, clock_now_ms())) {
 		srv_req_fail(r, 502, outcome);
 		return;
 	}
@@ -402,6 +419,10 @@
 		handle_deadline(r);
 		return;
 	}
+	if (now_ms >= srv_origin_wait_until_ms(r)) {
+		srv_origin_decide(r); /* may free the request */
+		return;
+	}
 	if (r->chain && now_ms >= r->fetch_check_at_ms)
 		note_fetched(r, now_ms);
 	if (now_ms >= silence_deadline_ms(r))
@@ -415,6 +436,7 @@
 	int64_t now_ms = clock_now_ms();
 	int64_t at_ms = MIN(r->end_at_ms, silence_deadline_ms(r));
 
+	at_ms = MIN(at_ms, srv_origin_wait_until_ms(r));
 	if (r->chain)
 		at_ms = MIN(at_ms, r->fetch_check_at_ms);
 
--- a/packages/serve/srv_feed.c
+++ b/packages/serve/srv_feed.c
@@ -47,6 +47,7 @@
 	bool epoch_unknown_logged;
 	int64_t due_ms;
 	int64_t sent_ms;
+	int64_t read_began_ms;	 /* when the first page of the full read was requested */
 	int64_t last_success_ms; /* when the last call succeeded; 0: none has */
 	int64_t last_read_ms;	 /* when the last full read was completed; 0: none was */
 	uint32_t fails;
@@ -88,13 +89,13 @@
 	bool changed;
 
 	change->upstream = NULL;
-	changed = view_put_upstream(s->view, doc, revision_of(s, change->revision), now_ms);
+	changed = srv_origin_put_upstream(s, doc, revision_of(s, change->revision), now_ms);
 	if (changed)
-		log_info("upstream_published", "{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I}",
-			 "upstream", doc->id, "service", doc->service, "address", doc->address,
-			 "data_centre", doc->data_centre, "leaving", (int)doc->leaving, "cold_ms",
-			 (json_int_t)doc->cold_left_ms, "epoch", (json_int_t)s->view->epoch,
-			 "revision", (json_int_t)change->revision);
+		log_info("upstream_published", "{s:s, s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I}",
+			 "upstream", doc->id, "version", doc->version, "service", doc->service,
+			 "address", doc->address, "data_centre", doc->data_centre, "leaving",
+			 (int)doc->leaving, "cold_ms", (json_int_t)doc->cold_left_ms, "epoch",
+			 (json_int_t)s->view->epoch, "revision", (json_int_t)change->revision);
 	return changed;
 }
 
@@ -202,6 +203,7 @@
 	feed->revision = feed->first_revision;
 	feed->has_full_read = true;
 	view_end_read(feed->s->view, revision_of(feed->s, feed->first_revision), now_ms);
+	srv_origin_note_read(feed->s, feed->read_began_ms, false, now_ms);
 	log_restore(feed);
 	feed->last_read_ms = now_ms;
 	note_known(feed);
@@ -269,6 +271,7 @@
 		changed = true;
 	} else {
 		feed->revision = MAX(feed->revision, reply->revision);
+		srv_origin_note_read(s, feed->sent_ms, true, now_ms);
 		note_known(feed);
 		pause_until(feed, now_ms + watch_pause_ms(s, now_ms));
 	}
@@ -355,8 +358,10 @@
 		feed->state = FEED_WATCHING;
 		target = ops->watch_target(feed->revision, WATCH_MS);
 	} else {
-		if (!feed->page_start_key)
+		if (!feed->page_start_key) {
 			view_begin_read(feed->s->view);
+			feed->read_began_ms = now_ms;
+		}
 		feed->state = FEED_READING;
 		target = ops->read_target(feed->page_start_key);
 	}
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -8,6 +8,7 @@
 #include "decide/gossip.h"
 #include "decide/lb.h"
 #include "decide/policy.h"
+#include "decide/stream_origin.h"
 #include "decide/view.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -35,6 +36,12 @@
 	X(SRV_POOL_PIECES, "pool_pieces_total", "pieces sent in pool calls")                       \
 	X(SRV_CHAINS, "chains_total", "chains requested by this node")                             \
 	X(SRV_CHAIN_RETRIES, "chains_again_total", "chains requested again from another owner")    \
+	X(SRV_RESUMPTIONS, "resumptions_total", "streams that callers asked to resume")            \
+	X(SRV_ORIGIN_UNKNOWN, "resumptions_unknown_total",                                         \
+	  "resumptions refused as the version that began the stream is unknown")                   \
+	X(SRV_ORIGIN_NONE_LEFT, "resumptions_none_left_total",                                     \
+	  "streams ended as no upstream of their version is left")                                 \
+	X(SRV_ORIGIN_NOTES, "origin_notes_total", "origins of streams sent to other nodes")        \
 	X(SRV_SOURCE_CALLS, "source_calls_total", "calls to the source of configuration")          \
 	X(SRV_SOURCE_FAILURES, "source_failed_total",                                              \
 	  "source calls that were refused, lost or malformed")                                     \
@@ -64,8 +71,9 @@
 	uint32_t in_flight;
 	uint32_t fails; /* consecutive failures without a connection or an answer */
 	int64_t blocked_until_ms;
-	bool is_reported;    /* blocked_until_ms is from another node's report */
-	double failure_rate; /* 0..1 as of failure_rate_ms; decays over time */
+	int64_t unreachable_ms; /* when it was last unreachable from here; 0: never */
+	bool is_reported;	/* blocked_until_ms is from another node's report */
+	double failure_rate;	/* 0..1 as of failure_rate_ms; decays over time */
 	int64_t failure_rate_ms;
 	struct budget_token_bucket cold;
 	int64_t seen_ms; /* when the upstream was last in the published view */
@@ -96,6 +104,9 @@
 	GHashTable *budgets;	    /* service -> struct budget_window (retries) */
 	GHashTable *chain_requests; /* chain id -> struct srv_chain_request */
 	uint64_t next_chain;
+	struct stream_origin *origins;
+	GHashTable *resumptions; /* set of struct srv_req that wait for their stream's version */
+	int64_t origins_noted_ms;
 	uv_timer_t tick;
 	uv_timer_t chain_timer;
 	uv_timer_t gossip_timer;
@@ -239,6 +250,9 @@
 	char *const *regions;
 	const char *data_centre; /* where the request's inputs are stored; NULL: it has none */
 	struct lb_request select;
+	const char *version;	  /* the stream's; NULL: any */
+	char *const *candidates;  /* ids of the upstreams to choose from; NULL: any */
+	bool is_settled;	  /* only versions at which streams should begin */
 	const char *const *tried; /* ids of the upstreams tried before, NULL-terminated */
 };
 
@@ -251,6 +265,35 @@
 void srv_req_disconnected(void *arg, struct http_server_request *request);
 void srv_req_drained(void *arg, struct http_server_request *request);
 
+/* srv_origin.c: which software version began a stream. */
+void srv_origin_tick(struct srv *s, int64_t now_ms);
+void srv_origin_message(struct srv *s, const Peer__Message *message);
+
+/* Hands all records to other nodes, when this one stops. */
+void srv_origin_hand_over(struct srv *s, int64_t now_ms);
+
+/* Applies an entry as view_put_upstream() does, and notes its version. */
+bool srv_origin_put_upstream(struct srv *s, struct pub_upstream *doc, struct view_revision revision,
+			     int64_t now_ms);
+
+/*
+ * Called when an answer to a question sent at sent_ms was applied to the view; for has_history see
+ * stream_origin_note_view().
+ */
+void srv_origin_note_read(struct srv *s, int64_t sent_ms, bool has_history, int64_t now_ms);
+
+/* The same for the view of another node, which heard from the source age_ms ago. */
+void srv_origin_note_snapshot(struct srv *s, int64_t age_ms, int64_t now_ms);
+
+/* Called at each tick, before last_tick_ms is set. */
+void srv_origin_note_tick(struct srv *s, int64_t now_ms);
+
+/* Returns whether the versions in the view may be trusted. */
+bool srv_origin_is_view_fresh(const struct srv *s, int64_t now_ms);
+
+/* Returns the version that an attempt at the upstream runs at; NULL if it isn't certain. */
+const char *srv_origin_version_of(struct srv *s, const struct srv_upstream *u);
+
 /* srv_endpoints.c: the listeners for lookups, readiness, operators and metrics. */
 bool srv_endpoints_start(struct srv *s, GError **error);
 void srv_endpoints_stop(struct srv *s);
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -171,6 +171,11 @@
 	case PEER__MESSAGE__KIND_PUBLISHED_REPLY:
 		srv_snapshot_message(s, message);
 		break;
+	case PEER__MESSAGE__KIND_ORIGIN_NOTE:
+	case PEER__MESSAGE__KIND_ORIGIN_ASK:
+	case PEER__MESSAGE__KIND_ORIGIN_REPLY:
+		srv_origin_message(s, message);
+		break;
 	default:
 		srv_chain_message(s, message);
 	}
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -24,7 +24,7 @@
 
 	log_info("request",
 		 "{s:s, s:s, s:s, s:i, s:s, s:s, s:i, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, "
-		 "s:I}",
+		 "s:I, s:s, s:s, s:s, s:I, s:i, s:i}",
 		 "request", r->meta.attempt ? r->meta.attempt : "", "route",
 		 r->route ? r->route->name : "", "outcome", outcome, "status", status, "upstream",
 		 r->n_attempts > 0 && r->attempts[r->n_attempts - 1].upstream
@@ -39,7 +39,12 @@
 		 (json_int_t)srv_feed_age_ms(s->feed, now_ms), "last_event",
 		 (json_int_t)r->last_event, "aim_ms",
 		 (json_int_t)(r->route ? r->aim_at_ms - r->began_ms : -1), "prompt_tokens",
-		 (json_int_t)r->meta.tokens_in);
+		 (json_int_t)r->meta.tokens_in, "resumes", r->meta.resumes ? r->meta.resumes : "",
+		 "stream_version", r->origin.version ? r->origin.version : "",
+		 "stream_version_from", stream_origin_source_name(r->origin.source),
+		 "stream_version_age_ms", (json_int_t)r->origin.age_ms, "nodes_asked",
+		 (int)r->origin.resumption.asked, "nodes_answered",
+		 (int)r->origin.resumption.answered);
 }
 
 static void on_timer_closed(uv_handle_t *handle)
@@ -51,6 +56,7 @@
 {
 	for (uint32_t i = 0; i < r->n_attempts; i++)
 		srv_attempt_cancel(&r->attempts[i]);
+	srv_origin_clear(r);
 	if (r->chain)
 		srv_chain_release(r->s, r->chain);
 	pub_doc_unref(r->doc);
@@ -138,7 +144,10 @@
 	return (char **)g_ptr_array_free(both, FALSE);
 }
 
-/* Returns one of the route's services, chosen by weight and a hash of the attempt id. */
+/*
+ * Returns one of the route's services, chosen by weight and a hash of the attempt id; for a resumed
+ * stream, of the attempt that began it.
+ */
 static const char *choose_service(const struct pub_route *route, const char *attempt)
 {
 	double total = 0;
@@ -272,6 +281,14 @@
 	}
 }
 
+void srv_req_proceed(struct srv_req *r)
+{
+	if (has_pieces(r))
+		start_chain(r);
+	else
+		srv_req_send(r);
+}
+
 static void start(struct srv_req *r)
 {
 	struct srv *s = r->s;
@@ -296,15 +313,14 @@
 	set_deadlines(r);
 	r->rank = r->account && r->account->rank >= 0 ? r->account->rank : r->route->rank;
 	r->regions = intersect_regions(r->route->regions, r->account ? r->account->regions : NULL);
-	r->service_name = choose_service(r->route, r->meta.attempt);
+	r->service_name = choose_service(r->route, srv_origin_is_resumption(r) && r->meta.resumes
+							   ? r->meta.resumes
+							   : r->meta.attempt);
 	r->service = pub_find_service(r->doc, r->service_name);
 	set_affinity(r);
 	budget_add_requests(srv_retry_budget(s, r->service_name), 1, clock_now_ms());
 	srv_req_arm_timer(r);
-	if (has_pieces(r))
-		start_chain(r);
-	else
-		srv_req_send(r);
+	srv_origin_start(r);
 }
 
 void srv_req_begin(void *arg, struct http_server_request *request)
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -25,6 +25,7 @@
 	struct http_client_call *call; /* NULL after the call has ended */
 	enum srv_attempt_verdict verdict;
 	int status;
+	const char *version; /* of the upstream when it was sent, interned; NULL: uncertain */
 	int64_t sent_ms;
 	int64_t last_data_ms; /* when bytes of the answer last arrived; sent_ms before that */
 	bool is_paused;
@@ -32,6 +33,19 @@
 	bool is_missing_inputs; /* the upstream could not fetch the chain's results */
 };
 
+/* The version that began a stream that may be resumed. */
+struct srv_req_origin {
+	uint64_t stream;
+	const char *version; /* interned; NULL: not known, or the stream hasn't begun */
+	enum stream_origin_source source;
+	int64_t age_ms; /* of the record when it was found; -1: there was none */
+	struct stream_resumption resumption;
+	/* ids of the version's upstreams as another node knows them; NULL: not asked */
+	char **candidates;
+	bool is_waiting;		 /* for other nodes' answers */
+	const struct srv_attempt *noted; /* attempt with an event that was passed on */
+};
+
 struct srv_req {
 	struct srv *s;
 	struct http_server_request *http;
@@ -68,6 +82,7 @@
 	GByteArray *body;
 	GString *partial; /* an incomplete event of a resumable stream */
 	GString *tail;	  /* the last bytes of the attempt's answer, to see whether an event ends */
+	struct srv_req_origin origin;
 	int64_t last_event; /* id of the last event sent to the caller; -1: none */
 	uv_timer_t timer;
 	char *reason; /* why the request ended, for the log and the answer */
@@ -93,6 +108,9 @@
 /* For a request that can't be sent again: fails it if it may have run, refuses it otherwise. */
 void srv_req_end_unserved(struct srv_req *r, const char *reason);
 
+/* Starts the chain or the first attempt. */
+void srv_req_proceed(struct srv_req *r);
+
 /* Starts a new chain after the results of the previous one were lost. */
 void srv_req_restart_chain(struct srv_req *r);
 
@@ -123,4 +141,32 @@
  */
 bool srv_req_forward_failure(struct srv_req *r);
 
+/* srv_origin.c: finds the version of a resumed stream, then starts or refuses the request. */
+void srv_origin_start(struct srv_req *r);
+void srv_origin_decide(struct srv_req *r);
+void srv_origin_cancel(struct srv_req *r);
+void srv_origin_clear(struct srv_req *r);
+
+/* Returns until when other nodes' answers are waited for; INT64_MAX: they aren't. */
+int64_t srv_origin_wait_until_ms(const struct srv_req *r);
+
+/* Returns whether the caller resumes a stream that an earlier attempt began. */
+bool srv_origin_is_resumption(const struct srv_req *r);
+
+/* Returns whether the request will begin a stream that may be resumed. */
+bool srv_origin_begins(const struct srv_req *r);
+
+/* Returns whether a stream that has broken off may go on within this answer. */
+bool srv_origin_may_go_on(const struct srv_req *r, int64_t now_ms);
+
+/* Returns whether the stream has a version of which no usable upstream is left. */
+bool srv_origin_is_none_left(const struct srv_req *r);
+void srv_origin_end_none_left(struct srv_req *r);
+
+/* Called when the head of an answer, the first event of an attempt, and all events are passed on.
+ */
+void srv_origin_note_answer(struct srv_attempt *attempt);
+void srv_origin_note_event(struct srv_req *r);
+void srv_origin_note_complete(struct srv_req *r);
+
 #endif
--- a/packages/serve/srv_snapshot.c
+++ b/packages/serve/srv_snapshot.c
@@ -139,7 +139,7 @@
 	doc->slots = in->slots;
 	doc->born_ms = in->born_ms;
 	doc->sequence = in->sequence;
-	view_put_upstream(s->view, doc, revision, now_ms);
+	srv_origin_put_upstream(s, doc, revision, now_ms);
 }
 
 static gint compare_ids(gconstpointer a, gconstpointer b)
@@ -214,6 +214,7 @@
 	if (is_fresh && view_compare(revision_of(reply), srv_feed_revision(s->feed)) >= 0) {
 		remove_missing(s, reply, now_ms);
 		apply_data_centres(s, reply, now_ms);
+		srv_origin_note_snapshot(s, reply->age_ms, now_ms);
 	}
 	s->view->complete = true;
 	s->snapshot_revision = revision_of(reply);
--- a/packages/serve/srv_upstream.c
+++ b/packages/serve/srv_upstream.c
@@ -18,6 +18,7 @@
 /* Share of a retry limit that is used: requests leave the nodes' windows at different times. */
 #define BUDGET_HEADROOM 0.7
 #define CONNECTIONS_MIN 2
+#define VERSION_NEWS_MS 1500 /* an upstream that has started writes its entry within this time */
 #define MS_PER_S 1000.0
 
 static void free_upstream(struct srv_upstream *u)
@@ -83,6 +84,8 @@
 		u->blocked_until_ms = MAX(u->blocked_until_ms, now_ms + OVERLOAD_BLOCK_MS);
 		return;
 	}
+	if (failure == SRV_FAILURE_UNREACHABLE)
+		u->unreachable_ms = now_ms;
 	update_failure_rate(u, 1, now_ms);
 	if (failure == SRV_FAILURE_BROKEN || !srv_has_policy(s, POLICY_BACKOFF))
 		return;
@@ -202,6 +205,33 @@
 	return !budget_take_cold(&u->cold, &cold, now_ms);
 }
 
+/*
+ * Returns whether the upstream is known to run the version of its entry. One that couldn't be
+ * reached may have started again with another version, which its entry says soon.
+ */
+static bool is_version_certain(const struct srv *s, const struct srv_upstream *u,
+			       const struct pub_upstream *doc, int64_t now_ms)
+{
+	int64_t as_of_ms = stream_origin_as_of_ms(s->origins);
+
+	return strcmp(u->address, doc->address) == 0 && srv_origin_is_view_fresh(s, now_ms) &&
+	       (u->unreachable_ms == 0 || as_of_ms >= u->unreachable_ms + VERSION_NEWS_MS);
+}
+
+/* Returns whether the request may be sent to an upstream of that version. */
+static bool is_version_wanted(const struct srv *s, const struct srv_pick_criteria *want,
+			      const struct srv_upstream *u, const struct pub_upstream *doc,
+			      int64_t now_ms)
+{
+	if (want->version)
+		return strcmp(want->version, doc->version) == 0 &&
+		       is_version_certain(s, u, doc, now_ms) &&
+		       (!want->candidates ||
+			g_strv_contains((const char *const *)want->candidates, doc->id));
+	return !want->is_settled ||
+	       stream_origin_is_settled(s->origins, doc->service, doc->version, now_ms);
+}
+
 static bool fill_candidate(struct srv *s, const struct srv_pick_criteria *want,
 			   const struct view_upstream *entry, struct lb_candidate *c,
 			   struct srv_upstream **u, int64_t now_ms)
@@ -214,7 +244,7 @@
 	if (!pub_allows_region(want->regions, region))
 		return false;
 	*u = srv_upstream_get(s, doc->id, doc->address);
-	if (!*u)
+	if (!*u || !is_version_wanted(s, want, *u, doc, now_ms))
 		return false;
 	*c = (struct lb_candidate){
 		.id = doc->id,
--- a/tests/proc_versions.c
+++ b/tests/proc_versions.c
@@ -18,6 +18,7 @@
 #define GAP_MS 25
 #define LEAVE_AT 3	  /* id of the last event that a caller reads before it leaves */
 #define SETTLE_MS 400	  /* until every node knows of a change at the source */
+#define SETTLED_MS 3400	  /* until streams may begin at a version that came to another */
 #define RECOVERED_MS 2500 /* until every node knows that the source is back */
 #define REFUSED_MS 400	  /* a refusal at once takes less */
 #define IN_TOUCH_MS 4000  /* after its start, by which a node has to serve fully */
@@ -77,7 +78,7 @@
 {
 	start();
 	add_version("v2");
-	clock_sleep_ms(SETTLE_MS);
+	clock_sleep_ms(SETTLED_MS);
 }
 
 static void tear_down(void)
@@ -241,7 +242,8 @@
 		take_up(ALL_NODES);
 		stub_set_fault(c->stub, "v1-a1", STUB_FAULT_NONE);
 		stub_set_fault(c->stub, "v2-a1", STUB_FAULT_NONE);
-		expect(NULL, GOES_ON, retries[i].name);
+		expect("v1", GOES_ON, retries[i].name);
+		expect("v2", GOES_ON, retries[i].name);
 	}
 }
 END_TEST
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -349,10 +349,57 @@
 }
 END_TEST
 
+#define RANK_KEYS 20
+#define TOLD 2
+#define ASKED 3
+
+static bool is_asked(int asker, char (*asked)[GOSSIP_NAME_BYTES], const char *address)
+{
+	for (int k = 0; k < ASKED; k++) {
+		if (strcmp(asked[k], address) == 0)
+			return true;
+	}
+	return strcmp(record(asker, 0).peer_address, address) == 0;
+}
+
+/* Whoever tells the first of a key, all others that ask find them; none is gone or leaves. */
+START_TEST(ranks_alike)
+{
+	char ranked[NODES][ASKED][GOSSIP_NAME_BYTES];
+	const uint32_t dead = 1U << 5;
+
+	start();
+	run_rounds(0, 20, 0, false);
+	gossip_set_self(nodes[3], true, true);
+	run_rounds(20, 40, dead, false);
+	for (uint64_t key = 0; key < RANK_KEYS; key++) {
+		for (int i = 0; i < NODES; i++) {
+			if (dead & (1U << i))
+				continue;
+			ck_assert_uint_eq(gossip_rank(nodes[i], key, ranked[i], ASKED, at(40)),
+					  ASKED);
+			for (int k = 0; k < ASKED; k++) {
+				ck_assert_str_ne(ranked[i][k], "10.0.0.3:1");
+				ck_assert_str_ne(ranked[i][k], "10.0.0.5:1");
+				ck_assert_str_ne(ranked[i][k], record(i, 0).peer_address);
+			}
+		}
+		for (int i = 0; i < NODES * NODES; i++) {
+			int teller = i / NODES;
+			int asker = i % NODES;
+			for (int k = 0; k < TOLD && !(dead & (1U << teller | 1U << asker)); k++)
+				ck_assert(is_asked(asker, ranked[asker], ranked[teller][k]));
+		}
+	}
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		owner_of_a_region,
+		ranks_alike,
 		finds_all_through_seeds,
 		notices_the_dead_and_keeps_the_rest,
 		heals_after_a_cut,
