--- a/packages/emul/stub_crash.c
+++ b/packages/emul/stub_crash.c
@@ -79,7 +79,7 @@
 	const struct stub_lapse lapse = {
 		.engine = e,
 		.instance = g_strdup(e->instance),
-		.born = e->born,
+		.born_ms = e->born_ms,
 		.at_ms = now_ms + ENTRY_LAPSE_MS,
 	};
 
@@ -97,10 +97,10 @@
 	if (!e->listener)
 		return; /* tried again at the next tick */
 	e->back_at_ms = 0;
-	e->born++;
-	if (e->born % 2 == 0) {
+	e->born_ms = stub_next_born_ms(e);
+	if (++e->n_crashes % 2 == 1) {
 		g_free(e->instance);
-		e->instance = g_strdup_printf("%s-%" G_GINT64_FORMAT, e->id, e->born);
+		e->instance = g_strdup_printf("%s-%u", e->id, e->n_crashes + 1);
 	}
 	stub_engine_publish(e, "ready");
 }
@@ -113,7 +113,7 @@
 		if (now_ms < lapse->at_ms)
 			return;
 		key = g_strdup_printf("servers/%s", lapse->instance);
-		if (lapse->engine->born == lapse->born ||
+		if (lapse->engine->born_ms == lapse->born_ms ||
 		    strcmp(lapse->engine->instance, lapse->instance) != 0)
 			stub_store_write(s, key, NULL);
 		g_free(key);
--- a/packages/emul/stub_engine.c
+++ b/packages/emul/stub_engine.c
@@ -17,6 +17,7 @@
 	struct stub_engine *engine;
 	struct http_server_request *request; /* NULL after the client has disconnected */
 	uv_timer_t timer;
+	const char *version; /* of the engine when the run began */
 	uint32_t next_event;
 	bool started;
 };
@@ -93,7 +94,8 @@
 
 static char *event_text(const struct stub_run *run)
 {
-	return g_strdup_printf("id: %u\ndata: token %u\n\n", run->next_event, run->next_event);
+	return g_strdup_printf("id: %u\ndata: %s token %u\n\n", run->next_event, run->version,
+			       run->next_event);
 }
 
 static void stream_event(struct stub_run *run)
@@ -108,7 +110,9 @@
 		put_signature(&headers, e, attempt_of(run->request));
 		hdr_add(&headers, "Content-Type", "text/event-stream");
 		http_server_begin(run->request, 200, &headers,
-				  stub_crash_note_answer(e, run->request));
+				  e->fault == STUB_FAULT_NO_LENGTH_CUT
+					  ? HTTP_SERVER_UNTIL_CLOSE
+					  : stub_crash_note_answer(e, run->request));
 		hdr_clear(&headers);
 		run->started = true;
 	}
@@ -118,7 +122,11 @@
 		return;
 	}
 	event = event_text(run);
-	if (e->fault == STUB_FAULT_TRUNCATE && run->next_event > 0) {
+	if (e->fault == STUB_FAULT_NO_LENGTH_CUT && run->next_event > 0) {
+		http_server_write(run->request, event, strlen(event) / 2);
+		http_server_finish(run->request);
+		end_run(run);
+	} else if (e->fault == STUB_FAULT_TRUNCATE && run->next_event > 0) {
 		http_server_write(run->request, event, strlen(event) / 2);
 		http_server_abort(run->request);
 		end_run(run);
@@ -231,6 +239,7 @@
 		e->busy_until_ms = start_ms + e->options.work_ms;
 	}
 	run->engine = e;
+	run->version = e->version;
 	run->request = request;
 	uv_timer_init(&e->s->loop, &run->timer);
 	run->timer.data = run;
@@ -275,15 +284,25 @@
 	return held;
 }
 
+/* Returns the engine that has the address now. */
+static struct stub_engine *current(struct stub_engine *e)
+{
+	while (e->successor)
+		e = e->successor;
+	return e;
+}
+
 static void on_request(void *arg, struct http_server_request *request)
 {
-	struct stub_engine *e = arg;
+	struct stub_engine *e = current(arg);
 
 	pthread_mutex_lock(&e->s->lock);
 	e->stats.arrivals++;
 	e->stats.bad += is_invalid(e, request);
 	if (e->options.kind == STUB_POOL && strcmp(request->target, "/-/stage-free") == 0)
 		free_results(e, request);
+	else if (clock_now_ms() < e->down_until_ms)
+		http_server_abort(request);
 	else if (e->fault == STUB_FAULT_SHED)
 		refuse(request, 503);
 	else if (e->fault == STUB_FAULT_MISDIRECTED || is_misdirected(e, request))
@@ -297,7 +316,7 @@
 
 static void on_disconnect(void *arg, struct http_server_request *request)
 {
-	struct stub_engine *e = arg;
+	struct stub_engine *e = current(arg);
 	struct stub_run *run = g_hash_table_lookup(e->open, request);
 
 	/* takes no lock: if the engine closes the connection, on_event() already holds it */
@@ -307,7 +326,19 @@
 	run->request = NULL;
 }
 
-void stub_engine_start(struct stub_engine *e)
+static void break_off_runs(struct stub_engine *e)
+{
+	GList *runs = g_hash_table_get_values(e->open);
+
+	for (GList *at = runs; at; at = at->next) {
+		struct stub_run *run = at->data;
+		http_server_abort(run->request);
+		end_run(run);
+	}
+	g_list_free(runs);
+}
+
+static void open_listener(struct stub_engine *e)
 {
 	const struct http_server_handler handler = {
 		.on_request = on_request,
@@ -353,3 +384,19 @@
 	http_server_free(e->listener);
 	e->listener = NULL;
 }
+
+void stub_engine_start(struct stub_engine *e)
+{
+	if (e->predecessor) {
+		break_off_runs(e->predecessor);
+		e->listener = e->predecessor->listener;
+		e->address = g_strdup(e->predecessor->address);
+		e->predecessor->successor = e;
+		e->predecessor = NULL;
+	} else if (e->listener) {
+		break_off_runs(e);
+	} else {
+		open_listener(e);
+	}
+	e->is_starting = false;
+}
--- a/packages/emul/stub_int.h
+++ b/packages/emul/stub_int.h
@@ -19,13 +19,19 @@
 	char *id;	/* as added */
 	char *instance; /* id of the current start, as published */
 	char *address;	/* NULL until the engine has listened for the first time */
-	int64_t born;	/* rises with each start */
 	char *service;
 	char *zone;
+	const char *version; /* of its software; interned */
+	int64_t born_ms;     /* when it last started, as its entry says */
+	int64_t down_until_ms;
 	struct stub_engine_options options;
-	struct http_server *listener; /* NULL: the engine is down */
-	int64_t crash_at_ms;	      /* 0: none is due */
-	int64_t back_at_ms;	      /* end of the time after a crash; 0: the engine is up */
+	struct http_server *listener;	 /* NULL: the engine is down */
+	struct stub_engine *predecessor; /* engine whose address it takes; NULL: none */
+	struct stub_engine *successor;	 /* engine that has its address now; NULL: none */
+	bool is_starting;		 /* the loop has yet to start it */
+	uint32_t n_crashes;
+	int64_t crash_at_ms; /* 0: none is due */
+	int64_t back_at_ms;  /* end of the time after a crash; 0: the engine is up */
 	enum stub_fault fault;
 	GHashTable *runs;    /* attempt id -> number of runs */
 	GHashTable *results; /* handles of the stored results */
@@ -50,7 +56,7 @@
 	enum stub_epoch_header epoch_header;
 	GPtrArray *watches;  /* struct stub_watch */
 	GHashTable *engines; /* id -> struct stub_engine */
-	GPtrArray *starting; /* engines whose listener the loop has yet to open */
+	GPtrArray *starting; /* engines that the loop has yet to start */
 	enum stub_store_fault store_fault;
 	int64_t compacted_revision; /* newest revision when STUB_STORE_COMPACTED was last set */
 	uint64_t sequence;
@@ -67,7 +73,7 @@
 struct stub_lapse {
 	struct stub_engine *engine;
 	char *instance;
-	int64_t born;
+	int64_t born_ms;
 	int64_t at_ms;
 };
 
@@ -87,8 +93,10 @@
 /* stub.c: as stub_publish(), for callers that hold the lock. */
 void stub_engine_publish(struct stub_engine *e, const char *state);
 
-/* stub_engine.c */
-/* Listens, at the former address if there is one. listener stays NULL if that fails. */
+/*
+ * stub_engine.c: starts an engine, or starts it again; either breaks off what ran at its address.
+ * listener stays NULL if it can't listen at its former address yet.
+ */
 void stub_engine_start(struct stub_engine *e);
 /* Closes the listener, resets all answers and closes all connections. */
 void stub_engine_stop(struct stub_engine *e);
@@ -101,6 +109,13 @@
 /* A stream engine begins an answer. Returns the length to begin it with. */
 int64_t stub_crash_note_answer(struct stub_engine *e, const struct http_server_request *request);
 
+/* stub_version.c */
+const char *stub_version_of(const struct stub_engine_options *options);
+int64_t stub_next_born_ms(const struct stub_engine *e);
+
+/* stub.c: has the loop start an engine, and waits until it has. */
+void stub_start(struct stub *s, struct stub_engine *e);
+
 /* Answers with a JSON body and the given header fields (NULL: none). */
 void stub_answer_json(struct http_server_request *request, int status,
 		      const struct hdr_list *fields, json_t *root);
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -178,6 +178,11 @@
 	case PEER__MESSAGE__KIND_PROMPT_EVIDENCE:
 		srv_quarantine_message(s, message->from_vm, message->prompt_evidence);
 		break;
+	case PEER__MESSAGE__KIND_ORIGIN_NOTE:
+	case PEER__MESSAGE__KIND_ORIGIN_ASK:
+	case PEER__MESSAGE__KIND_ORIGIN_REPLY:
+		srv_origin_message(s, message);
+		break;
 	default:
 		srv_chain_message(s, message);
 	}
--- a/packages/serve/srv_snapshot.c
+++ b/packages/serve/srv_snapshot.c
@@ -76,6 +76,7 @@
 	out->service = u->doc->service;
 	out->address = u->doc->address;
 	out->data_centre = u->doc->data_centre;
+	out->version = u->doc->version;
 	out->leaving = u->doc->leaving;
 	out->cold_left_ms = MAX(u->cold_until_ms - now_ms, 0);
 	out->slots = u->doc->slots;
@@ -132,12 +133,13 @@
 	doc->service = g_strdup(in->service);
 	doc->address = g_strdup(in->address);
 	doc->data_centre = g_strdup(in->data_centre);
+	doc->version = g_strdup(in->version);
 	doc->leaving = in->leaving;
 	doc->cold_left_ms = in->cold_left_ms;
 	doc->slots = in->slots;
 	doc->born_ms = in->born_ms;
 	doc->sequence = in->sequence;
-	view_put_upstream(s->view, doc, revision, now_ms);
+	srv_origin_put_upstream(s, doc, revision, now_ms);
 }
 
 static gint compare_ids(gconstpointer a, gconstpointer b)
@@ -212,6 +214,7 @@
 	if (is_fresh && view_compare(revision_of(reply), srv_feed_revision(s->feed)) >= 0) {
 		remove_missing(s, reply, now_ms);
 		apply_data_centres(s, reply, now_ms);
+		srv_origin_note_snapshot(s, reply->age_ms, now_ms);
 	}
 	s->view->complete = true;
 	s->snapshot_revision = revision_of(reply);
