Count a crash of one run of an upstream once

Callers would have seen: sound requests refused, as one living upstream that breaks off answers convicts a part alone: three broken answers more than 2 s apart counted as three crashes, and affinity sends a session back to it. Cause: reports of one run of an upstream counted as one crash for 2 s only. A run ends once; an upstream that starts again has a new id or start. Change: reports of a run are one crash whatever their time. Evidence: unit_quarantine, "reports of one run of an upstream are one crash", has two later reports of the same run and failed before (2 crashes counted).

--- a/packages/decide/include/decide/quarantine.h
+++ b/packages/decide/include/decide/quarantine.h
@@ -39,7 +39,7 @@
 
 /* Upstream that ended, with the parts of the requests that it had just begun to answer. */
 struct quarantine_crash {
-	uint64_t upstream; /* hash of its id */
+	uint64_t upstream; /* hash of its id and start: one run of it, which ends once */
 	int64_t at_ms;
 	const struct quarantine_part *parts;
 	uint32_t n_parts;
@@ -113,9 +113,10 @@
 
 /*
  * Merge others' reports. Return whether they changed the evidence: a crash or part that counts, or
- * a later good answer. Reports of an upstream within 2 s tell of one crash; the earliest time told
- * counts for each part. quarantine_contradict() should follow each report, also one that changes
- * nothing: the reporter may have missed a good answer.
+ * a later good answer. All reports of one run of an upstream tell of one crash; the earliest time
+ * told counts for each part. So a living upstream that breaks answers can't convict a part alone.
+ * quarantine_contradict() should follow each report, also one that changes nothing: the reporter
+ * may have missed a good answer.
  */
 bool quarantine_merge_crash(struct quarantine *q, const struct quarantine_crash *crash,
 			    int64_t now_ms);
--- a/packages/decide/quarantine.c
+++ b/packages/decide/quarantine.c
@@ -112,18 +112,12 @@
 	return report;
 }
 
-/*
- * Returns the report that already names the part with this crash, or NULL: the one at most
- * QUARANTINE_UNITE_MS before, else the one at most that long after.
- */
-static struct report *find_known(const struct quarantine *q, uint64_t upstream, uint64_t part,
-				 int64_t at_ms)
+/* Returns the report that already names the part with this crash, or NULL. */
+static struct report *find_known(const struct quarantine *q, uint64_t upstream, uint64_t part)
 {
 	for (guint i = 0; i < q->reports->len; i++) {
 		struct report *report = g_ptr_array_index(q->reports, i);
-		if (report->upstream == upstream &&
-		    ABS(report->at_ms - at_ms) <= QUARANTINE_UNITE_MS &&
-		    quarantine_find_part(report, part))
+		if (report->upstream == upstream && quarantine_find_part(report, part))
 			return report;
 	}
 	return NULL;
@@ -146,7 +140,7 @@
 static bool add_part(struct quarantine *q, const struct quarantine_part *part, uint64_t upstream,
 		     int64_t at_ms, int64_t now_ms)
 {
-	struct report *known = find_known(q, upstream, part->id, at_ms);
+	struct report *known = find_known(q, upstream, part->id);
 	struct report_part added = {.id = part->id, .depth = part->depth};
 	int64_t heard_ms = now_ms;
 
--- a/packages/decide/quarantine_internal.h
+++ b/packages/decide/quarantine_internal.h
@@ -8,9 +8,6 @@
 
 #define QUARANTINE_NEVER_MS INT64_MAX
 
-/* Reports of an upstream tell of the same crash if they are within this time of the first one. */
-#define QUARANTINE_UNITE_MS 2000
-
 struct report_part {
 	uint64_t id;
 	uint32_t depth;
--- a/packages/decide/quarantine_verdict.c
+++ b/packages/decide/quarantine_verdict.c
@@ -186,10 +186,10 @@
 		struct report *first = g_hash_table_lookup(firsts, &report->upstream);
 		report->first = report;
 		report->explained = false;
-		if (first && report->at_ms - first->at_ms <= QUARANTINE_UNITE_MS)
+		if (first)
 			report->first = first;
 		else
-			g_hash_table_replace(firsts, &report->upstream, report);
+			g_hash_table_insert(firsts, &report->upstream, report);
 	}
 	g_hash_table_destroy(firsts);
 }
