--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -253,6 +253,32 @@
 }
 END_TEST
 
+/* Guards against closing, at a shutdown, on a pipelined request that was read behind another one.
+ */
+START_TEST(drains_pipelined)
+{
+	GString *response;
+	int fd;
+
+	start_server();
+	fd = raw_connect(http_server_address(server));
+	raw_write_text(fd, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_loop(20);
+	http_server_drain(server);
+	http_server_respond(last_request, 200, NULL, "one", 3);
+	run_loop(20);
+	ck_assert_uint_eq(n_requests, 2);
+	http_server_respond(last_request, 200, NULL, "two", 3);
+	run_loop(20);
+	response = raw_read(fd, WAIT_MS);
+	ck_assert(strstr(response->str, "two") != NULL);
+	ck_assert(strstr(response->str, "Connection: close") > strstr(response->str, "one"));
+	g_string_free(response, TRUE);
+	close(fd);
+	stop_server(NULL);
+}
+END_TEST
+
 /*
  * Guards against leaving before an answer is written: an answer to a slow reader isn't a request in
  * progress any more, but counts as unfinished until the last byte has gone.
@@ -508,6 +534,7 @@
 		notices_who_leaves,
 		answers_pipelined_in_turn,
 		drains,
+		drains_pipelined,
 		counts_unwritten_answers,
 		takes_answers,
 		knows_what_was_not_sent,
