Try a quarantined part once

Change: one trial, 60 s after the last crash; if it fails, none until the part is forgotten after 24 h. Switching quarantine off for a moment ends it sooner. Evidence: the two cases of unit_quarantine on trials failed before the change.

--- a/packages/decide/include/decide/quarantine.h
+++ b/packages/decide/include/decide/quarantine.h
@@ -22,7 +22,7 @@
 #define QUARANTINE_HOLD_MS 20000      /* a good answer outweighs crashes until this long after it */
 #define QUARANTINE_SPACING_MS 300     /* crashes of a part closer to each other count once */
 #define QUARANTINE_CRASHES 3	      /* count at which a part goes into quarantine */
-#define QUARANTINE_TRIALS_MAX 3	      /* failed trials after which none is made */
+#define QUARANTINE_TRIALS_MAX 1	      /* failed trials after which none is made */
 #define QUARANTINE_TRIAL_END_MS 30000 /* a trial without a result for this long wasn't made */
 #define QUARANTINE_REPORTS_MAX 256    /* of crashes */
 #define QUARANTINE_REPORT_PARTS_MAX 128
--- a/packages/decide/quarantine_verdict.c
+++ b/packages/decide/quarantine_verdict.c
@@ -4,7 +4,7 @@
  */
 #include "quarantine_internal.h"
 
-const int64_t quarantine_trial_wait_ms[QUARANTINE_TRIALS_MAX] = {60000, 300000, 1800000};
+const int64_t quarantine_trial_wait_ms[QUARANTINE_TRIALS_MAX] = {60000};
 
 struct suspect *quarantine_find_suspect(const struct quarantine *q, uint64_t part)
 {
