Go on with a stream after one broken answer

Callers saw, since the quarantine: a resumable stream on new parts that broke once was cut, though another upstream could have gone on with it; nothing had crashed. A review showed 7 of 7 cut, and the eighth refused. Cause: a request's own first break counted against its parts, and one crash was enough to forbid a second run. Evidence: proc_quarantine/broken_answers_are_resumed failed before ("part eff9, node 0: status 200, cut") and passes; suspected_part_is_sent_once passes: the first request runs twice, the following ones once.

--- a/packages/decide/include/decide/quarantine.h
+++ b/packages/decide/include/decide/quarantine.h
@@ -22,6 +22,7 @@
 #define QUARANTINE_HOLD_MS 20000      /* a good answer outweighs crashes until this long after it */
 #define QUARANTINE_SPACING_MS 300     /* crashes of a part closer to each other count once */
 #define QUARANTINE_CRASHES 3	      /* count at which a part goes into quarantine */
+#define QUARANTINE_DOUBT_UPSTREAMS 2  /* fewer may be broken answers of one upstream */
 #define QUARANTINE_TRIALS_MAX 1	      /* failed trials after which none is made */
 #define QUARANTINE_TRIAL_END_MS 30000 /* a trial without a result for this long wasn't made */
 #define QUARANTINE_REPORTS_MAX 256    /* of crashes */
@@ -53,7 +54,7 @@
 
 enum quarantine_state {
 	QUARANTINE_CLEAR,
-	QUARANTINE_DOUBTED, /* send once; no retry, hedge or resumption */
+	QUARANTINE_DOUBTED, /* no second run from QUARANTINE_DOUBT_UPSTREAMS on */
 	QUARANTINE_BLOCKED, /* don't send */
 	QUARANTINE_TRIAL,   /* as doubted; call quarantine_note_trial() when it is sent */
 };
@@ -62,6 +63,7 @@
 	enum quarantine_state state; /* the strictest over the parts; BLOCKED is, then TRIAL */
 	uint64_t part;		     /* the part that decided; 0: none */
 	uint32_t n_crashes;	     /* counted against it */
+	uint32_t n_upstreams;	     /* that crashed under it, also at one moment */
 	int64_t first_crash_ms;
 	int64_t last_crash_ms;
 	int64_t retry_after_ms; /* BLOCKED: until the next trial; 0: none is planned */
--- a/packages/decide/quarantine_check.c
+++ b/packages/decide/quarantine_check.c
@@ -33,6 +33,7 @@
 		.state = QUARANTINE_DOUBTED,
 		.part = suspect->part,
 		.n_crashes = suspect->n_counted,
+		.n_upstreams = suspect->n_all,
 		.first_crash_ms = suspect->first_ms,
 		.last_crash_ms = suspect->last_ms,
 	};
@@ -65,6 +66,8 @@
 
 	if (a->state != b->state)
 		return strictness[a->state] > strictness[b->state];
+	if (a->state == QUARANTINE_DOUBTED)
+		return a->n_upstreams > b->n_upstreams;
 	return a->state == QUARANTINE_BLOCKED && wait_of(a) > wait_of(b);
 }
 
--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -161,7 +161,8 @@
 	struct quarantine_verdict verdict;
 
 	srv_quarantine_check(r->s, &r->meta, &verdict);
-	return verdict.state != QUARANTINE_CLEAR;
+	return verdict.state > QUARANTINE_DOUBTED ||
+	       verdict.n_upstreams >= QUARANTINE_DOUBT_UPSTREAMS;
 }
 
 /* Returns why no further attempt is allowed; NULL if one is allowed. */
--- a/tests/proc_quarantine.c
+++ b/tests/proc_quarantine.c
@@ -399,6 +399,31 @@
 }
 END_TEST
 
+/* Single broken answers on new parts end the resumption of sound streams, or refuse them. */
+START_TEST(broken_answers_are_resumed)
+{
+	guint from;
+
+	start(NODES_FEW, "/resume/x");
+	play(1000, 0);
+	stub_set_fault(c->stub, "model-1", STUB_FAULT_TRUNCATE);
+	stub_set_fault(c->stub, "model-2", STUB_FAULT_TRUNCATE);
+	from = calls->len;
+	for (uint32_t i = 0; i < 24; i++) {
+		send_call(i % NODES_FEW, PART_NEW + i, i);
+		clock_sleep_ms(100);
+	}
+	join_calls();
+	for (guint i = from; i < calls->len; i++) {
+		const struct call *call = g_ptr_array_index(calls, i);
+		ck_assert_msg(call->begun && call->whole, "part %x, node %u: status %d, %s",
+			      call->middle, call->node, call->status,
+			      call->whole ? "whole" : "cut");
+	}
+	finish();
+}
+END_TEST
+
 /* A stream that broke under a part that another crash counts against costs a second engine. */
 START_TEST(suspected_part_is_sent_once)
 {
@@ -422,7 +447,7 @@
 {
 	const TTest *const tests[] = {
 		part_is_quarantined,  resumable_part_is_quarantined, restarted_node_refuses,
-		resets_at_one_moment, suspected_part_is_sent_once,
+		resets_at_one_moment, broken_answers_are_resumed,    suspected_part_is_sent_once,
 	};
 
 	setvbuf(stdout, NULL, _IOLBF, 0); /* figures of tests that fail are printed too */
