--- a/packages/decide/include/decide/quarantine.h
+++ b/packages/decide/include/decide/quarantine.h
@@ -22,7 +22,8 @@
 #define QUARANTINE_HOLD_MS 20000      /* a good answer outweighs crashes until this long after it */
 #define QUARANTINE_SPACING_MS 300     /* crashes of a part closer to each other count once */
 #define QUARANTINE_CRASHES 3	      /* count at which a part goes into quarantine */
-#define QUARANTINE_TRIALS_MAX 3	      /* failed trials after which none is made */
+#define QUARANTINE_DOUBT_UPSTREAMS 2  /* fewer may be broken answers of one upstream */
+#define QUARANTINE_TRIALS_MAX 1	      /* failed trials after which none is made */
 #define QUARANTINE_TRIAL_END_MS 30000 /* a trial without a result for this long wasn't made */
 #define QUARANTINE_REPORTS_MAX 256    /* of crashes */
 #define QUARANTINE_REPORT_PARTS_MAX 128
@@ -39,7 +40,7 @@
 
 /* Upstream that ended, with the parts of the requests that it had just begun to answer. */
 struct quarantine_crash {
-	uint64_t upstream; /* hash of its id */
+	uint64_t upstream; /* hash of its id and start: one run of it, which ends once */
 	int64_t at_ms;
 	const struct quarantine_part *parts;
 	uint32_t n_parts;
@@ -53,7 +54,7 @@
 
 enum quarantine_state {
 	QUARANTINE_CLEAR,
-	QUARANTINE_DOUBTED, /* send once; no retry, hedge or resumption */
+	QUARANTINE_DOUBTED, /* no second run from QUARANTINE_DOUBT_UPSTREAMS on */
 	QUARANTINE_BLOCKED, /* don't send */
 	QUARANTINE_TRIAL,   /* as doubted; call quarantine_note_trial() when it is sent */
 };
@@ -62,6 +63,7 @@
 	enum quarantine_state state; /* the strictest over the parts; BLOCKED is, then TRIAL */
 	uint64_t part;		     /* the part that decided; 0: none */
 	uint32_t n_crashes;	     /* counted against it */
+	uint32_t n_upstreams;	     /* that crashed under it, also at one moment */
 	int64_t first_crash_ms;
 	int64_t last_crash_ms;
 	int64_t retry_after_ms; /* BLOCKED: until the next trial; 0: none is planned */
@@ -113,9 +115,10 @@
 
 /*
  * Merge others' reports. Return whether they changed the evidence: a crash or part that counts, or
- * a later good answer. Reports of an upstream within 2 s tell of one crash; the earliest time told
- * counts for each part. quarantine_contradict() should follow each report, also one that changes
- * nothing: the reporter may have missed a good answer.
+ * a later good answer. All reports of one run of an upstream tell of one crash; the earliest time
+ * told counts for each part. So a living upstream that breaks answers can't convict a part alone.
+ * quarantine_contradict() should follow each report, also one that changes nothing: the reporter
+ * may have missed a good answer.
  */
 bool quarantine_merge_crash(struct quarantine *q, const struct quarantine_crash *crash,
 			    int64_t now_ms);
