Don't go on at an upstream that may have started again

Cause: a view up to 3 s old was trusted for the version of an upstream, and the upstream at which the stream last ran is the one likeliest to have restarted. Change: records say where a stream last ran, and a resumption goes there only if no other upstream of the version takes it. A call to the source that fails makes the view count as out of date until a newer one is read.

--- a/packages/decide/include/decide/stream_origin.h
+++ b/packages/decide/include/decide/stream_origin.h
@@ -50,7 +50,7 @@
 	const char *version; /* interned; NULL: uncertain, never to be used */
 	int64_t began_ms;
 	enum stream_origin_source source;
-	uint64_t upstream; /* hash of the id; 0: of another node's stream */
+	uint64_t upstream; /* stream_origin_hash() of the id of the upstream that it last ran at */
 };
 
 struct stream_origin;
@@ -76,8 +76,11 @@
  */
 void stream_origin_note_view(struct stream_origin *o, int64_t as_of_ms, bool has_history);
 
-/* Notes that the process was paused: what it knew before is out of date. */
-void stream_origin_note_pause(struct stream_origin *o, int64_t now_ms);
+/*
+ * Notes that the view may be out of date until a newer one is noted: the process was paused, or the
+ * source has stopped answering.
+ */
+void stream_origin_distrust_view(struct stream_origin *o, int64_t now_ms);
 
 /* Returns the time of the newest view; 0: there was none. */
 int64_t stream_origin_as_of_ms(const struct stream_origin *o);
@@ -194,7 +197,8 @@
 	enum stream_origin_verdict verdict;
 	const char *version; /* interned; set for GO_ON and NONE_LEFT */
 	enum stream_origin_source source;
-	int64_t age_ms; /* of the record; -1: there is none */
+	int64_t age_ms;	   /* of the record; -1: there is none */
+	uint64_t upstream; /* where the stream last ran; 0: unknown */
 };
 
 struct stream_origin_decision stream_origin_decide(const struct stream_origin *o,
--- a/packages/decide/stream_origin.c
+++ b/packages/decide/stream_origin.c
@@ -21,7 +21,7 @@
 	GHashTable *untold;	   /* set of struct entry */
 	GHashTable *versions;	   /* service (interned) -> GArray of struct seen_version */
 	int64_t as_of_ms;	   /* of the newest view; 0: there was none */
-	int64_t valid_from_ms;	   /* an older view is out of date, as the process was paused */
+	int64_t valid_from_ms;	   /* an older view may be out of date */
 	int64_t followed_since_ms; /* since when no change at the source was missed */
 };
 
@@ -129,7 +129,7 @@
 	o->as_of_ms = MAX(o->as_of_ms, as_of_ms);
 }
 
-void stream_origin_note_pause(struct stream_origin *o, int64_t now_ms)
+void stream_origin_distrust_view(struct stream_origin *o, int64_t now_ms)
 {
 	o->valid_from_ms = now_ms;
 }
@@ -239,6 +239,8 @@
 		return add_entry(o, record);
 	if (!is_same_version(&e->record, record))
 		e->record.version = NULL;
+	if (record->began_ms >= e->record.began_ms && record->upstream != 0)
+		e->record.upstream = record->upstream;
 	e->record.began_ms = MAX(e->record.began_ms, record->began_ms);
 	return e;
 }
@@ -268,7 +270,6 @@
 
 	copy.service = g_intern_string(record->service);
 	copy.version = g_intern_string(record->version);
-	copy.upstream = 0;
 	if (now_ms - copy.began_ms <= STREAM_ORIGIN_KEEP_MS)
 		note(o, &copy, now_ms);
 }
@@ -312,6 +313,8 @@
 			continue;
 		any = true;
 		e->record.version = NULL;
+		if (e->record.source != STREAM_ORIGIN_BEGUN)
+			continue;
 		e->is_untold = true;
 		g_hash_table_add(o->untold, e);
 	}
@@ -434,6 +437,18 @@
 	};
 }
 
+static struct stream_origin_decision with_record(const struct stream_resumption *r,
+						 const struct view_state *v,
+						 const struct stream_origin_record *record,
+						 int64_t now_ms)
+{
+	struct stream_origin_decision d =
+		go_on(r, v, record->version, record->source, now_ms - record->began_ms);
+
+	d.upstream = record->upstream;
+	return d;
+}
+
 static struct stream_origin_decision without_version(enum stream_origin_verdict verdict)
 {
 	return (struct stream_origin_decision){.verdict = verdict, .age_ms = -1};
@@ -448,7 +463,7 @@
 
 	if (record && record->version && strcmp(record->service, r->service) == 0 &&
 	    !r->is_uncertain)
-		return go_on(r, v, record->version, record->source, now_ms - record->began_ms);
+		return with_record(r, v, record, now_ms);
 	if (record || r->is_uncertain)
 		return without_version(STREAM_ORIGIN_UNKNOWN);
 	if (r->stream != 0 && r->asked_ms == 0)
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -858,10 +858,14 @@
    * the version isn't known for sure and must not be used
    */
   protobuf_c_boolean uncertain;
+  /*
+   * hash of the id of the upstream that it runs at
+   */
+  uint64_t upstream;
 };
 #define PEER__STREAM_ORIGIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__stream_origin__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -4939,7 +4939,7 @@
   (ProtobufCMessageInit) peer__region_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__stream_origin__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__stream_origin__field_descriptors[6] =
 {
   {
     "stream",
@@ -5001,18 +5001,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upstream",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__stream_origin__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
   1,   /* field[1] = service */
   0,   /* field[0] = stream */
   4,   /* field[4] = uncertain */
+  5,   /* field[5] = upstream */
   2,   /* field[2] = version */
 };
 static const ProtobufCIntRange peer__stream_origin__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__stream_origin__descriptor =
 {
@@ -5022,7 +5035,7 @@
   "Peer__StreamOrigin",
   "peer",
   sizeof(Peer__StreamOrigin),
-  5,
+  6,
   peer__stream_origin__field_descriptors,
   peer__stream_origin__field_indices_by_name,
   1,  peer__stream_origin__number_ranges,
--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -105,13 +105,15 @@
 		.select = r->select,
 		.version = r->origin.version,
 		.candidates = r->origin.candidates,
+		.avoided = r->origin.ran_at,
 		.is_settled = srv_origin_begins(r),
 		.tried = tried,
 	};
 	u = srv_upstream_pick(r->s, &want, now_ms);
-	if (u || !want.is_settled)
+	if (u || (!want.is_settled && want.avoided == 0))
 		return u;
 	want.is_settled = false;
+	want.avoided = 0;
 	return srv_upstream_pick(r->s, &want, now_ms);
 }
 
--- a/packages/serve/srv_feed.c
+++ b/packages/serve/srv_feed.c
@@ -154,6 +154,8 @@
 	int64_t now_ms = clock_now_ms();
 
 	srv_count(s, SRV_SOURCE_FAILURES);
+	if (feed->fails == 0 && feed->last_success_ms > 0)
+		srv_origin_note_source_lost(s, now_ms);
 	if (feed->fails++ == 0)
 		log_warn("source_lost", "{s:s, s:s, s:I, s:I}", "address", s->set->source_address,
 			 "reason", reason, "revision", (json_int_t)feed->revision, "age_ms",
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -252,6 +252,7 @@
 	struct lb_request select;
 	const char *version;	  /* the stream's; NULL: any */
 	char *const *candidates;  /* ids of the upstreams to choose from; NULL: any */
+	uint64_t avoided;	  /* hash of an upstream to leave out; 0: none */
 	bool is_settled;	  /* only versions at which streams should begin */
 	const char *const *tried; /* ids of the upstreams tried before, NULL-terminated */
 };
@@ -285,6 +286,9 @@
 /* The same for the view of another node, which heard from the source age_ms ago. */
 void srv_origin_note_snapshot(struct srv *s, int64_t age_ms, int64_t now_ms);
 
+/* Called when the source has stopped answering. */
+void srv_origin_note_source_lost(struct srv *s, int64_t now_ms);
+
 /* Called at each tick, before last_tick_ms is set. */
 void srv_origin_note_tick(struct srv *s, int64_t now_ms);
 
--- a/packages/serve/srv_origin.c
+++ b/packages/serve/srv_origin.c
@@ -34,6 +34,7 @@
 	out->version = (char *)(record->version ? record->version : "");
 	out->age_ms = (uint32_t)MAX(now_ms - record->began_ms, 0);
 	out->uncertain = !record->version;
+	out->upstream = record->upstream;
 }
 
 static struct stream_origin_record decode_record(const Peer__StreamOrigin *in,
@@ -45,6 +46,7 @@
 		.version = in->uncertain ? NULL : in->version,
 		.began_ms = now_ms - in->age_ms,
 		.source = source,
+		.upstream = in->upstream,
 	};
 }
 
@@ -165,6 +167,11 @@
 	stream_origin_note_view(s->origins, now_ms - age_ms - ANSWER_DELAY_MS, false);
 }
 
+void srv_origin_note_source_lost(struct srv *s, int64_t now_ms)
+{
+	stream_origin_distrust_view(s->origins, now_ms);
+}
+
 static bool is_paused(const struct srv *s, int64_t now_ms)
 {
 	return now_ms - s->last_tick_ms > PAUSE_MS;
@@ -178,7 +185,7 @@
 void srv_origin_note_tick(struct srv *s, int64_t now_ms)
 {
 	if (is_paused(s, now_ms))
-		stream_origin_note_pause(s->origins, now_ms);
+		stream_origin_distrust_view(s->origins, now_ms);
 }
 
 void srv_origin_tick(struct srv *s, int64_t now_ms)
@@ -321,6 +328,7 @@
 	r->origin.version = d.version;
 	r->origin.source = d.source;
 	r->origin.age_ms = d.age_ms;
+	r->origin.ran_at = d.upstream;
 	switch (d.verdict) {
 	case STREAM_ORIGIN_GO_ON:
 		srv_req_proceed(r);
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -38,7 +38,8 @@
 	uint64_t stream;
 	const char *version; /* interned; NULL: not known, or the stream hasn't begun */
 	enum stream_origin_source source;
-	int64_t age_ms; /* of the record when it was found; -1: there was none */
+	uint64_t ran_at; /* hash of the upstream at which a resumed stream broke off; 0: unknown */
+	int64_t age_ms;	 /* of the record when it was found; -1: there was none */
 	struct stream_resumption resumption;
 	/* ids of the version's upstreams as another node knows them; NULL: not asked */
 	char **candidates;
--- a/packages/serve/srv_upstream.c
+++ b/packages/serve/srv_upstream.c
@@ -252,7 +252,8 @@
 		.near_inputs =
 			want->data_centre && strcmp(want->data_centre, doc->data_centre) == 0,
 		.in_flight = (*u)->in_flight,
-		.tried = is_tried(want->tried, doc->id),
+		.tried = is_tried(want->tried, doc->id) ||
+			 (want->avoided != 0 && want->avoided == stream_origin_hash(doc->id)),
 		.blocked = (*u)->blocked_until_ms > now_ms,
 		.full = (*u)->in_flight >= connection_share(s, want->service, now_ms),
 		.failed = srv_upstream_failure_rate(*u, now_ms),
--- a/tests/unit_stream_origin.c
+++ b/tests/unit_stream_origin.c
@@ -411,7 +411,7 @@
 	set_up();
 	follow(NOW_MS - WHOLE_MS, NOW_MS);
 	stream_origin_note_version(o, SERVICE, "1", NOW_MS);
-	stream_origin_note_pause(o, NOW_MS + 1);
+	stream_origin_distrust_view(o, NOW_MS + 1);
 	ck_assert(!stream_origin_is_fresh(o, NOW_MS + 1));
 	ck_assert_ptr_null(stream_origin_only_version(o, SERVICE, NOW_MS + 1));
 	stream_origin_note_view(o, NOW_MS + 1, true);
@@ -557,6 +557,31 @@
 }
 END_TEST
 
+/* A learned record says where the stream last ran, so that its resumption avoids that upstream. */
+START_TEST(knows_where_it_ran)
+{
+	const struct stream_origin_record record = {
+		.stream = STREAM,
+		.service = SERVICE,
+		.version = "1",
+		.began_ms = NOW_MS,
+		.source = STREAM_ORIGIN_NOTED,
+		.upstream = stream_origin_hash("u1"),
+	};
+	const struct stream_resumption r = {.stream = STREAM, .service = SERVICE};
+
+	set_up();
+	put_upstream("u0", "1", false);
+	stream_origin_learn(o, &record, NOW_MS);
+	ck_assert(stream_origin_decide(o, &r, v, NOW_MS).upstream == record.upstream);
+	stream_origin_begin(o, STREAM, SERVICE, "1", "u0", NOW_MS + 1);
+	ck_assert(stream_origin_decide(o, &r, v, NOW_MS + 1).upstream == stream_origin_hash("u0"));
+	stream_origin_learn(o, &record, NOW_MS + 2); /* an older record */
+	ck_assert(stream_origin_decide(o, &r, v, NOW_MS + 2).upstream == stream_origin_hash("u0"));
+	tear_down();
+}
+END_TEST
+
 START_TEST(bounded)
 {
 	const uint64_t n = STREAM_ORIGIN_RECORDS_MAX;
@@ -584,6 +609,7 @@
 		tells_always_when_stopping,
 		restarted_upstream,
 		bounded,
+		knows_where_it_ran,
 		paused,
 		settles,
 	};
