--- a/packages/serve/srv_answer.c
+++ b/packages/serve/srv_answer.c
@@ -16,6 +16,9 @@
 #define QUEUED_BYTES_MAX (256 * 1024)
 /* Limit of an incomplete event; beyond it, bytes are passed on as they arrive. */
 #define PARTIAL_BYTES_MAX (1024 * 1024)
+/* The blank line that ends an event, and the end of the line before it. */
+#define EVENT_END_BYTES_MAX 3
+#define STATUS_REDIRECT 300 /* lower ones are successes */
 
 static enum srv_attempt_verdict classify(const struct http_client_head *head,
 					 const struct adapter_answer *answer)
@@ -47,6 +50,7 @@
 
 	r->response_started = true;
 	r->streaming = true;
+	srv_origin_note_answer(attempt);
 	http_server_begin(r->http, r->status, &r->head, r->length_bytes);
 }
 
@@ -55,6 +59,7 @@
 	struct srv_req *r = attempt->req;
 
 	r->winner = attempt;
+	g_string_truncate(r->tail, 0);
 	for (uint32_t i = 0; i < r->n_attempts; i++) {
 		if (&r->attempts[i] != attempt)
 			srv_attempt_cancel(&r->attempts[i]);
@@ -132,6 +137,7 @@
 		return; /* the caller has received this event from a former attempt */
 	if (id >= 0)
 		r->last_event = id;
+	srv_origin_note_event(r);
 	http_server_write(r->http, event, len);
 }
 
@@ -160,6 +166,32 @@
 	}
 }
 
+static void note_tail(struct srv_req *r, const char *data, size_t len)
+{
+	if (len > EVENT_END_BYTES_MAX) {
+		data += len - EVENT_END_BYTES_MAX;
+		len = EVENT_END_BYTES_MAX;
+	}
+	g_string_append_len(r->tail, data, (gssize)len);
+	if (r->tail->len > EVENT_END_BYTES_MAX)
+		g_string_erase(r->tail, 0, (gssize)(r->tail->len - EVENT_END_BYTES_MAX));
+}
+
+bool srv_attempt_is_cut(const struct srv_attempt *attempt)
+{
+	const struct srv_req *r = attempt->req;
+
+	return r->winner == attempt && r->route->kind == PUB_KIND_STREAM &&
+	       r->status < STATUS_REDIRECT && r->tail->len > 0 &&
+	       !g_str_has_suffix(r->tail->str, "\n\n") && !g_str_has_suffix(r->tail->str, "\n\r\n");
+}
+
+static void forward_bytes(struct srv_req *r, const void *data, size_t len)
+{
+	srv_origin_note_event(r);
+	http_server_write(r->http, data, len);
+}
+
 static void forward_data(struct srv_attempt *attempt, const void *data, size_t len)
 {
 	struct srv_req *r = attempt->req;
@@ -167,7 +199,7 @@
 	if (r->route->resumable && r->partial->len + len <= PARTIAL_BYTES_MAX)
 		forward_events(r, data, len);
 	else
-		http_server_write(r->http, data, len);
+		forward_bytes(r, data, len);
 	if (http_server_queued_bytes(r->http) > QUEUED_BYTES_MAX && !attempt->is_paused) {
 		attempt->is_paused = true;
 		http_client_pause(attempt->call, true);
@@ -181,6 +213,7 @@
 	attempt->last_data_ms = clock_now_ms();
 	if (r->winner == attempt) {
 		note_first_byte(r);
+		note_tail(r, data, len);
 		if (r->streaming) {
 			forward_data(attempt, data, len);
 			return;
@@ -210,6 +243,7 @@
 	struct srv_req *r = attempt->req;
 
 	note_first_byte(r);
+	srv_origin_note_complete(r);
 	srv_count(r->s, SRV_SERVED);
 	srv_req_log(r, "served", r->status);
 	if (r->streaming) {
