Publish both versions before the nodes of a test start

Each test waited 3.4 s until streams began at the version that had come to another; proc_versions took 104 s.

--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -34,6 +34,9 @@
 /* Starts the stub with its engines and configuration, and waits until n_nodes nodes are ready. */
 struct cluster *cluster_new(uint32_t n_nodes);
 
+/* The same; prepare changes what the stub serves before the nodes start. */
+struct cluster *cluster_new_prepared(uint32_t n_nodes, void (*prepare)(struct stub *stub));
+
 /* The same with two regions and enough engines in each for an owner of its own. */
 struct cluster *cluster_new_regions(uint32_t n_nodes);
 void cluster_free(struct cluster *c);
