--- a/packages/http/http_server_write.c
+++ b/packages/http/http_server_write.c
@@ -143,8 +143,7 @@
 	GString *head = g_string_sized_new(512);
 
 	/* a request that was read behind this one is answered too */
-	c->keep = c->keep && !c->server->freed &&
-		  !(c->server->draining && c->read_ahead->len == 0);
+	c->keep = c->keep && !c->server->freed && !(c->server->draining && c->read_ahead->len == 0);
 	c->bodyless = status == 204 || status == 304 || strcmp(c->request->method, "HEAD") == 0;
 	c->chunked = length_bytes == HTTP_SERVER_LENGTH_UNKNOWN && c->parser.http_minor >= 1 &&
 		     !c->bodyless;
