--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -34,6 +34,9 @@
 /* Starts the stub with its engines and configuration, and waits until n_nodes nodes are ready. */
 struct cluster *cluster_new(uint32_t n_nodes);
 
+/* The same; prepare changes what the stub serves before the nodes start. */
+struct cluster *cluster_new_prepared(uint32_t n_nodes, void (*prepare)(struct stub *stub));
+
 /* The same with two regions and enough engines in each for an owner of its own. */
 struct cluster *cluster_new_regions(uint32_t n_nodes);
 void cluster_free(struct cluster *c);
@@ -64,6 +67,9 @@
 		      const char *extra, char *attempt, size_t attempt_bytes,
 		      struct cluster_answer *answer);
 
+/* Connects to a listener; returns -1 if there is none. */
+int cluster_connect(const char *address);
+
 /* Sends a GET to any listener. Returns the body (g_free()); NULL if the response is incomplete. */
 char *cluster_get(const char *address, const char *target, int *status);
 
