Let the stand-in crash with an orderly close inside an event

A crash that ends an answer without length or chunks by an orderly close passed for a good answer, and cleared the part on all nodes. The merged handling of streams that end inside an event covers it; the stand-in only reset, so that no test saw it.

Two comments named constants that have moved.

--- a/packages/emul/stub_engine.c
+++ b/packages/emul/stub_engine.c
@@ -20,6 +20,7 @@
 	const char *version; /* of the engine when the run began */
 	uint32_t next_event;
 	bool started;
+	bool until_close; /* the answer has neither a length nor chunks */
 };
 
 static const char *attempt_of(const struct http_server_request *request)
@@ -102,6 +103,7 @@
 {
 	struct stub_engine *e = run->engine;
 	struct hdr_list headers = {0};
+	int64_t length_bytes;
 	char *event;
 
 	if (!run->started) {
@@ -109,10 +111,11 @@
 		run->next_event = last ? (uint32_t)strtoul(last, NULL, 10) + 1 : 0;
 		put_signature(&headers, e, attempt_of(run->request));
 		hdr_add(&headers, "Content-Type", "text/event-stream");
-		http_server_begin(run->request, 200, &headers,
-				  e->fault == STUB_FAULT_NO_LENGTH_CUT
-					  ? HTTP_SERVER_UNTIL_CLOSE
-					  : stub_crash_note_answer(e, run->request));
+		length_bytes = e->fault == STUB_FAULT_NO_LENGTH_CUT
+				       ? HTTP_SERVER_UNTIL_CLOSE
+				       : stub_crash_note_answer(e, run->request);
+		run->until_close = length_bytes == HTTP_SERVER_UNTIL_CLOSE;
+		http_server_begin(run->request, 200, &headers, length_bytes);
 		hdr_clear(&headers);
 		run->started = true;
 	}
@@ -359,14 +362,20 @@
 		e->address = g_strdup(http_server_address(e->listener));
 }
 
-/* Resets the run's answer, in the middle of an event if is_mid_event. */
+/*
+ * Breaks off the run's answer, in the middle of an event if is_mid_event: by a reset, or by an
+ * orderly close inside an event if the answer has neither a length nor chunks.
+ */
 static void cut_run(struct stub_run *run, bool is_mid_event)
 {
 	char *event = event_text(run);
 
-	if (run->started && is_mid_event)
+	if (run->started && (is_mid_event || run->until_close))
 		http_server_write(run->request, event, strlen(event) / 2);
-	http_server_abort(run->request);
+	if (run->started && run->until_close)
+		http_server_finish(run->request);
+	else
+		http_server_abort(run->request);
 	end_run(run);
 	g_free(event);
 }
--- a/packages/serve/srv_endpoints.c
+++ b/packages/serve/srv_endpoints.c
@@ -11,7 +11,7 @@
 #define ADDRESSES_MAX 64
 #define REGION_NODES_MIN 2 /* with fewer nodes in the region, all regions are listed */
 #define MS_PER_S 1000.0
-/* A stopping node keeps serving for STOP_SERVE_MS (srv.c), more than three times as long. */
+/* A stopping node keeps serving for SERVE_MS (srv_stop.c), more than three times as long. */
 #define TTL_MAX_MS 1000
 
 struct listing {
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -289,7 +289,7 @@
 void srv_req_disconnected(void *arg, struct http_server_request *request);
 void srv_req_drained(void *arg, struct http_server_request *request);
 
-/* Applies srv_stop_by_ms to the requests in progress. */
+/* Applies stop_by_ms to the requests in progress. */
 void srv_req_bound_all(struct srv *s);
 
 /* srv_stop.c: graceful shutdown. A second call, at a second signal, ends it at once. */
