Leave time for requests that arrive as a stopping node closes idle connections

Cause: from 2.8 s after the signal each tick closed whatever was idle. Idle was also a connection that was accepted a moment ago and whose first request was on its way, and a kept one whose next request already stood in the kernel's buffer.

Change: an idle connection is closed only if nothing has arrived; a new one has a second for its first request, which leaves room for one retransmission.

--- a/packages/http/http_server.c
+++ b/packages/http/http_server.c
@@ -6,6 +6,8 @@
 
 /* Longest wait for the caller to close the connection after the last response. */
 #define HTTP_SERVER_LINGER_MS 1000
+/* Time that a new connection has for its first request, with room for one retransmission. */
+#define HTTP_SERVER_FIRST_REQUEST_MS 1000
 #define HTTP_SERVER_BACKLOG 512 /* connections waiting in the kernel to be accepted */
 
 void http_server_maybe_free(struct http_server *s)
@@ -151,14 +153,22 @@
 	s->draining = true;
 }
 
+/* Whether a request on an idle connection has arrived or, as the connection is new, is due. */
+static bool awaits_request(const struct http_server_conn *c, int64_t now_ms)
+{
+	return (!c->is_used && now_ms - c->since_ms < HTTP_SERVER_FIRST_REQUEST_MS) ||
+	       http_server_has_input(c);
+}
+
 void http_server_drain(struct http_server *s)
 {
+	int64_t now_ms = clock_now_ms();
 	struct http_server_conn *next;
 
 	http_server_announce_close(s);
 	for (struct http_server_conn *c = s->conns; c; c = next) {
 		next = c->next;
-		if (c->state == CONN_IDLE)
+		if (c->state == CONN_IDLE && !awaits_request(c, now_ms))
 			http_server_close_conn(c);
 	}
 }
--- a/packages/http/http_server_internal.h
+++ b/packages/http/http_server_internal.h
@@ -30,6 +30,7 @@
 	GString *target;
 	size_t head_bytes;
 	bool head_read;
+	bool is_used; /* a request has begun on it */
 	bool chunked; /* the response is chunked */
 	bool begun;   /* the head of the response was written */
 	bool keep;    /* the connection stays open after the response */
@@ -68,6 +69,8 @@
 void http_server_parse(struct http_server_conn *c, const char *data, size_t len);
 /* Sends a response with the given status and no body, then closes the connection. */
 void http_server_reject(struct http_server_conn *c, int status);
+/* Returns whether bytes have arrived that weren't read yet. */
+bool http_server_has_input(const struct http_server_conn *c);
 void http_server_on_alloc(uv_handle_t *handle, size_t hint, uv_buf_t *buf);
 void http_server_on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
 
--- a/packages/http/http_server_read.c
+++ b/packages/http/http_server_read.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 
 #include <string.h>
+#include <sys/socket.h>
 
 /* A connection that receives more bytes than this beyond a request in progress is closed. */
 #define HTTP_SERVER_READ_AHEAD_BYTES_MAX (64 * 1024)
@@ -46,6 +47,7 @@
 	g_string_truncate(c->target, 0);
 	g_string_truncate(c->field, 0);
 	g_string_truncate(c->value, 0);
+	c->is_used = true;
 	http_server_set_state(c, CONN_READING);
 	return 0;
 }
@@ -197,6 +199,15 @@
 	}
 }
 
+bool http_server_has_input(const struct http_server_conn *c)
+{
+	char byte;
+	int fd;
+
+	return uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0 &&
+	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void http_server_on_alloc(uv_handle_t *handle, size_t hint, uv_buf_t *buf)
 {
 	struct http_server_conn *c = handle->data;
--- a/packages/http/include/http/http_server.h
+++ b/packages/http/include/http/http_server.h
@@ -65,7 +65,10 @@
 /* From now on, each response carries "Connection: close" and its connection is closed after it. */
 void http_server_announce_close(struct http_server *s);
 
-/* As http_server_announce_close(), and closes idle connections. */
+/*
+ * As http_server_announce_close(), and closes idle connections. One with unread input is read and
+ * answered, a new one has a second for its first request: call again until none is left.
+ */
 void http_server_drain(struct http_server *s);
 
 /* Closes the listener; open connections continue. */
