Count requests that are being read as unfinished

Cause: http_server_unfinished_connections() counted requests in progress and unwritten answers, not what was being read, stood unread in the kernel's buffer or was the first request of a new connection.

Change: these count.

--- a/packages/http/http_server.c
+++ b/packages/http/http_server.c
@@ -183,11 +183,35 @@
 	return s->n_busy;
 }
 
+void http_server_reject_arriving(struct http_server *s)
+{
+	for (struct http_server_conn *c = s->conns; c; c = c->next) {
+		if (c->state == CONN_READING)
+			http_server_reject(c, 408);
+	}
+}
+
+static bool is_arriving(const struct http_server_conn *c, int64_t now_ms)
+{
+	return c->state == CONN_READING || (c->state == CONN_IDLE && awaits_request(c, now_ms));
+}
+
+uint32_t http_server_arriving_connections(const struct http_server *s)
+{
+	int64_t now_ms = clock_now_ms();
+	uint32_t n = 0;
+
+	for (const struct http_server_conn *c = s->conns; c; c = c->next)
+		n += is_arriving(c, now_ms);
+	return n;
+}
+
 uint32_t http_server_unfinished_connections(const struct http_server *s)
 {
+	int64_t now_ms = clock_now_ms();
 	uint32_t n = 0;
 
 	for (const struct http_server_conn *c = s->conns; c; c = c->next)
-		n += c->state == CONN_BUSY || c->pending_writes > 0;
+		n += c->state == CONN_BUSY || c->pending_writes > 0 || is_arriving(c, now_ms);
 	return n;
 }
--- a/packages/http/include/http/http_server.h
+++ b/packages/http/include/http/http_server.h
@@ -79,7 +79,16 @@
 /* Returns the number of connections with a request in progress. */
 uint32_t http_server_busy_connections(const struct http_server *s);
 
-/* The same, with those whose last response isn't written yet. */
+/*
+ * Returns the number of connections with a request that is being read, stands unread or, on a new
+ * connection, is due.
+ */
+uint32_t http_server_arriving_connections(const struct http_server *s);
+
+/* Answers 408 to each request that is being read, and closes its connection. */
+void http_server_reject_arriving(struct http_server *s);
+
+/* Busy and arriving connections, and those whose last response isn't written yet. */
 uint32_t http_server_unfinished_connections(const struct http_server *s);
 
 /* Sends a complete response. headers may be NULL. */
--- a/packages/serve/srv_stop.c
+++ b/packages/serve/srv_stop.c
@@ -56,8 +56,9 @@
 
 static void leave(struct srv *s, uint32_t connections, uint32_t chains, int64_t now_ms)
 {
-	log_info("stopping_ends", "{s:I, s:i, s:i}", "after_ms",
-		 (json_int_t)(now_ms - s->stop_began_ms), "cut", (int)connections, "chains",
+	log_info("stopping_ends", "{s:I, s:i, s:i, s:i}", "after_ms",
+		 (json_int_t)(now_ms - s->stop_began_ms), "cut", (int)connections, "arriving",
+		 s->front ? (int)http_server_arriving_connections(s->front) : 0, "chains",
 		 (int)chains);
 	s->stopped = true;
 	uv_stop(&s->loop);
@@ -72,6 +73,8 @@
 		return;
 	if (s->front && now_ms - s->stop_began_ms >= DRAIN_MS)
 		http_server_drain(s->front);
+	if (s->front && now_ms >= s->stop_by_ms)
+		http_server_reject_arriving(s->front);
 	connections = s->front ? http_server_unfinished_connections(s->front) : 0;
 	chains = chain_count_jobs(s->chains);
 	if (now_ms >= s->stop_by_ms + FLUSH_MS ||
--- a/tests/proc_stopping.c
+++ b/tests/proc_stopping.c
@@ -8,14 +8,18 @@
 #include "raw.h"
 
 #include <check.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 
 #define TEST_TIMEOUT_S 120
 #define DEADLINE_MS 12000 /* of requests; later than the end of the grace period */
 #define GRACE_MS 8000
 #define IN_FORCE_MS 2500
+#define BODY_BYTES 20
+#define EXIT_MS 500 /* from the last answer of a node that leaves to its exit */
 #define FROZEN_MS 400
 #define KEPT_WAIT_MS 200 /* for an answer that leaves its connection open */
 
@@ -42,6 +46,7 @@
 	int64_t held_ms;  /* longest time until the answer */
 	uint32_t runs;	  /* at all upstreams that run requests */
 	int64_t pause_ms; /* from the connection to the request */
+	int64_t body_ms;  /* from the first byte to the last one; 0: no body, one piece */
 	bool is_kept;	  /* the connection has had an answer before the signal */
 	int64_t sent_ms;
 	int64_t took_ms;
@@ -56,8 +61,9 @@
 	return g_strdup_printf("POST %s HTTP/1.1\r\nHost: h.example\r\n"
 			       "X-Currantscale-Attempt-Id: %s\r\n"
 			       "X-Currantscale-Deadline-Ms: %d\r\n"
-			       "X-Currantscale-Key: key-1\r\nContent-Length: 0\r\n%s\r\n",
-			       call->target, attempt, DEADLINE_MS, call->extra);
+			       "X-Currantscale-Key: key-1\r\nContent-Length: %d\r\n%s\r\n",
+			       call->target, attempt, DEADLINE_MS,
+			       call->body_ms > 0 ? BODY_BYTES : 0, call->extra);
 }
 
 static void sleep_until(int64_t at_ms)
@@ -85,6 +91,13 @@
 	g_free(attempt);
 }
 
+static bool has_answer(int fd)
+{
+	struct pollfd poller = {.fd = fd, .events = POLLIN};
+
+	return poll(&poller, 1, 0) > 0;
+}
+
 static gpointer run_call(gpointer arg)
 {
 	struct call *call = arg;
@@ -101,6 +114,10 @@
 	sleep_until(call->sent_ms + call->pause_ms);
 	call->sent_ms = clock_now_ms();
 	raw_write_text(fd, request);
+	for (int64_t i = 1; call->body_ms > 0 && i <= BODY_BYTES && !has_answer(fd); i++) {
+		sleep_until(call->sent_ms + call->body_ms * i / BODY_BYTES);
+		raw_write_text(fd, "x");
+	}
 	call->text = raw_read(fd, DEADLINE_MS);
 	call->took_ms = clock_now_ms() - call->sent_ms;
 	g_free(request);
@@ -255,10 +272,42 @@
 }
 END_TEST
 
+/*
+ * Guards against leaving while a request is being read, and against staying for one that doesn't
+ * end. What is whole in time is served, or refused if that is too late to run it.
+ */
+START_TEST(arriving_slowly)
+{
+	struct call calls[] = {
+		{ARRIVING, 2900, 200, NULL, 2000, .runs = 1, .body_ms = 1000},
+		{ARRIVING, 3200, 200, NULL, 1000, .runs = 1, .body_ms = 200},
+		{ARRIVING, 3100, 200, NULL, 1000, .runs = 1, .pause_ms = 350},
+		{ARRIVING, 3200, 200, NULL, 1000, .runs = 1, .pause_ms = 150, .body_ms = 400},
+	};
+
+	run_calls(calls, G_N_ELEMENTS(calls), (const int64_t[]){0, -1});
+}
+END_TEST
+
+START_TEST(arriving_without_end)
+{
+	struct call calls[] = {
+		{ARRIVING, 2900, 408, NULL, 4700, .body_ms = 5000},
+		{ARRIVING, 3200, 408, NULL, 4400, .body_ms = 4700},
+	};
+
+	run_calls(calls, G_N_ELEMENTS(calls), (const int64_t[]){0, -1});
+	clock_sleep_ms(EXIT_MS);
+	ck_assert_int_eq(waitpid(c->nodes[1].pid, NULL, WNOHANG), c->nodes[1].pid);
+	c->nodes[1].pid = 0;
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *const tests[] = {waiting_for_chains, waiting_for_upstreams, hurried, arriving,
-				      arriving_unread};
+	const TTest *const tests[] = {
+		waiting_for_chains, waiting_for_upstreams, hurried, arriving, arriving_unread,
+		arriving_slowly,    arriving_without_end};
 	Suite *suite = suite_create("proc_stopping");
 	TCase *tcase = tcase_create("all");
 	SRunner *runner = srunner_create(suite);
--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -325,6 +325,43 @@
 }
 END_TEST
 
+/*
+ * Guards against leaving while a request comes in: one that is being read, one that stands unread
+ * and the first one of a new connection count as unfinished; a connection that is just open
+ * doesn't.
+ */
+START_TEST(counts_arriving_requests)
+{
+	GString *response;
+	int kept;
+	int reading;
+
+	start_server();
+	kept = connect_kept();
+	ck_assert_uint_eq(http_server_unfinished_connections(server), 0);
+	reading = raw_connect(http_server_address(server));
+	run_loop(20);
+	ck_assert_uint_eq(http_server_unfinished_connections(server), 1);
+	raw_write_text(reading, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab");
+	raw_write_text(kept, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+	ck_assert_uint_eq(http_server_unfinished_connections(server), 2);
+	run_loop(20);
+	http_server_announce_close(server);
+	answer_and_close(kept, "/next");
+	run_loop(20);
+	ck_assert_uint_eq(http_server_unfinished_connections(server), 1);
+	ck_assert_uint_eq(http_server_arriving_connections(server), 1);
+	http_server_reject_arriving(server);
+	run_loop(20);
+	ck_assert_uint_eq(http_server_unfinished_connections(server), 0);
+	response = raw_read(reading, WAIT_MS);
+	ck_assert_msg(strstr(response->str, " 408 ") != NULL, "'%s'", response->str);
+	g_string_free(response, TRUE);
+	close(reading);
+	stop_server(NULL);
+}
+END_TEST
+
 /* Guards against closing, at a shutdown, on a pipelined request that was read behind another one.
  */
 START_TEST(drains_pipelined)
@@ -608,6 +645,7 @@
 		answers_pipelined_in_turn,
 		drains,
 		drains_beside_arrivals,
+		counts_arriving_requests,
 		drains_pipelined,
 		counts_unwritten_answers,
 		takes_answers,
