Accept what waits before a stopping node closes its listener

The listener was open until the process ended, so connections that the kernel had accepted and the node hadn't were reset as it left. An answer that the kernel was still sending was destroyed as well if its caller had sent something more: a close with unread input is a reset.

Change: once nothing is left but what arrives, the node accepts what waits, closes the listener, reads and answers what has come, and leaves. It doesn't close the listener at SERVE_MS as long as it has work: late callers get their 503 as before (proc_stopping/waiting_for_chains). Input that is unread when a connection without a request in progress is closed is discarded first. stopping_ends has the number of requests read after the close: "read_after_close".

What remains: a handshake that is half done as the listener closes ends in a reset, as the kernel has no connection to hand out.

--- a/packages/http/http_server.c
+++ b/packages/http/http_server.c
@@ -2,8 +2,12 @@
 #include "http_server_internal.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/mhd.h"
 
+#include <errno.h>
+#include <sys/socket.h>
+
 /* Longest wait for the caller to close the connection after the last response. */
 #define HTTP_SERVER_LINGER_MS 1000
 /* Time that a new connection has for its first request, with room for one retransmission. */
@@ -18,14 +22,10 @@
 	g_free(s);
 }
 
-static void on_connection(uv_stream_t *listener, int status)
+static struct http_server_conn *add_conn(struct http_server *s)
 {
-	struct http_server *s = listener->data;
-	struct http_server_conn *c;
+	struct http_server_conn *c = g_new0(struct http_server_conn, 1);
 
-	if (status < 0)
-		return;
-	c = g_new0(struct http_server_conn, 1);
 	c->server = s;
 	uv_tcp_init(s->loop, &c->tcp);
 	c->tcp.data = c;
@@ -41,7 +41,14 @@
 		s->conns->prev = c;
 	s->conns = c;
 	s->n_conns++;
-	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
+	return c;
+}
+
+/* result: of giving the accepted socket to the connection. */
+static void start_conn(struct http_server_conn *c, int result)
+{
+	if (result != 0) {
+		log_warn("accept_failed", "{s:s}", "error", uv_strerror(result));
 		uv_close((uv_handle_t *)&c->tcp, http_server_on_conn_closed);
 		return;
 	}
@@ -49,6 +56,17 @@
 	uv_read_start((uv_stream_t *)&c->tcp, http_server_on_alloc, http_server_on_read);
 }
 
+static void on_connection(uv_stream_t *listener, int status)
+{
+	struct http_server *s = listener->data;
+	struct http_server_conn *c;
+
+	if (status < 0)
+		return;
+	c = add_conn(s);
+	start_conn(c, uv_accept(listener, (uv_stream_t *)&c->tcp));
+}
+
 struct http_server *http_server_new(uv_loop_t *loop, const char *address,
 				    const struct http_server_handler *handler,
 				    const struct http_server_limits *limits, GError **error)
@@ -80,11 +98,30 @@
 	http_server_maybe_free(s);
 }
 
+/* Closing the listener resets the connections that the kernel has accepted and the server hasn't.
+ */
+static void accept_queued(struct http_server *s)
+{
+	int listener;
+	int fd;
+
+	if (uv_fileno((const uv_handle_t *)&s->listener, &listener) != 0)
+		return;
+	while ((fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		struct http_server_conn *c = add_conn(s);
+		start_conn(c, uv_tcp_open(&c->tcp, fd));
+	}
+	if (errno != EAGAIN)
+		log_warn("accept_failed", "{s:s}", "error", g_strerror(errno));
+}
+
 void http_server_stop_listening(struct http_server *s)
 {
 	if (!s->listening)
 		return;
 	s->listening = false;
+	if (!s->freed)
+		accept_queued(s);
 	uv_close((uv_handle_t *)&s->listener, on_listener_closed);
 }
 
--- a/packages/http/http_server_write.c
+++ b/packages/http/http_server_write.c
@@ -6,6 +6,9 @@
 #include <string.h>
 #include <sys/socket.h>
 
+/* Reads that discard input before a close; a caller that sends faster is reset. */
+#define HTTP_SERVER_DISCARDS_MAX 64
+
 struct write_op {
 	uv_write_t write;
 	struct http_server_conn *conn;
@@ -57,6 +60,20 @@
 	http_server_maybe_free(s);
 }
 
+/* Closing with unread input resets the connection: what the caller hasn't got yet is lost. */
+static void discard_input(struct http_server_conn *c)
+{
+	char block[HTTP_SERVER_READ_BYTES];
+	int fd;
+
+	if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0)
+		return;
+	for (int i = 0; i < HTTP_SERVER_DISCARDS_MAX; i++) {
+		if (recv(fd, block, sizeof(block), MSG_DONTWAIT) <= 0)
+			return;
+	}
+}
+
 void http_server_close_conn(struct http_server_conn *c)
 {
 	if (uv_is_closing((uv_handle_t *)&c->tcp))
@@ -64,6 +81,8 @@
 	if (c->state == CONN_BUSY) {
 		http_server_set_state(c, CONN_CLOSING);
 		c->server->handler.on_disconnect(c->server->handler.arg, c->request);
+	} else {
+		discard_input(c);
 	}
 	http_server_set_state(c, CONN_CLOSING);
 	uv_close((uv_handle_t *)&c->tcp, http_server_on_conn_closed);
--- a/packages/http/include/http/http_server.h
+++ b/packages/http/include/http/http_server.h
@@ -71,7 +71,7 @@
  */
 void http_server_drain(struct http_server *s);
 
-/* Closes the listener; open connections continue. */
+/* Accepts the connections that wait and closes the listener; open connections continue. */
 void http_server_stop_listening(struct http_server *s);
 
 uint32_t http_server_connections(const struct http_server *s);
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -151,7 +151,9 @@
 	GPtrArray *regions; /* struct srv_region: those of the data centres in the settings */
 	bool is_split;	    /* each region has an owner; otherwise one node owns all */
 	bool is_ready;
-	bool is_front_open; /* the callers' listener was opened */
+	bool is_front_open;	    /* the callers' listener was opened */
+	bool is_front_closed;	    /* the node is stopping and the listener was closed */
+	uint64_t requests_at_close; /* SRV_REQUESTS when the listener was closed */
 	bool stopped;
 	uint64_t counters[SRV_COUNTERS_N];
 	struct srv_histogram first_byte;
--- a/packages/serve/srv_stop.c
+++ b/packages/serve/srv_stop.c
@@ -56,14 +56,38 @@
 
 static void leave(struct srv *s, uint32_t connections, uint32_t chains, int64_t now_ms)
 {
-	log_info("stopping_ends", "{s:I, s:i, s:i, s:i}", "after_ms",
+	uint64_t late = s->is_front_closed ? s->counters[SRV_REQUESTS] - s->requests_at_close : 0;
+
+	log_info("stopping_ends", "{s:I, s:i, s:i, s:i, s:I}", "after_ms",
 		 (json_int_t)(now_ms - s->stop_began_ms), "cut", (int)connections, "arriving",
 		 s->front ? (int)http_server_arriving_connections(s->front) : 0, "chains",
-		 (int)chains);
+		 (int)chains, "read_after_close", (json_int_t)late);
 	s->stopped = true;
 	uv_stop(&s->loop);
 }
 
+/* Whether nothing is left but requests that are yet to come in. */
+static bool is_served(const struct srv *s, int64_t now_ms)
+{
+	return now_ms >= s->stop_by_ms ||
+	       (now_ms >= s->stop_began_ms + SERVE_MS && chain_count_jobs(s->chains) == 0 &&
+		http_server_unfinished_connections(s->front) ==
+			http_server_arriving_connections(s->front));
+}
+
+static void end_arrivals(struct srv *s, int64_t now_ms)
+{
+	if (now_ms - s->stop_began_ms >= DRAIN_MS)
+		http_server_drain(s->front);
+	if (!s->is_front_closed && is_served(s, now_ms)) {
+		s->is_front_closed = true;
+		s->requests_at_close = s->counters[SRV_REQUESTS];
+		http_server_stop_listening(s->front);
+	}
+	if (now_ms >= s->stop_by_ms)
+		http_server_reject_arriving(s->front);
+}
+
 void srv_stop_tick(struct srv *s, int64_t now_ms)
 {
 	uint32_t connections;
@@ -71,10 +95,8 @@
 
 	if (s->stop_began_ms == 0)
 		return;
-	if (s->front && now_ms - s->stop_began_ms >= DRAIN_MS)
-		http_server_drain(s->front);
-	if (s->front && now_ms >= s->stop_by_ms)
-		http_server_reject_arriving(s->front);
+	if (s->front)
+		end_arrivals(s, now_ms);
 	connections = s->front ? http_server_unfinished_connections(s->front) : 0;
 	chains = chain_count_jobs(s->chains);
 	if (now_ms >= s->stop_by_ms + FLUSH_MS ||
--- a/tests/proc_stopping.c
+++ b/tests/proc_stopping.c
@@ -303,11 +303,29 @@
 }
 END_TEST
 
+/*
+ * Guards against resetting connections that the kernel has accepted as the node closes its listener
+ * and leaves: they come while the node stands still.
+ */
+START_TEST(arriving_last)
+{
+	struct call calls[] = {
+		{ARRIVING, 3200, 200, NULL, 1000, .runs = 1},
+		{ARRIVING, 3250, 200, NULL, 1000, .runs = 1, .pause_ms = 100},
+		{ARRIVING, 3300, 200, NULL, 1000, .runs = 1, .pause_ms = 400},
+		{ARRIVING, 3400, 200, NULL, 1000, .runs = 1},
+		{ARRIVING, 3500, 200, NULL, 1000, .runs = 1, .body_ms = 300},
+	};
+
+	run_calls_frozen(calls, G_N_ELEMENTS(calls), (const int64_t[]){0, -1}, 3150);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
-		waiting_for_chains, waiting_for_upstreams, hurried, arriving, arriving_unread,
-		arriving_slowly,    arriving_without_end};
+		waiting_for_chains, waiting_for_upstreams, hurried,	 arriving, arriving_unread,
+		arriving_slowly,    arriving_without_end,  arriving_last};
 	Suite *suite = suite_create("proc_stopping");
 	TCase *tcase = tcase_create("all");
 	SRunner *runner = srunner_create(suite);
--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -19,11 +19,14 @@
 static struct http_server_request *last_request;
 static uint32_t n_requests;
 static uint32_t n_disconnects;
+static bool answers_at_once;
 
 static void on_request(void *arg, struct http_server_request *request)
 {
 	n_requests++;
 	last_request = request;
+	if (answers_at_once)
+		http_server_respond(request, 200, NULL, "at once", 7);
 }
 
 static void on_disconnect(void *arg, struct http_server_request *request)
@@ -48,6 +51,7 @@
 	ck_assert_ptr_nonnull(server);
 	n_requests = 0;
 	n_disconnects = 0;
+	answers_at_once = false;
 	last_request = NULL;
 }
 
@@ -362,6 +366,62 @@
 }
 END_TEST
 
+/* Guards against resetting connections that wait in the listener's queue when it is closed. */
+START_TEST(accepts_what_waits)
+{
+	int fds[3];
+
+	start_server();
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
+		fds[i] = raw_connect(http_server_address(server));
+		raw_write_text(fds[i], "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	}
+	http_server_stop_listening(server);
+	ck_assert_uint_eq(http_server_unfinished_connections(server), G_N_ELEMENTS(fds));
+	http_server_announce_close(server);
+	answers_at_once = true;
+	run_loop(20);
+	ck_assert_uint_eq(n_requests, G_N_ELEMENTS(fds));
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
+		GString *response = raw_read(fds[i], WAIT_MS);
+		ck_assert_msg(g_str_has_suffix(response->str, "at once"), "'%s'", response->str);
+		g_string_free(response, TRUE);
+		close(fds[i]);
+	}
+	stop_server(NULL);
+}
+END_TEST
+
+/* Guards against a reset that destroys an answer in flight, as unread input lies in the socket. */
+START_TEST(ends_without_reset)
+{
+	static char
+		body[400 * 1024]; /* more than the caller's buffer holds, less than the server's */
+	GString *response;
+	bool was_reset;
+	int fd;
+
+	start_server();
+	fd = raw_connect(http_server_address(server));
+	raw_write_text(fd, "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	run_loop(20);
+	memset(body, 'x', sizeof(body));
+	http_server_respond(last_request, 200, NULL, body, sizeof(body));
+	run_loop(20);
+	ck_assert_uint_eq(http_server_unfinished_connections(server), 0);
+	raw_write_text(fd, "GET /y HTTP/1.1\r\nHost: h\r\n\r\n");
+	http_server_free(server);
+	server = NULL;
+	run_loop(20);
+	response = raw_read_to_end(fd, WAIT_MS, &was_reset);
+	ck_assert_msg(!was_reset && response->len > sizeof(body), "%zu bytes, reset: %d",
+		      response->len, was_reset);
+	g_string_free(response, TRUE);
+	close(fd);
+	stop_server(NULL);
+}
+END_TEST
+
 /* Guards against closing, at a shutdown, on a pipelined request that was read behind another one.
  */
 START_TEST(drains_pipelined)
@@ -646,6 +706,8 @@
 		drains,
 		drains_beside_arrivals,
 		counts_arriving_requests,
+		accepts_what_waits,
+		ends_without_reset,
 		drains_pipelined,
 		counts_unwritten_answers,
 		takes_answers,
