Don't cut requests and answers as a changed limit comes into force

Change: a request keeps the limits at its beginning, and one that exceeds its time is answered 408. A connection is given up once its caller's kernel has acknowledged nothing for the whole timeout. Unread input is read before a timeout counts. The new idle timeout still applies at once to what is idle.

--- a/packages/http/http_server.c
+++ b/packages/http/http_server.c
@@ -6,6 +6,8 @@
 #include "base/mhd.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* Longest wait for the caller to close the connection after the last response. */
@@ -149,30 +151,46 @@
 	s->limits = *limits;
 }
 
+static void sweep_reading(struct http_server_conn *c, int64_t now_ms)
+{
+	int64_t timeout_ms = c->limits.header_timeout_ms;
+
+	if (c->head_read)
+		timeout_ms += c->limits.idle_timeout_ms;
+	if (now_ms - c->since_ms > timeout_ms && !http_server_has_input(c))
+		http_server_reject(c, 408);
+}
+
+/* Bytes of the response that the caller's kernel hasn't acknowledged. */
+static size_t count_unsent(const struct http_server_conn *c)
+{
+	int queued_bytes = 0;
+	int fd;
+
+	if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0)
+		ioctl(fd, SIOCOUTQ, &queued_bytes);
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp) + (size_t)queued_bytes;
+}
+
 static void sweep_conn(struct http_server_conn *c, int64_t now_ms)
 {
-	const struct http_server_limits *limits = &c->server->limits;
-	int64_t age_ms = now_ms - c->since_ms;
+	int64_t idle_timeout_ms = c->server->limits.idle_timeout_ms;
+	size_t unsent;
 
-	switch (c->state) {
-	case CONN_IDLE:
-		if (age_ms > limits->idle_timeout_ms)
-			http_server_close_conn(c);
-		break;
-	case CONN_READING:
-		if (!c->head_read && age_ms > limits->header_timeout_ms)
-			http_server_reject(c, 408);
-		else if (age_ms > limits->header_timeout_ms + limits->idle_timeout_ms)
-			http_server_close_conn(c);
-		break;
-	case CONN_BUSY:
-		break;
-	case CONN_CLOSING:
-		if ((c->pending_writes == 0 && age_ms > HTTP_SERVER_LINGER_MS) ||
-		    age_ms > limits->idle_timeout_ms)
-			http_server_close_conn(c);
-		break;
-	}
+	if (c->state == CONN_READING)
+		sweep_reading(c, now_ms);
+	if (c->state != CONN_IDLE && c->state != CONN_CLOSING)
+		return;
+	unsent = count_unsent(c);
+	if (unsent != c->unsent)
+		c->since_ms = now_ms;
+	c->unsent = unsent;
+	if (c->state == CONN_CLOSING && unsent == 0)
+		idle_timeout_ms = MIN(idle_timeout_ms, HTTP_SERVER_LINGER_MS);
+	if (now_ms - c->since_ms <= idle_timeout_ms)
+		return;
+	if (c->state == CONN_CLOSING || !http_server_has_input(c))
+		http_server_close_conn(c);
 }
 
 void http_server_enforce_timeouts(struct http_server *s, int64_t now_ms)
--- a/packages/http/http_server_internal.h
+++ b/packages/http/http_server_internal.h
@@ -24,6 +24,7 @@
 	http_parser parser;
 	enum conn_state state;
 	struct http_server_request *request;
+	struct http_server_limits limits; /* those in force as the request began */
 	GString *field;
 	GString *value;
 	bool in_value;
@@ -36,7 +37,8 @@
 	bool keep;    /* the connection stays open after the response */
 	bool bodyless;
 	bool until_close; /* the body has no length or chunks and ends when the connection closes */
-	int64_t since_ms; /* when state was last set */
+	int64_t since_ms; /* of the state; idle or closing: of the last change of unsent */
+	size_t unsent;	  /* bytes that the caller hadn't taken at the last sweep */
 	GByteArray *read_ahead;	 /* bytes received beyond the request in progress */
 	uint32_t pending_writes; /* writes queued in libuv and not completed */
 	bool write_closed;
--- a/packages/http/http_server_read.c
+++ b/packages/http/http_server_read.c
@@ -48,6 +48,7 @@
 	g_string_truncate(c->field, 0);
 	g_string_truncate(c->value, 0);
 	c->is_used = true;
+	c->limits = c->server->limits;
 	http_server_set_state(c, CONN_READING);
 	return 0;
 }
@@ -103,7 +104,7 @@
 {
 	struct http_server_conn *c = p->data;
 
-	if ((int64_t)(c->request->body->len + len) > c->server->limits.max_body_bytes)
+	if ((int64_t)(c->request->body->len + len) > c->limits.max_body_bytes)
 		return 1;
 	g_byte_array_append(c->request->body, (const guint8 *)at, (guint)len);
 	return 0;
@@ -194,7 +195,7 @@
 	}
 	if (c->state == CONN_READING && !c->head_read) {
 		c->head_bytes += len;
-		if ((int64_t)c->head_bytes > c->server->limits.max_header_bytes)
+		if ((int64_t)c->head_bytes > c->limits.max_header_bytes)
 			http_server_reject(c, 431);
 	}
 }
--- a/packages/http/include/http/http_server.h
+++ b/packages/http/include/http/http_server.h
@@ -42,7 +42,11 @@
 	int64_t max_header_bytes;
 	int64_t max_body_bytes;
 	int64_t header_timeout_ms; /* from the first byte of a request to the end of its head */
-	int64_t idle_timeout_ms;   /* time without a request in progress */
+	/*
+	 * Time without a request in progress, time for a body beyond that for the head, and time in
+	 * which a caller takes nothing of a response.
+	 */
+	int64_t idle_timeout_ms;
 };
 
 /* Returns NULL with *error set on failure. address is IPv4:port; port 0 lets the kernel choose. */
@@ -56,7 +60,7 @@
 /* Returns the IPv4:port of the listener, borrowed. */
 const char *http_server_address(const struct http_server *s);
 
-/* Replaces the limits, also for open connections. */
+/* Replaces the limits, also for open connections; a request that has begun keeps its own. */
 void http_server_set_limits(struct http_server *s, const struct http_server_limits *limits);
 
 /* Closes connections that exceed a timeout; to be called a few times a second. */
--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -479,6 +479,115 @@
 }
 END_TEST
 
+static const struct http_server_limits short_limits = {
+	.max_header_bytes = 1024,
+	.max_body_bytes = 2,
+	.header_timeout_ms = 10,
+	.idle_timeout_ms = 60,
+};
+
+/* Runs the loop as a node does, with a sweep every few ms; the caller takes some bytes each time.
+ */
+static void sweep_for(int64_t ms, int fd, GString *taken)
+{
+	char block[64 * 1024];
+
+	for (int64_t i = 0; i < ms / 10; i++) {
+		ssize_t n = fd >= 0 ? recv(fd, block, sizeof(block), MSG_DONTWAIT) : 0;
+		if (n > 0)
+			g_string_append_len(taken, block, n);
+		run_loop(10);
+		http_server_enforce_timeouts(server, clock_now_ms());
+	}
+}
+
+/*
+ * Guards against requests that are cut as lower limits come into force: one that is being read goes
+ * on under the limits at its beginning, and gets an answer when it exceeds them.
+ */
+START_TEST(keeps_limits_of_a_request)
+{
+	static const char start[] = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab";
+	GString *response;
+	int slow;
+	int stuck;
+
+	start_server();
+	slow = raw_connect(http_server_address(server));
+	stuck = raw_connect(http_server_address(server));
+	raw_write_text(slow, start);
+	raw_write_text(stuck, start);
+	run_loop(20);
+	http_server_set_limits(server, &short_limits);
+	sweep_for(300, -1, NULL);
+	raw_write_text(slow, "cde");
+	run_loop(20);
+	ck_assert_uint_eq(n_requests, 1);
+	http_server_announce_close(server);
+	answer_and_close(slow, "/x");
+	sweep_for(1000, -1, NULL);
+	response = raw_read(stuck, WAIT_MS);
+	ck_assert_msg(strstr(response->str, " 408 ") != NULL, "'%s'", response->str);
+	g_string_free(response, TRUE);
+	close(stuck);
+	stop_server(NULL);
+}
+END_TEST
+
+/* Guards against closing on a request that has arrived as a lower limit overtakes its connection.
+ */
+START_TEST(reads_before_it_times_out)
+{
+	int kept;
+
+	start_server();
+	kept = connect_kept();
+	run_loop(100);
+	raw_write_text(kept, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+	http_server_set_limits(server, &short_limits);
+	http_server_enforce_timeouts(server, clock_now_ms());
+	run_loop(20);
+	http_server_announce_close(server);
+	answer_and_close(kept, "/next");
+	stop_server(NULL);
+}
+END_TEST
+
+/*
+ * Guards against cutting an answer that a slow caller is taking, also as a lower limit comes into
+ * force. A caller that takes nothing is closed.
+ */
+START_TEST(writes_to_slow_callers)
+{
+	static char body[8 * 1024 * 1024]; /* more than the kernel's buffers hold */
+	GString *taken = g_string_new(NULL);
+	int slow;
+	int stuck;
+
+	start_server();
+	memset(body, 'x', sizeof(body));
+	slow = raw_connect(http_server_address(server));
+	stuck = raw_connect(http_server_address(server));
+	http_server_announce_close(server);
+	raw_write_text(slow, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_loop(20);
+	http_server_respond(last_request, 200, NULL, body, sizeof(body));
+	raw_write_text(stuck, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_loop(20);
+	http_server_respond(last_request, 200, NULL, body, sizeof(body));
+	http_server_set_limits(server, &short_limits);
+	sweep_for(500, slow, taken);
+	ck_assert_uint_eq(http_server_connections(server), 1);
+	for (int i = 0; i < 100 && taken->len < sizeof(body); i++)
+		sweep_for(50, slow, taken);
+	ck_assert_msg(taken->len > sizeof(body), "%zu bytes", taken->len);
+	g_string_free(taken, TRUE);
+	close(slow);
+	close(stuck);
+	stop_server(NULL);
+}
+END_TEST
+
 /* HTTP client */
 
 static struct {
@@ -710,6 +819,9 @@
 		ends_without_reset,
 		drains_pipelined,
 		counts_unwritten_answers,
+		keeps_limits_of_a_request,
+		reads_before_it_times_out,
+		writes_to_slow_callers,
 		takes_answers,
 		knows_what_was_not_sent,
 		once_takes_fresh_connections,
