Don't cut answers on kept connections as a stopping node closes idle ones

An answer is complete at the node long before a slow caller has taken it, and its connection, if kept, counts as idle from then on. From 2.8 s after the signal the node closed it: the rest of the answer, queued in the process, was lost. Answers that began after the signal announce the close and weren't hit.

Change: a connection with unwritten bytes isn't idle for a drain; the node waits for these bytes already.

Before: unit_http/drains_beside_unwritten_answers: 3932204 of 8 MiB. After: whole, then closed.

--- a/packages/http/http_server.c
+++ b/packages/http/http_server.c
@@ -223,7 +223,7 @@
 	http_server_announce_close(s);
 	for (struct http_server_conn *c = s->conns; c; c = next) {
 		next = c->next;
-		if (c->state == CONN_IDLE && !awaits_request(c, now_ms))
+		if (c->state == CONN_IDLE && c->pending_writes == 0 && !awaits_request(c, now_ms))
 			http_server_close_conn(c);
 	}
 }
--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -229,6 +229,15 @@
 }
 END_TEST
 
+static void take_some(int fd, GString *taken)
+{
+	char block[64 * 1024];
+	ssize_t n = recv(fd, block, sizeof(block), MSG_DONTWAIT);
+
+	if (n > 0)
+		g_string_append_len(taken, block, n);
+}
+
 /* Returns a connection that has had one answer and is kept open. */
 static int connect_kept(void)
 {
@@ -422,6 +431,35 @@
 }
 END_TEST
 
+/* Guards against cutting, at a shutdown, an answer that a kept connection is still being sent. */
+START_TEST(drains_beside_unwritten_answers)
+{
+	static char body[8 * 1024 * 1024]; /* more than the kernel's buffers hold */
+	GString *taken = g_string_new(NULL);
+	int fd;
+
+	start_server();
+	memset(body, 'x', sizeof(body));
+	fd = raw_connect(http_server_address(server));
+	raw_write_text(fd, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_loop(20);
+	http_server_respond(last_request, 200, NULL, body, sizeof(body));
+	for (int i = 0; i < 500 && taken->len < sizeof(body); i++) {
+		take_some(fd, taken);
+		run_loop(1);
+		http_server_drain(server);
+	}
+	ck_assert_msg(taken->len > sizeof(body), "%zu bytes", taken->len);
+	run_loop(20);
+	http_server_drain(server);
+	run_loop(20);
+	ck_assert_uint_eq(http_server_connections(server), 0);
+	g_string_free(taken, TRUE);
+	close(fd);
+	stop_server(NULL);
+}
+END_TEST
+
 /* Guards against closing, at a shutdown, on a pipelined request that was read behind another one.
  */
 START_TEST(drains_pipelined)
@@ -490,12 +528,9 @@
  */
 static void sweep_for(int64_t ms, int fd, GString *taken)
 {
-	char block[64 * 1024];
-
 	for (int64_t i = 0; i < ms / 10; i++) {
-		ssize_t n = fd >= 0 ? recv(fd, block, sizeof(block), MSG_DONTWAIT) : 0;
-		if (n > 0)
-			g_string_append_len(taken, block, n);
+		if (fd >= 0)
+			take_some(fd, taken);
 		run_loop(10);
 		http_server_enforce_timeouts(server, clock_now_ms());
 	}
@@ -814,6 +849,7 @@
 		answers_pipelined_in_turn,
 		drains,
 		drains_beside_arrivals,
+		drains_beside_unwritten_answers,
 		counts_arriving_requests,
 		accepts_what_waits,
 		ends_without_reset,
