Keep a silent stream at its upstream until another one has accepted it

Callers saw: a stream cut in its middle, or a 502 before its first event, though the upstream was in good order and went on a moment later. Cause: a resumable stream was closed at its upstream after 0.6 s of silence (1.5 s before its head), before it was known that another upstream could go on with it. Where none could (none left, another version, refused, full, needs a permit, blocked part, attempt limit), nothing was left to wait for. Ruled out: streams that may run once only have no such timeout and were whole. Change: the request goes to another upstream beside the silent one. The first that speaks, by an accepted head or by events that are passed on, closes the other; an event of which a part has come is dropped when another upstream takes over. If the other one refuses or breaks, the silent one stays, and a further one is tried after a whole timeout. Nothing is sent while no upstream can take it. Each attempt in progress or closed counts for maxAttempts, which hedges were not counted for once another one was accepted. At most two attempts are open; a second one that is silent too is closed for a third. A stream whose inputs have been freed can go on with a new chain alone: its upstream is given up after 1.8 s, if another one is open. An answer other than a success no longer ends the upstream's stream or has its body passed on as events. Silence is no longer noted as an unreachable upstream: that doubled the block with each stream that found it, up to 8 s, and kept streams of its version away. It lowers the upstream's rating once, other upstreams are preferred for 1 s, and the first event of one of these streams ends that. Test: the stub's engines can be silent for a time (stub_pause_engine). Silences of 0.5 to 2.0 s, mid-stream and before the head, resumable or not: whole, in order, no event twice, at most two runs; silent for good: goes on within 1.5 s, and the upstream before is closed.

--- a/packages/emul/include/emul/stub.h
+++ b/packages/emul/include/emul/stub.h
@@ -54,6 +54,7 @@
 	uint32_t most_runs; /* highest number of runs of one attempt */
 	uint32_t bad;  /* requests with a missing, wrong or forbidden header; 0 for pool engines */
 	uint32_t held; /* stored results that have not been freed */
+	uint32_t open; /* runs in progress whose client is connected */
 };
 
 /* How the store treats requests until another fault is set. */
@@ -94,6 +95,12 @@
 void stub_publish(struct stub *s, const char *id, const char *state);
 void stub_set_fault(struct stub *s, const char *id, enum stub_fault fault);
 
+/*
+ * The engine sends nothing for a time: it reads requests, begins no answer, and holds its events
+ * back. Then all goes on.
+ */
+void stub_pause_engine(struct stub *s, const char *id, int64_t for_ms);
+
 /* Header fields that an engine adds to all its answers, as sent; NULL: left out. */
 struct stub_advice {
 	const char *limit;	 /* requests a second that it accepts from all nodes together */
--- a/packages/emul/stub.c
+++ b/packages/emul/stub.c
@@ -109,6 +109,7 @@
 	e = g_hash_table_lookup(s->engines, id);
 	*stats = e->stats;
 	stats->held = g_hash_table_size(e->results);
+	stats->open = g_hash_table_size(e->open);
 	pthread_mutex_unlock(&s->lock);
 }
 
--- a/packages/emul/stub_engine.c
+++ b/packages/emul/stub_engine.c
@@ -174,10 +174,14 @@
 {
 	struct stub_run *run = timer->data;
 	struct stub *s = run->engine->s;
+	int64_t now_ms = clock_now_ms();
 
 	pthread_mutex_lock(&s->lock);
 	if (!run->request) {
 		end_run(run);
+	} else if (now_ms < run->engine->silent_until_ms) {
+		uv_timer_start(timer, on_event, (uint64_t)(run->engine->silent_until_ms - now_ms),
+			       0);
 	} else if (run->engine->options.kind == STUB_STREAM &&
 		   run->engine->fault != STUB_FAULT_CLOSE &&
 		   run->engine->fault != STUB_FAULT_HANG) {
@@ -395,6 +399,16 @@
 	g_free(event);
 }
 
+void stub_pause_engine(struct stub *s, const char *id, int64_t for_ms)
+{
+	struct stub_engine *e;
+
+	pthread_mutex_lock(&s->lock);
+	e = g_hash_table_lookup(s->engines, id);
+	e->silent_until_ms = clock_now_ms() + for_ms;
+	pthread_mutex_unlock(&s->lock);
+}
+
 void stub_engine_stop(struct stub_engine *e)
 {
 	GList *runs = g_hash_table_get_values(e->open);
--- a/packages/emul/stub_int.h
+++ b/packages/emul/stub_int.h
@@ -24,6 +24,7 @@
 	const char *version; /* of its software; interned */
 	int64_t born_ms;     /* when it last started, as its entry says */
 	int64_t down_until_ms;
+	int64_t silent_until_ms;
 	struct stub_engine_options options;
 	struct http_server *listener;	 /* NULL: the engine is down */
 	struct stub_engine *predecessor; /* engine whose address it takes; NULL: none */
--- a/packages/serve/srv_answer.c
+++ b/packages/serve/srv_answer.c
@@ -63,11 +63,10 @@
 	struct srv_req *r = attempt->req;
 
 	r->winner = attempt;
+	/* what has come of an event of the attempt before is dropped */
+	g_string_truncate(r->partial, 0);
 	g_string_truncate(r->tail, 0);
-	for (uint32_t i = 0; i < r->n_attempts; i++) {
-		if (&r->attempts[i] != attempt)
-			srv_attempt_cancel(&r->attempts[i]);
-	}
+	srv_attempt_note_progress(attempt);
 	if (r->response_started)
 		return; /* a resumed stream: the caller already has a head and signature */
 	buffer_head(attempt, head);
@@ -87,7 +86,7 @@
 			 "upstream", attempt->upstream->id, "belongs_to", answer.attempt);
 		return false;
 	}
-	attempt->last_data_ms = clock_now_ms();
+	srv_attempt_note_data(attempt);
 	attempt->status = head->status;
 	attempt->is_wrong_address = head->status == 421;
 	if (!attempt->is_wrong_address)
@@ -98,11 +97,15 @@
 	attempt->is_missing_inputs = head->status == 409 && attempt->verdict == SRV_ATTEMPT_NOT_RUN;
 	if (attempt->verdict == SRV_ATTEMPT_ACCEPTED && !answer.attempt)
 		attempt->verdict = SRV_ATTEMPT_INVALID;
+	/* a stream goes on with events alone */
+	if (attempt->verdict == SRV_ATTEMPT_ACCEPTED && r->response_started &&
+	    head->status >= STATUS_REDIRECT)
+		attempt->verdict = SRV_ATTEMPT_FAILED;
 	if (attempt->verdict == SRV_ATTEMPT_ACCEPTED) {
 		attempt->begun_ms = attempt->last_data_ms;
 		accept_answer(attempt, head);
 	}
-	if (attempt->verdict == SRV_ATTEMPT_FAILED && !r->winner)
+	if (attempt->verdict == SRV_ATTEMPT_FAILED && !r->winner && !r->response_started)
 		buffer_head(attempt, head);
 	if (attempt->verdict != SRV_ATTEMPT_ACCEPTED)
 		attempt->end_by_ms = attempt->last_data_ms + UNREAD_TIMEOUT_MS;
@@ -237,11 +240,12 @@
 {
 	struct srv_req *r = attempt->req;
 
-	attempt->last_data_ms = clock_now_ms();
+	srv_attempt_note_data(attempt);
 	if (attempt->begun_ms > 0 &&
 	    attempt->last_data_ms - attempt->begun_ms > QUARANTINE_BEGIN_MS)
 		srv_attempt_note_good(attempt);
 	if (r->winner == attempt) {
+		srv_attempt_note_progress(attempt);
 		note_first_byte(r);
 		note_tail(r, data, len);
 		if (r->streaming)
--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -18,9 +18,18 @@
 #define CHAINS_MAX 2
 /* Time for an upstream to fetch a chain's results: two trips between regions, and 15 MB. */
 #define FETCH_DELAY_MS 80
-/* A stream is resumed after a silence of this many times the route's gap_aim_ms. */
+/* A stream is sent to a second upstream after a silence of this many times its gap_aim_ms. */
 #define STALL_GAPS 3
 #define STALL_MIN_MS 600
+/* Other upstreams are preferred to a silent one for this long, unless it goes on before. */
+#define SILENCE_BLOCK_MS 1000
+/*
+ * A stream whose inputs are gone can only go on with new ones, for which the silent upstream is
+ * given up. One in good order has gone on by then.
+ */
+#define INPUTS_SILENCE_MS 1800
+/* Most attempts of a stream at a time. */
+#define STREAM_ACTIVE_MAX 2
 /* Difference in urgency between one rank and the next. */
 #define URGENCY_STEP 2
 #define URGENCY_MAX 9
@@ -61,6 +70,35 @@
 	attempt->upstream->in_flight--;
 }
 
+/* Closes the request's other attempts, and counts those that an upstream may have run. */
+static void cancel_others(struct srv_attempt *attempt)
+{
+	struct srv_req *r = attempt->req;
+
+	for (uint32_t i = 0; i < r->n_attempts; i++) {
+		struct srv_attempt *other = &r->attempts[i];
+		if (other == attempt || !other->call)
+			continue;
+		r->runs += http_client_was_sent(other->call);
+		srv_attempt_cancel(other);
+	}
+}
+
+void srv_attempt_note_data(struct srv_attempt *attempt)
+{
+	attempt->last_data_ms = clock_now_ms();
+	attempt->timeout_from_ms = attempt->last_data_ms;
+}
+
+void srv_attempt_note_progress(struct srv_attempt *attempt)
+{
+	cancel_others(attempt);
+	if (!attempt->is_silent)
+		return;
+	attempt->is_silent = false;
+	srv_upstream_note_success(attempt->upstream, clock_now_ms());
+}
+
 uint32_t srv_req_count_active(const struct srv_req *r)
 {
 	uint32_t n = 0;
@@ -70,6 +108,12 @@
 	return n;
 }
 
+/* Returns the number of attempts that an upstream has run or may yet run. */
+static uint32_t count_runs(const struct srv_req *r)
+{
+	return r->runs + srv_req_count_active(r);
+}
+
 static uint32_t count_refusals(const struct srv_req *r)
 {
 	uint32_t n = 0;
@@ -149,6 +193,7 @@
 		.born_ms = srv_gate_run_of(r->s, u->id).born_ms,
 		.sent_ms = now_ms,
 		.last_data_ms = now_ms,
+		.timeout_from_ms = now_ms,
 	};
 	r->fetch_check_at_ms = now_ms + FETCH_DELAY_MS;
 	srv_count(r->s, SRV_SENDS);
@@ -193,13 +238,13 @@
 		return "too little time left before the deadline or route timeout";
 	if (now_ms >= send_by_ms(r))
 		return "node is shutting down";
-	if (r->runs > 0 && !srv_req_is_repeatable(r))
+	if (count_runs(r) > 0 && !srv_req_is_repeatable(r))
 		return "may have run and must not be repeated";
-	if (r->runs >= (uint32_t)MAX(r->route->max_upstreams, 1))
+	if (count_runs(r) >= (uint32_t)MAX(r->route->max_upstreams, 1))
 		return "route's attempt limit reached";
 	if (count_refusals(r) >= REFUSALS_MAX)
 		return "refused by too many upstreams";
-	if (r->runs > 0 && is_doubted(r))
+	if (count_runs(r) > 0 && is_doubted(r))
 		return "a part of the prompt may crash upstreams";
 	if (r->n_attempts > 0 && !srv_retry_allowed(r->s, r->service_name, now_ms))
 		return "retry budget exhausted";
@@ -266,17 +311,40 @@
 	       srv_has_policy(r->s, POLICY_CHAIN_RESTART);
 }
 
+static struct srv_attempt *last_active(struct srv_req *r)
+{
+	for (uint32_t i = r->n_attempts; i > 0; i--) {
+		if (r->attempts[i - 1].call)
+			return &r->attempts[i - 1];
+	}
+	return NULL;
+}
+
+/*
+ * Waits for the attempt that is left after another has ended. A stream may be sent to a further
+ * upstream after a whole timeout, any other request isn't hedged again.
+ */
+static void wait_for_other(struct srv_req *r)
+{
+	last_active(r)->timeout_from_ms =
+		r->route->kind == PUB_KIND_STREAM ? clock_now_ms() : r->end_at_ms;
+	srv_req_arm_timer(r);
+}
+
 /* Called when an attempt has ended without an answer for the caller. */
 static void retry_or_end(struct srv_attempt *attempt, const char *outcome)
 {
 	struct srv_req *r = attempt->req;
 
 	log_attempt(attempt, outcome);
-	if (r->winner == attempt)
+	if (r->winner == attempt) {
 		r->winner = NULL;
-	if (r->winner || srv_req_count_active(r) > 0)
+		g_string_truncate(r->partial, 0);
+	}
+	if (srv_req_count_active(r) > 0) {
+		wait_for_other(r);
 		return;
-	g_string_truncate(r->partial, 0);
+	}
 	if (r->response_started && !srv_origin_may_go_on(r, clock_now_ms())) {
 		srv_req_fail(r, 502, outcome);
 		return;
@@ -376,15 +444,6 @@
 	return MAX(STALL_GAPS * r->route->gap_aim_ms, STALL_MIN_MS);
 }
 
-static struct srv_attempt *last_active(struct srv_req *r)
-{
-	for (uint32_t i = r->n_attempts; i > 0; i--) {
-		if (r->attempts[i - 1].call)
-			return &r->attempts[i - 1];
-	}
-	return NULL;
-}
-
 /* Returns when the last active attempt has been silent for too long; INT64_MAX: never. */
 static int64_t silence_deadline_ms(struct srv_req *r)
 {
@@ -396,13 +455,13 @@
 	if (r->route->kind == PUB_KIND_IDEMPOTENT)
 		return attempt->verdict == SRV_ATTEMPT_PENDING && srv_req_count_active(r) == 1 &&
 				       srv_has_policy(r->s, POLICY_HEDGES)
-			       ? attempt->sent_ms + hedge_delay_ms(r)
+			       ? attempt->timeout_from_ms + hedge_delay_ms(r)
 			       : INT64_MAX;
 	if (attempt->is_paused)
 		return INT64_MAX;
-	return attempt->verdict == SRV_ATTEMPT_PENDING
-		       ? attempt->sent_ms + FIRST_EVENT_TIMEOUT_MS
-		       : attempt->last_data_ms + stall_timeout_ms(r);
+	return attempt->timeout_from_ms + (attempt->verdict == SRV_ATTEMPT_PENDING
+						   ? FIRST_EVENT_TIMEOUT_MS
+						   : stall_timeout_ms(r));
 }
 
 static void handle_deadline(struct srv_req *r)
@@ -428,50 +487,79 @@
 
 static void restart_silence_timeout(struct srv_attempt *attempt, int64_t now_ms)
 {
-	attempt->last_data_ms = now_ms;
-	attempt->sent_ms = now_ms;
+	attempt->timeout_from_ms = now_ms;
 	srv_req_arm_timer(attempt->req);
 }
 
-/* Sends the request to a second upstream; without one that is open, tries again later. */
+/* Has other upstreams preferred to a silent one; once for all requests that find it silent. */
+static void note_silence(struct srv_attempt *attempt, int64_t now_ms)
+{
+	struct srv_upstream *u = attempt->upstream;
+	struct srv *s = attempt->req->s;
+
+	attempt->is_silent = true;
+	if (u->blocked_until_ms > now_ms || !srv_has_policy(s, POLICY_BACKOFF))
+		return;
+	srv_upstream_note_failure(s, u, SRV_FAILURE_BROKEN, now_ms);
+	srv_upstream_note_report(s, u->id, SILENCE_BLOCK_MS, now_ms);
+}
+
+/*
+ * Sends the request to a further upstream beside the silent one, which may go on; the first answer
+ * that is accepted closes the other attempt. Without an upstream that is open, tries again later.
+ */
 static void hedge(struct srv_attempt *attempt, int64_t now_ms)
 {
 	struct srv_req *r = attempt->req;
 	uint32_t n_before = r->n_attempts;
 
-	r->runs++; /* the silent upstream may have run the request */
 	srv_req_send(r);
-	r->runs--; /* counted when the silent attempt ends */
-	if (r->n_attempts == n_before) {
-		restart_silence_timeout(attempt, now_ms);
+	restart_silence_timeout(attempt, now_ms);
+	if (r->n_attempts == n_before)
 		return;
-	}
 	log_attempt(attempt, "hedged");
-	srv_req_arm_timer(r);
+	if (r->route->kind == PUB_KIND_STREAM)
+		note_silence(attempt, now_ms);
+	if (srv_req_count_active(r) <= STREAM_ACTIVE_MAX)
+		return;
+	r->runs++;
+	srv_attempt_cancel(attempt);
 }
 
 /*
- * Hedges or resumes a request whose upstream is silent. A stream is closed before it is resumed, so
- * that it never runs at two upstreams at once.
+ * Gives up the silent upstream of a stream that can go on elsewhere with new inputs alone, if it
+ * has been silent for long and another one is open. May free the request.
  */
-static void handle_silence(struct srv_req *r, int64_t now_ms)
+static void replace_inputs(struct srv_attempt *attempt, int64_t now_ms)
 {
-	struct srv_attempt *attempt = last_active(r);
+	struct srv_req *r = attempt->req;
 
-	if (no_send_reason(r, now_ms) || is_doubted(r)) {
+	if (r->n_chains >= CHAINS_MAX || now_ms - attempt->last_data_ms < INPUTS_SILENCE_MS ||
+	    srv_req_count_active(r) > 1 || !srv_req_pick(r, now_ms)) {
 		restart_silence_timeout(attempt, now_ms);
 		return;
 	}
-	if (r->route->kind == PUB_KIND_IDEMPOTENT) {
-		hedge(attempt, now_ms);
-		return;
-	}
-	srv_upstream_note_failure(r->s, attempt->upstream, SRV_FAILURE_UNREACHABLE, now_ms);
+	note_silence(attempt, now_ms);
 	srv_attempt_cancel(attempt);
 	r->runs++;
+	attempt->is_missing_inputs = true;
 	retry_or_end(attempt, "stalled");
 }
 
+/* Hedges a request whose upstream is silent; may free the request. */
+static void handle_silence(struct srv_req *r, int64_t now_ms)
+{
+	struct srv_attempt *attempt = last_active(r);
+
+	if (no_send_reason(r, now_ms) || is_doubted(r) ||
+	    (r->response_started && !srv_origin_may_go_on(r, now_ms)))
+		restart_silence_timeout(attempt, now_ms);
+	else if (is_missing_inputs(&r->attempts[r->n_attempts - 1]))
+		replace_inputs(attempt, now_ms);
+	else
+		hedge(attempt, now_ms);
+}
+
 /* Notifies the chain's owner that the upstream should have fetched the results. */
 static void note_fetched(struct srv_req *r, int64_t now_ms)
 {
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -34,11 +34,14 @@
 	int64_t born_ms;     /* of the upstream's run, as published when it was sent */
 	int64_t sent_ms;
 	int64_t last_data_ms; /* when bytes of the answer last arrived; sent_ms before that */
-	int64_t end_by_ms;    /* when an answer that isn't passed on has to end; 0: never */
-	int64_t begun_ms;     /* when an accepted answer's head arrived; 0: not yet */
-	size_t n_bytes;	      /* of an answer that isn't passed on yet */
+	/* start of its silence timeout: last_data_ms, or later if the timeout was restarted */
+	int64_t timeout_from_ms;
+	int64_t end_by_ms; /* when an answer that isn't passed on has to end; 0: never */
+	int64_t begun_ms;  /* when an accepted answer's head arrived; 0: not yet */
+	size_t n_bytes;	   /* of an answer that isn't passed on yet */
 	bool is_good_noted;
 	bool is_paused;
+	bool is_silent;		/* other upstreams are preferred to its own one meanwhile */
 	bool is_wrong_address;	/* not sent, or the address belongs to another upstream */
 	bool is_missing_inputs; /* the upstream could not fetch the chain's results */
 };
@@ -150,6 +153,12 @@
 struct srv_upstream *srv_req_pick(struct srv_req *r, int64_t now_ms);
 void srv_attempt_cancel(struct srv_attempt *attempt);
 
+/* Called when bytes of an answer have arrived. */
+void srv_attempt_note_data(struct srv_attempt *attempt);
+
+/* Called when its head was accepted or its bytes are passed on; closes the other attempts. */
+void srv_attempt_note_progress(struct srv_attempt *attempt);
+
 /* Returns the number of attempts in progress. */
 uint32_t srv_req_count_active(const struct srv_req *r);
 
