Let a node of a test cluster be cut off from upstreams

A node that reaches no upstream, while its callers, the source and other nodes reach it, could not be tested: on loopback all nodes connect from one address to the same ones.

The stub opens links: a listener of the store whose answers name a port of the link in place of each upstream's address. A cut of a link refuses or leaves unanswered what is new, and works, hangs or resets what is open, for all services or one.

An upstream that is down accepts and resets connections through a link instead of refusing them, and a node that starts from the published state of another node uses that node's link.

--- a/packages/emul/include/emul/stub.h
+++ b/packages/emul/include/emul/stub.h
@@ -78,6 +78,30 @@
 /* Returns the store's address as host:port; borrowed. */
 const char *stub_store_address(const struct stub *s);
 
+/*
+ * Opens the next link of a node to the platform, counted from 0, and returns the store's address
+ * for it, borrowed; NULL with *error set on failure. A node that reads the store there gets
+ * addresses of upstreams that are its link's own: it reaches the same upstreams, and can be cut off
+ * from them alone. An upstream that is down accepts and resets its connections instead of refusing
+ * them. A node that has read its upstreams from another node uses that node's link.
+ */
+const char *stub_open_link(struct stub *s, GError **error);
+
+/* How a link treats connections to upstreams; those to the store always work. */
+enum stub_cut {
+	STUB_CUT_NONE,
+	STUB_CUT_REFUSE, /* new ones are refused, open ones hang */
+	STUB_CUT_RESET,	 /* new ones are refused, open ones are reset */
+	STUB_CUT_HANG,	 /* new ones aren't answered, open ones hang */
+	STUB_CUT_NEW,	 /* new ones are refused, open ones work */
+};
+
+/*
+ * Cuts a link until it is set again: for the upstreams of one service, or of all (NULL). Bytes on
+ * open connections that hang arrive after it.
+ */
+void stub_cut_link(struct stub *s, uint32_t link, enum stub_cut cut, const char *service);
+
 /* Writes a key; value NULL deletes it. */
 void stub_put(struct stub *s, const char *key, const char *value);
 
--- a/packages/emul/stub.c
+++ b/packages/emul/stub.c
@@ -29,6 +29,38 @@
 	json_decref(root);
 }
 
+struct stub_call {
+	void (*fn)(struct stub *s, void *arg);
+	void *arg;
+	bool done;
+};
+
+static void run_calls(struct stub *s)
+{
+	for (guint i = 0; i < s->calls->len; i++) {
+		struct stub_call *call = g_ptr_array_index(s->calls, i);
+		call->fn(s, call->arg);
+		call->done = true;
+	}
+	g_ptr_array_set_size(s->calls, 0);
+}
+
+void stub_call(struct stub *s, void (*fn)(struct stub *s, void *arg), void *arg)
+{
+	struct stub_call call = {.fn = fn, .arg = arg};
+	bool done = false;
+
+	pthread_mutex_lock(&s->lock);
+	g_ptr_array_add(s->calls, &call);
+	pthread_mutex_unlock(&s->lock);
+	while (!done) {
+		clock_sleep_ms(TICK_INTERVAL_MS);
+		pthread_mutex_lock(&s->lock);
+		done = call.done;
+		pthread_mutex_unlock(&s->lock);
+	}
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	struct stub *s = timer->data;
@@ -37,6 +69,7 @@
 	for (guint i = 0; i < s->starting->len; i++)
 		stub_engine_start(g_ptr_array_index(s->starting, i));
 	g_ptr_array_set_size(s->starting, 0);
+	run_calls(s);
 	stub_crash_tick(s, clock_now_ms());
 	stub_store_tick(s, clock_now_ms());
 	if (s->stopping)
@@ -64,8 +97,11 @@
 	s->watches = g_ptr_array_new();
 	s->engines = g_hash_table_new(g_str_hash, g_str_equal);
 	s->starting = g_ptr_array_new();
+	s->links = g_ptr_array_new();
+	s->calls = g_ptr_array_new();
 	stub_crash_init(s);
-	if (!stub_store_start(s, error)) {
+	s->store = stub_store_listen(s, NULL, error);
+	if (!s->store) {
 		g_free(s);
 		return NULL;
 	}
--- a/packages/emul/stub_int.h
+++ b/packages/emul/stub_int.h
@@ -7,11 +7,14 @@
 #include <jansson.h>
 #include <pthread.h>
 
+struct stub_link;
+
 /* A pending watch request. */
 struct stub_watch {
 	struct http_server_request *request;
-	int64_t after;	  /* waits for a revision above this one */
-	int64_t until_ms; /* end of the wait */
+	struct stub_link *link; /* that it came by; NULL: none */
+	int64_t after;		/* waits for a revision above this one */
+	int64_t until_ms;	/* end of the wait */
 };
 
 struct stub_engine {
@@ -51,8 +54,10 @@
 	uv_async_t wake;
 	uv_timer_t tick;
 	struct http_server *store;
-	GArray *log;  /* struct stub_item; the index is the revision less 1 */
-	GArray *lost; /* struct stub_item; lost by the last return and not yet rewritten */
+	GPtrArray *links; /* struct stub_link */
+	GPtrArray *calls; /* struct stub_call, which the loop has yet to run */
+	GArray *log;	  /* struct stub_item; the index is the revision less 1 */
+	GArray *lost;	  /* struct stub_item; lost by the last return and not yet rewritten */
 	int64_t rewrite_at_ms;
 	int64_t restored_revision; /* newest revision of the copy that the store returned from */
 	int64_t epoch;
@@ -88,7 +93,11 @@
 };
 
 /* stub_store.c */
-bool stub_store_start(struct stub *s, GError **error);
+/*
+ * Opens a listener for the nodes of a link (NULL: for those without one). Returns NULL with *error
+ * set on failure.
+ */
+struct http_server *stub_store_listen(struct stub *s, struct stub_link *link, GError **error);
 void stub_store_tick(struct stub *s, int64_t now_ms);
 /* As stub_put(), for callers that hold the lock. */
 void stub_store_write(struct stub *s, const char *key, const char *value);
@@ -119,6 +128,15 @@
 const char *stub_version_of(const struct stub_engine_options *options);
 int64_t stub_next_born_ms(const struct stub_engine *e);
 
+/*
+ * stub_link.c: returns the entry of an upstream as nodes of the link see it, with the address of
+ * the link's own port. The caller frees it with free().
+ */
+char *stub_link_entry(struct stub_link *link, const char *text);
+
+/* stub.c: runs fn on the loop's thread with the lock held, and waits until it has run. */
+void stub_call(struct stub *s, void (*fn)(struct stub *s, void *arg), void *arg);
+
 /* stub.c: has the loop start an engine, and waits until it has. */
 void stub_start(struct stub *s, struct stub_engine *e);
 
--- a/packages/emul/stub_store.c
+++ b/packages/emul/stub_store.c
@@ -9,6 +9,11 @@
 
 extern const struct http_server_limits stub_http_limits;
 
+struct store_listener {
+	struct stub *s;
+	struct stub_link *link; /* of the nodes that connect here; NULL: none */
+};
+
 /* Appends a change to the log, with the next revision. Takes ownership of key and value. */
 static void append(struct stub *s, char *key, char *value)
 {
@@ -93,7 +98,21 @@
 	g_array_set_size(s->lost, 0);
 }
 
-static json_t *item_json(const struct stub_item *item)
+/* Returns the value of an item as nodes of the link (NULL: none) see it, base64. */
+static char *encode_value(struct stub_link *link, const struct stub_item *item)
+{
+	char *own = NULL;
+	char *value;
+
+	if (link && g_str_has_prefix(item->key, "servers/"))
+		own = stub_link_entry(link, item->value);
+	value = g_base64_encode((const guchar *)(own ? own : item->value),
+				strlen(own ? own : item->value));
+	free(own);
+	return value;
+}
+
+static json_t *item_json(struct stub_link *link, const struct stub_item *item)
 {
 	char *value;
 	json_t *json;
@@ -101,7 +120,7 @@
 	if (!item->value)
 		return json_pack("{s:s, s:I, s:b}", "key", item->key, "revision",
 				 (json_int_t)item->revision, "deleted", 1);
-	value = g_base64_encode((const guchar *)item->value, strlen(item->value));
+	value = encode_value(link, item);
 	json = json_pack("{s:s, s:s, s:I, s:I, s:i}", "key", item->key, "value", value, "revision",
 			 (json_int_t)item->revision, "created", (json_int_t)item->revision,
 			 "leaseId", 0);
@@ -151,7 +170,8 @@
 	hdr_clear(&headers);
 }
 
-static void answer_range(struct stub *s, struct http_server_request *request, const char *after)
+static void answer_range(struct stub *s, struct stub_link *link,
+			 struct http_server_request *request, const char *after)
 {
 	GHashTable *items = live_items(s);
 	GList *keys = g_list_sort(g_hash_table_get_keys(items), (GCompareFunc)strcmp);
@@ -165,7 +185,7 @@
 		more = json_array_size(list) == PAGE_ITEMS;
 		if (more)
 			break;
-		json_array_append_new(list, item_json(g_hash_table_lookup(items, key)));
+		json_array_append_new(list, item_json(link, g_hash_table_lookup(items, key)));
 	}
 	answer_json(s, request,
 		    json_pack("{s:o, s:b, s:I}", "items", list, "hasMore", (int)more, "at",
@@ -174,17 +194,19 @@
 	g_hash_table_destroy(items);
 }
 
-static void answer_watch(struct stub *s, struct http_server_request *request, int64_t after)
+static void answer_watch(struct stub *s, const struct stub_watch *w)
 {
 	json_t *list = json_array();
 
-	for (guint i = (guint)after; i < s->log->len; i++)
-		json_array_append_new(list, item_json(&g_array_index(s->log, struct stub_item, i)));
-	answer_json(s, request,
+	for (guint i = (guint)w->after; i < s->log->len; i++)
+		json_array_append_new(
+			list, item_json(w->link, &g_array_index(s->log, struct stub_item, i)));
+	answer_json(s, w->request,
 		    json_pack("{s:o, s:I}", "events", list, "at", (json_int_t)s->log->len));
 }
 
-static void begin_watch(struct stub *s, struct http_server_request *request, GHashTable *query)
+static void begin_watch(struct stub *s, struct stub_link *link, struct http_server_request *request,
+			GHashTable *query)
 {
 	const char *after = g_hash_table_lookup(query, "after");
 	const char *wait = g_hash_table_lookup(query, "waitMs");
@@ -204,14 +226,14 @@
 	}
 	w = g_new0(struct stub_watch, 1);
 	w->request = request;
+	w->link = link;
 	w->after = after_revision;
 	w->until_ms = clock_now_ms() + (wait ? g_ascii_strtoll(wait, NULL, 10) : 0);
 	g_ptr_array_add(s->watches, w);
 }
 
-static void on_request(void *arg, struct http_server_request *request)
+static void handle(struct stub *s, struct stub_link *link, struct http_server_request *request)
 {
-	struct stub *s = arg;
 	const char *query_start = strchr(request->target, '?');
 	GHashTable *query = g_uri_parse_params(query_start ? query_start + 1 : "", -1, "&",
 					       G_URI_PARAMS_NONE, NULL);
@@ -222,18 +244,25 @@
 	else if (s->store_fault == STUB_STORE_HANG)
 		(void)request; /* left unanswered */
 	else if (g_str_has_prefix(request->target, "/-/kv-range"))
-		answer_range(s, request, g_hash_table_lookup(query, "after"));
+		answer_range(s, link, request, g_hash_table_lookup(query, "after"));
 	else if (g_str_has_prefix(request->target, "/-/kv-watch"))
-		begin_watch(s, request, query);
+		begin_watch(s, link, request, query);
 	else
 		answer_status(s, request, 404);
 	pthread_mutex_unlock(&s->lock);
 	g_hash_table_unref(query);
 }
 
+static void on_request(void *arg, struct http_server_request *request)
+{
+	const struct store_listener *listener = arg;
+
+	handle(listener->s, listener->link, request);
+}
+
 static void on_disconnect(void *arg, struct http_server_request *request)
 {
-	struct stub *s = arg;
+	struct stub *s = ((struct store_listener *)arg)->s;
 
 	pthread_mutex_lock(&s->lock);
 	for (guint i = s->watches->len; i > 0; i--) {
@@ -255,21 +284,27 @@
 		if (w->after >= (int64_t)s->log->len && now_ms < w->until_ms)
 			continue;
 		g_ptr_array_remove_index_fast(s->watches, i - 1);
-		answer_watch(s, w->request, w->after);
+		answer_watch(s, w);
 		g_free(w);
 	}
 }
 
-bool stub_store_start(struct stub *s, GError **error)
+struct http_server *stub_store_listen(struct stub *s, struct stub_link *link, GError **error)
 {
+	struct store_listener *listener = g_new0(struct store_listener, 1);
 	const struct http_server_handler handler = {
 		.on_request = on_request,
 		.on_disconnect = on_disconnect,
-		.arg = s,
+		.arg = listener,
 	};
-
-	s->store = http_server_new(&s->loop, "127.0.0.1:0", &handler, &stub_http_limits, error);
-	return s->store != NULL;
+	struct http_server *server;
+
+	listener->s = s;
+	listener->link = link;
+	server = http_server_new(&s->loop, "127.0.0.1:0", &handler, &stub_http_limits, error);
+	if (!server)
+		g_free(listener);
+	return server;
 }
 
 const char *stub_store_address(const struct stub *s)
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -61,7 +61,7 @@
 	g_string_append_printf(text, "admin_address: %s\nmetrics_address: %s\npeer_address: %s\n",
 			       n->admin, n->metrics, n->peer);
 	g_string_append_printf(text, "source_address: %s\nseeds:\n",
-			       n->no_source ? "127.0.0.1:1" : stub_store_address(c->stub));
+			       n->no_source ? "127.0.0.1:1" : n->source);
 	for (uint32_t k = 0; k < c->n_nodes && k < 3; k++)
 		g_string_append_printf(text, "  - %s\n", c->nodes[k].admin);
 	g_string_append_printf(text,
@@ -235,23 +235,31 @@
 	}
 }
 
-static struct cluster *start_cluster(uint32_t n_nodes, bool has_regions,
-				     void (*prepare)(struct stub *stub))
+struct cluster_options {
+	bool has_regions;
+	bool has_links;
+	void (*prepare)(struct stub *stub);
+};
+
+static struct cluster *start_cluster(uint32_t n_nodes, const struct cluster_options *options)
 {
 	struct cluster *c = g_new0(struct cluster, 1);
 
 	c->dir = g_dir_make_tmp("currantscale-XXXXXX", NULL);
 	c->stub = stub_new(NULL);
 	c->n_nodes = n_nodes;
-	c->has_regions = has_regions;
+	c->has_regions = options->has_regions;
 	cluster_configure(c, 7, NULL, NULL);
 	add_engines(c);
-	if (has_regions)
+	if (options->has_regions)
 		add_pool_engines(c);
-	if (prepare)
-		prepare(c->stub);
-	for (uint32_t i = 0; i < n_nodes; i++)
+	if (options->prepare)
+		options->prepare(c->stub);
+	for (uint32_t i = 0; i < n_nodes; i++) {
 		set_addresses(&c->nodes[i], i);
+		c->nodes[i].source = options->has_links ? stub_open_link(c->stub, NULL)
+							: stub_store_address(c->stub);
+	}
 	for (uint32_t i = 0; i < n_nodes; i++)
 		cluster_start_node(c, i);
 	for (uint32_t i = 0; i < n_nodes; i++)
@@ -262,17 +270,24 @@
 
 struct cluster *cluster_new(uint32_t n_nodes)
 {
-	return start_cluster(n_nodes, false, NULL);
+	return start_cluster(n_nodes, &(struct cluster_options){0});
 }
 
 struct cluster *cluster_new_prepared(uint32_t n_nodes, void (*prepare)(struct stub *stub))
 {
-	return start_cluster(n_nodes, false, prepare);
+	return start_cluster(n_nodes, &(struct cluster_options){.prepare = prepare});
 }
 
 struct cluster *cluster_new_regions(uint32_t n_nodes)
 {
-	return start_cluster(n_nodes, true, NULL);
+	return start_cluster(n_nodes, &(struct cluster_options){.has_regions = true});
+}
+
+struct cluster *cluster_new_links(uint32_t n_nodes, bool has_regions)
+{
+	const struct cluster_options options = {.has_regions = has_regions, .has_links = true};
+
+	return start_cluster(n_nodes, &options);
 }
 
 void cluster_free(struct cluster *c)
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -18,8 +18,9 @@
 	char admin[CLUSTER_ADDRESS_BYTES];
 	char metrics[CLUSTER_ADDRESS_BYTES];
 	char peer[CLUSTER_ADDRESS_BYTES];
-	bool no_source; /* when started next, the node can't reach the source */
-	pid_t pid;	/* 0: not running */
+	const char *source; /* address of the store for it */
+	bool no_source;	    /* when started next, the node can't reach the source */
+	pid_t pid;	    /* 0: not running */
 };
 
 struct cluster {
@@ -39,6 +40,9 @@
 
 /* The same with two regions and enough engines in each for an owner of its own. */
 struct cluster *cluster_new_regions(uint32_t n_nodes);
+
+/* Node i reaches upstreams by link i of the stub, which can be cut. With or without two regions. */
+struct cluster *cluster_new_links(uint32_t n_nodes, bool has_regions);
 void cluster_free(struct cluster *c);
 
 /* Publishes the test configuration as version, with the text from (NULL: none) replaced by to. */
