--- a/tests/load.c
+++ b/tests/load.c
@@ -7,6 +7,14 @@
 
 #define STEP_MS 5
 
+static void free_call(gpointer data)
+{
+	struct load_call *call = data;
+
+	g_free(call->body);
+	g_free(call);
+}
+
 void load_init(struct load *load, struct cluster *c, const char *target, const char *extra,
 	       int64_t every_ms)
 {
@@ -15,7 +23,7 @@
 		.target = target,
 		.extra = extra,
 		.every_ms = every_ms,
-		.calls = g_ptr_array_new_with_free_func(g_free),
+		.calls = g_ptr_array_new_with_free_func(free_call),
 	};
 }
 
@@ -36,6 +44,7 @@
 	call->took_ms = clock_now_ms() - call->sent_ms;
 	call->status = answer.status;
 	call->whole = answer.whole;
+	call->body = g_strdup(answer.body);
 	call->retry_after_s = read_retry_after(answer.text);
 	cluster_answer_clear(&answer);
 	return NULL;
--- a/tests/load.h
+++ b/tests/load.h
@@ -10,6 +10,7 @@
 	int64_t took_ms;
 	int status; /* 0: no response */
 	bool whole;
+	char *body;	      /* decoded if chunked; NULL: no response */
 	double retry_after_s; /* below 0: the answer has none */
 	GThread *thread;
 	struct load *load;
