--- a/packages/emul/stub_relay.c
+++ b/packages/emul/stub_relay.c
@@ -126,13 +126,23 @@
 	*buf = uv_buf_init(end->block, sizeof(end->block));
 }
 
+/* libuv reports the end of the stream, too, for a reset that comes with the last bytes. */
+static bool is_orderly_end(const struct relay_end *from, ssize_t n)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return n == UV_EOF && uv_fileno((const uv_handle_t *)&from->tcp, &fd) == 0 &&
+	       recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct relay_end *from = stream->data;
 
 	if (n > 0) {
 		forward(other(from), buf->base, (size_t)n);
-	} else if (n == UV_EOF) {
+	} else if (is_orderly_end(from, n)) {
 		uv_read_stop(stream);
 		from->is_ended = true;
 		forward_end(other(from));
--- a/tests/unit_link.c
+++ b/tests/unit_link.c
@@ -215,6 +215,30 @@
 }
 END_TEST
 
+static const struct {
+	enum stub_fault fault;
+	bool is_reset;
+} ends[] = {{STUB_FAULT_NO_LENGTH, false}, {STUB_FAULT_NO_LENGTH_RESET, true}};
+
+/* Without a length, the end of an answer alone says whether it is whole. */
+START_TEST(end_of_answer)
+{
+	char address[CLUSTER_ADDRESS_BYTES];
+	bool was_reset;
+	GString *text;
+	int fd;
+
+	read_address(0, "plain", address);
+	stub_set_fault(stub, "plain", ends[_i].fault);
+	ck_assert_int_eq(try_connect(address, CONNECT_MS, &fd), 0);
+	raw_write_text(fd, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	text = raw_read_to_end(fd, ANSWER_MS, &was_reset);
+	ck_assert_msg(was_reset == ends[_i].is_reset, "%s", text->str);
+	g_string_free(text, TRUE);
+	close(fd);
+}
+END_TEST
+
 /* Tests of restarts need the address of the link to outlive them. */
 START_TEST(restarted_upstream)
 {
@@ -241,6 +265,7 @@
 	tcase_add_loop_test(tcase, cut_and_heal, 0, G_N_ELEMENTS(cases));
 	tcase_add_test(tcase, unanswered_connection_is_established_later);
 	tcase_add_test(tcase, one_service);
+	tcase_add_loop_test(tcase, end_of_answer, 0, G_N_ELEMENTS(ends));
 	tcase_add_test(tcase, restarted_upstream);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
