Find out in the node whether it reaches upstreams

A node that was cut off from all upstreams had no state that says so: nothing in its log, its metrics or /status told the cut from the failures of single upstreams.

The HTTP client reports new connections, those that couldn't be made and those that ended before any byte of an answer; so requests and pool calls count alike. Each change of the state is logged (upstreams_unreachable, upstreams_reachable) with the upstreams that failed and the number of probes; /status and /dump have "reach", the metrics isolations_total and upstream_probes_total. srv_reach_is_isolated() tells the rest of the node.

--- a/packages/http/http_client.c
+++ b/packages/http/http_client.c
@@ -68,6 +68,8 @@
 	uint32_t n_conns;
 	uint64_t opened;
 	bool freed;
+	void (*watch)(void *arg, enum http_client_event event);
+	void *watch_arg;
 };
 
 /* Shared by all connections: all run on the loop's thread, and parsing completes within a read. */
@@ -130,10 +132,18 @@
 	free_call(call);
 }
 
+static void report(const struct http_client_origin *o, enum http_client_event event)
+{
+	if (o->watch && !o->freed)
+		o->watch(o->watch_arg, event);
+}
+
 static void fail_conn(struct conn *c, enum http_client_result end)
 {
 	if (c->call && !c->call->sent)
 		end = HTTP_CLIENT_NOT_SENT;
+	if (c->call && end != HTTP_CLIENT_MALFORMED && c->n_responses == 0)
+		report(c->origin, c->call->sent ? HTTP_CLIENT_RESET : HTTP_CLIENT_UNCONNECTED);
 	close_conn(c);
 	end_call(c, end);
 }
@@ -383,6 +393,7 @@
 		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms, sizeof(unacked_ms));
 	}
 	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+	report(c->origin, HTTP_CLIENT_CONNECTED);
 	send_call(c);
 }
 
@@ -398,6 +409,7 @@
 			      int64_t timeout_ms)
 {
 	struct conn *c = g_new0(struct conn, 1);
+	int err;
 
 	c->origin = o;
 	c->field = g_string_new(NULL);
@@ -412,7 +424,10 @@
 	o->conns = c;
 	o->n_conns++;
 	o->opened++;
-	if (uv_tcp_connect(&c->connect, &c->tcp, (struct sockaddr *)&o->at, on_connected) != 0) {
+	err = uv_tcp_connect(&c->connect, &c->tcp, (struct sockaddr *)&o->at, on_connected);
+	if (err != 0) {
+		if (err == UV_ENETUNREACH || err == UV_EHOSTUNREACH)
+			report(o, HTTP_CLIENT_UNCONNECTED);
 		close_conn(c);
 		return NULL;
 	}
@@ -525,6 +540,13 @@
 	return o;
 }
 
+void http_client_origin_watch(struct http_client_origin *o,
+			      void (*fn)(void *arg, enum http_client_event event), void *arg)
+{
+	o->watch = fn;
+	o->watch_arg = arg;
+}
+
 void http_client_origin_free(struct http_client_origin *o)
 {
 	struct conn *next;
--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -50,6 +50,16 @@
 
 struct http_client_origin *http_client_origin_new(uv_loop_t *loop, const char *address);
 
+enum http_client_event {
+	HTTP_CLIENT_CONNECTED,	 /* a new connection was established */
+	HTTP_CLIENT_UNCONNECTED, /* it couldn't be */
+	HTTP_CLIENT_RESET,	 /* a connection ended under a call before any byte of a response */
+};
+
+/* Has fn called at each event. It must not start or end calls. */
+void http_client_origin_watch(struct http_client_origin *o,
+			      void (*fn)(void *arg, enum http_client_event event), void *arg);
+
 /* Closes idle connections. Calls in progress continue; their connections close when they end. */
 void http_client_origin_free(struct http_client_origin *o);
 
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -141,6 +141,7 @@
 		log_info("upstreams_lapsed", NULL);
 		srv_chain_view_changed(s);
 	}
+	srv_reach_tick(s, now_ms);
 	srv_regions_update(s, now_ms);
 	srv_region_send_load(s, now_ms);
 	srv_origin_tick(s, now_ms);
@@ -245,6 +246,7 @@
 	uv_loop_init(&s->loop);
 	fill_self(s, &self);
 	s->fleet = gossip_new(&self, s->started_ms);
+	s->reach = srv_reach_new(s);
 	s->view = view_new((int64_t)srvconf_number(s->set->heartbeat_ms));
 	s->regions = srv_regions_new();
 	srv_regions_configure(s->regions, set);
@@ -313,6 +315,7 @@
 	g_ptr_array_unref(s->regions);
 	view_free(s->view);
 	gossip_free(s->fleet);
+	srv_reach_free(s->reach);
 	srvconf_free(s->set);
 	g_free(s->settings_path);
 	g_free(s);
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -8,6 +8,7 @@
 #include "decide/gossip.h"
 #include "decide/lb.h"
 #include "decide/policy.h"
+#include "decide/reach.h"
 #include "decide/stream_origin.h"
 #include "decide/view.h"
 #include "http/http_client.h"
@@ -53,6 +54,9 @@
 	X(SRV_ORIGIN_NONE_LEFT, "resumptions_none_left_total",                                     \
 	  "streams ended as no upstream of their version is left")                                 \
 	X(SRV_ORIGIN_NOTES, "origin_notes_total", "origins of streams sent to other nodes")        \
+	X(SRV_ISOLATIONS, "isolations_total", "times that no upstream could be reached")           \
+	X(SRV_PROBES, "upstream_probes_total",                                                     \
+	  "connections opened only to see whether upstreams can be reached")                       \
 	X(SRV_SOURCE_CALLS, "source_calls_total", "calls to the source of configuration")          \
 	X(SRV_SOURCE_FAILURES, "source_failed_total",                                              \
 	  "source calls that were refused, lost or malformed")                                     \
@@ -80,6 +84,7 @@
 
 /* State of an upstream as observed by this node's requests. */
 struct srv_upstream {
+	struct srv *srv;
 	char *id;
 	char *address;
 	struct http_client_origin *origin;
@@ -97,6 +102,7 @@
 struct gate;
 struct quarantine;
 struct srv_feed;
+struct srv_reach;
 struct srv_req;
 struct srv_chain_request;
 
@@ -109,6 +115,7 @@
 	struct prng prng;
 	struct view_state *view;
 	struct gossip *fleet;
+	struct srv_reach *reach;
 	struct chain_sched *chains;
 	struct quarantine *quarantine;
 	struct gate *gate;
@@ -315,6 +322,22 @@
 struct srv_upstream *srv_upstream_pick(struct srv *s, const struct srv_pick_criteria *want,
 				       int64_t now_ms);
 
+/* srv_reach.c: whether this node reaches upstreams; see decide/reach.h. */
+struct srv_reach *srv_reach_new(struct srv *s);
+
+/* Call after the loop has closed its handles. */
+void srv_reach_free(struct srv_reach *reach);
+
+/* Returns whether this node knows that it reaches no upstream. */
+bool srv_reach_is_isolated(const struct srv *s);
+
+/* Notes what happened to a connection to an upstream. */
+void srv_reach_note(struct srv *s, const char *id, enum reach_event event, int64_t now_ms);
+void srv_reach_tick(struct srv *s, int64_t now_ms);
+
+/* Returns the state, its age and the upstreams that failed as a JSON object. */
+json_t *srv_reach_json(const struct srv *s, int64_t now_ms);
+
 /* srv_req.c */
 void srv_req_begin(void *arg, struct http_server_request *request);
 void srv_req_disconnected(void *arg, struct http_server_request *request);
--- a/packages/serve/srv_upstream.c
+++ b/packages/serve/srv_upstream.c
@@ -29,6 +29,18 @@
 	g_free(u);
 }
 
+static void on_connection(void *arg, enum http_client_event event)
+{
+	static const enum reach_event events[] = {
+		[HTTP_CLIENT_CONNECTED] = REACH_CONNECTED,
+		[HTTP_CLIENT_UNCONNECTED] = REACH_FAILED,
+		[HTTP_CLIENT_RESET] = REACH_RESET,
+	};
+	const struct srv_upstream *u = arg;
+
+	srv_reach_note(u->srv, u->id, events[event], clock_now_ms());
+}
+
 struct srv_upstream *srv_upstream_get(struct srv *s, const char *id, const char *address)
 {
 	struct srv_upstream *u = g_hash_table_lookup(s->upstreams, id);
@@ -42,6 +54,7 @@
 		free_upstream(u);
 	}
 	u = g_new0(struct srv_upstream, 1);
+	u->srv = s;
 	u->id = g_strdup(id);
 	u->address = g_strdup(address);
 	u->origin = http_client_origin_new(&s->loop, address);
@@ -51,6 +64,7 @@
 		free_upstream(u);
 		return NULL;
 	}
+	http_client_origin_watch(u->origin, on_connection, u);
 	g_hash_table_insert(s->upstreams, u->id, u);
 	return u;
 }
@@ -84,8 +98,10 @@
 		u->blocked_until_ms = MAX(u->blocked_until_ms, now_ms + OVERLOAD_BLOCK_MS);
 		return;
 	}
-	if (failure == SRV_FAILURE_UNREACHABLE)
+	if (failure == SRV_FAILURE_UNREACHABLE) {
 		u->unreachable_ms = now_ms;
+		srv_reach_note(s, u->id, REACH_FAILED, now_ms);
+	}
 	update_failure_rate(u, 1, now_ms);
 	if (failure == SRV_FAILURE_BROKEN || !srv_has_policy(s, POLICY_BACKOFF))
 		return;
