Leave nodes that reach no upstream out of lookup answers

Members announce by gossip whether they are isolated, at each change to 16 random members at once. Receivers put such news first into their messages for 2 s: the random choice of 24 records had told 35 of 410 nodes after four rounds (1.2 s), now at least 405 know (isolation_spreads in unit_fleet). Nodes of an older version ignore the field.

Lookups leave isolated members out. With fewer than two others in the region they list the members of all regions that reach upstreams, and if there are none, those that they would list anyway. Readiness stays as it was.

proc_reach, is_not_listed and idle_is_not_listed: on the code before, the node was still listed 2.5 s after the cut, and 6.5 s after it without requests; now both pass, and it is listed again within 2 s of the healing.

--- a/packages/decide/gossip.c
+++ b/packages/decide/gossip.c
@@ -33,6 +33,11 @@
 	f->self.record.leaving = leaving;
 }
 
+void gossip_set_isolated(struct gossip *f, bool isolated)
+{
+	f->self.record.isolated = isolated;
+}
+
 static bool is_newer(const struct gossip_record *a, const struct gossip_record *b)
 {
 	if (a->incarnation != b->incarnation)
@@ -67,6 +72,8 @@
 		return false;
 	changed = !gossip_is_alive(f, m, now_ms) || m->record.ready != r->ready ||
 		  m->record.leaving != r->leaving || m->record.incarnation != r->incarnation;
+	if (m->record.isolated != r->isolated)
+		m->news_ms = now_ms;
 	m->record = *r;
 	m->heard_ms = now_ms;
 	return changed;
@@ -131,6 +138,23 @@
 	return list;
 }
 
+static bool is_news(const struct gossip_member *m, int64_t now_ms)
+{
+	return m->news_ms > 0 && now_ms - m->news_ms < GOSSIP_NEWS_MS;
+}
+
+/* Adds the records of the members that are news, or of those that aren't. */
+static uint32_t add_records(const GPtrArray *list, bool news, struct gossip_record *records,
+			    uint32_t n, uint32_t capacity, int64_t now_ms)
+{
+	for (guint i = 0; i < list->len && n < capacity; i++) {
+		const struct gossip_member *m = list->pdata[i];
+		if (is_news(m, now_ms) == news)
+			records[n++] = m->record;
+	}
+	return n;
+}
+
 uint32_t gossip_fill_records(struct gossip *f, struct gossip_record *records, uint32_t capacity,
 			     struct prng *prng, int64_t now_ms)
 {
@@ -138,8 +162,8 @@
 	uint32_t n = 0;
 
 	records[n++] = f->self.record;
-	for (guint i = 0; i < list->len && n < capacity; i++)
-		records[n++] = ((struct gossip_member *)list->pdata[i])->record;
+	n = add_records(list, true, records, n, capacity, now_ms);
+	n = add_records(list, false, records, n, capacity, now_ms);
 	g_ptr_array_unref(list);
 	return n;
 }
@@ -184,6 +208,19 @@
 	return n;
 }
 
+uint32_t gossip_pick_live(struct gossip *f, struct prng *prng, char (*targets)[GOSSIP_NAME_BYTES],
+			  uint32_t capacity, int64_t now_ms)
+{
+	GPtrArray *alive = list_shuffled(f, true, prng, now_ms);
+	uint32_t n = 0;
+
+	for (guint i = 0; i < alive->len && n < capacity; i++)
+		n = add_target(f, targets, n,
+			       ((struct gossip_member *)alive->pdata[i])->record.peer_address);
+	g_ptr_array_unref(alive);
+	return n;
+}
+
 void gossip_confirm_alive(struct gossip *f, const char *peer_address, int64_t now_ms)
 {
 	struct gossip_member *m = g_hash_table_lookup(f->members, peer_address);
@@ -243,6 +280,57 @@
 		fn(arg, value);
 }
 
+struct listing {
+	const struct gossip *fleet;
+	const char *region; /* NULL: any */
+	bool is_isolation_ignored;
+	const char **addresses;
+	uint32_t n;
+	uint32_t capacity;
+	int64_t now_ms;
+};
+
+static void list_caller(void *arg, const struct gossip_member *m)
+{
+	struct listing *l = arg;
+	const struct gossip_record *r = &m->record;
+
+	if (l->n >= l->capacity || !r->ready || r->leaving ||
+	    !gossip_is_alive(l->fleet, m, l->now_ms))
+		return;
+	if ((r->isolated && !l->is_isolation_ignored) ||
+	    (l->region && strcmp(l->region, r->region) != 0))
+		return;
+	l->addresses[l->n++] = r->caller_address;
+}
+
+uint32_t gossip_list_callers(const struct gossip *f, const char *region, const char **addresses,
+			     uint32_t capacity, int64_t now_ms)
+{
+	const struct {
+		const char *region;
+		bool is_isolation_ignored;
+		uint32_t enough;
+	} tries[] = {
+		{region, false, GOSSIP_REGION_NODES_MIN},
+		{NULL, false, 1},
+		{region, true, GOSSIP_REGION_NODES_MIN},
+		{NULL, true, 0},
+	};
+	struct listing l = {
+		.fleet = f, .addresses = addresses, .capacity = capacity, .now_ms = now_ms};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tries); i++) {
+		l.n = 0;
+		l.region = tries[i].region;
+		l.is_isolation_ignored = tries[i].is_isolation_ignored;
+		gossip_foreach(f, list_caller, &l);
+		if (l.n >= tries[i].enough)
+			break;
+	}
+	return l.n;
+}
+
 static uint64_t weight(const char *task, const struct gossip_member *m)
 {
 	XXH64_hash_t seed = XXH64(task, strlen(task), 0);
--- a/packages/decide/include/decide/gossip.h
+++ b/packages/decide/include/decide/gossip.h
@@ -67,6 +67,13 @@
  */
 #define GOSSIP_JOIN_INTERVAL_MS 100
 #define GOSSIP_MEMBERS_MAX 4096
+/*
+ * For this long, messages have the records of members that have become isolated, or no longer are,
+ * before those of others. A random choice alone brings them to a fleet of 410 nodes in many rounds.
+ */
+#define GOSSIP_NEWS_MS 2000
+/* With fewer nodes of the callers' region to list, those of all regions are listed. */
+#define GOSSIP_REGION_NODES_MIN 2
 #define GOSSIP_RANK_MAX 8 /* most addresses that gossip_rank() returns */
 
 /* What a member announces about itself. */
@@ -79,6 +86,7 @@
 	uint64_t beat;	      /* heartbeat counter, incremented each round */
 	bool ready;	      /* the member serves callers */
 	bool leaving;	      /* the member is about to stop */
+	bool isolated;	      /* the member reaches no upstream */
 };
 
 struct gossip_member {
@@ -86,6 +94,7 @@
 	int64_t heard_ms; /* when the heartbeat counter last rose or the member sent a message */
 	int64_t suspected_ms; /* when the member last failed to answer; 0: never, or it sent a
 				 message since */
+	int64_t news_ms;      /* when record.isolated last changed; 0: never */
 };
 
 struct gossip;
@@ -95,6 +104,7 @@
 
 /* Sets this node's own state, which is sent from the next round on. */
 void gossip_set_self(struct gossip *f, bool ready, bool leaving);
+void gossip_set_isolated(struct gossip *f, bool isolated);
 
 /*
  * Merges received records. Returns whether a member is new, was silent, has restarted, or changed
@@ -121,6 +131,10 @@
 			     struct prng *prng, char (*targets)[GOSSIP_NAME_BYTES],
 			     uint32_t capacity, int64_t now_ms);
 
+/* Picks up to capacity random live members other than this node; returns their number. */
+uint32_t gossip_pick_live(struct gossip *f, struct prng *prng, char (*targets)[GOSSIP_NAME_BYTES],
+			  uint32_t capacity, int64_t now_ms);
+
 /*
  * Marks a member as suspect after it failed to answer this node. It can't be the owner until
  * GOSSIP_SUSPECT_MS have passed or it sends a message itself. Its address is still given to
@@ -147,6 +161,14 @@
 void gossip_foreach(const struct gossip *f, void (*fn)(void *arg, const struct gossip_member *m),
 		    void *arg);
 
+/*
+ * Lists addresses for callers: those of live members that are ready, not leaving and not isolated,
+ * in the region (NULL: any) or, if there are too few, in all regions. If all are isolated, they are
+ * listed like others. Returns the number of addresses written; they are borrowed.
+ */
+uint32_t gossip_list_callers(const struct gossip *f, const char *region, const char **addresses,
+			     uint32_t capacity, int64_t now_ms);
+
 /*
  * Returns the member that owns the tasks done once for a region: the longest-running one there that
  * is alive, ready, not leaving and not suspect; if there is none, the longest-running one of the
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -572,10 +572,14 @@
   uint64_t beat;
   protobuf_c_boolean ready;
   protobuf_c_boolean leaving;
+  /*
+   * reaches no upstream
+   */
+  protobuf_c_boolean isolated;
 };
 #define PEER__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__member__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -4086,7 +4086,7 @@
   (ProtobufCMessageInit) peer__account_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__member__field_descriptors[8] =
+static const ProtobufCFieldDescriptor peer__member__field_descriptors[9] =
 {
   {
     "peer_address",
@@ -4184,12 +4184,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "isolated",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, isolated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__member__field_indices_by_name[] = {
   5,   /* field[5] = beat */
   1,   /* field[1] = caller_address */
   2,   /* field[2] = data_centre */
   4,   /* field[4] = incarnation */
+  8,   /* field[8] = isolated */
   7,   /* field[7] = leaving */
   0,   /* field[0] = peer_address */
   6,   /* field[6] = ready */
@@ -4198,7 +4211,7 @@
 static const ProtobufCIntRange peer__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor peer__member__descriptor =
 {
@@ -4208,7 +4221,7 @@
   "Peer__Member",
   "peer",
   sizeof(Peer__Member),
-  8,
+  9,
   peer__member__field_descriptors,
   peer__member__field_indices_by_name,
   1,  peer__member__number_ranges,
--- a/packages/serve/srv_endpoints.c
+++ b/packages/serve/srv_endpoints.c
@@ -9,34 +9,14 @@
 #include <string.h>
 
 #define ADDRESSES_MAX 64
-#define REGION_NODES_MIN 2 /* with fewer nodes in the region, all regions are listed */
 #define MS_PER_S 1000.0
 /* A stopping node keeps serving for SERVE_MS (srv_stop.c), more than three times as long. */
 #define TTL_MAX_MS 1000
 
-struct listing {
-	const struct srv *s;
-	const char *region; /* NULL: any */
-	const char *addresses[ADDRESSES_MAX];
-	uint32_t n;
-	int64_t now_ms;
-};
-
-static void list_address(void *arg, const struct gossip_member *m)
-{
-	struct listing *l = arg;
-
-	if (l->n >= ADDRESSES_MAX || !gossip_is_alive(l->s->fleet, m, l->now_ms) ||
-	    !m->record.ready || m->record.leaving)
-		return;
-	if (l->region && strcmp(l->region, m->record.region) != 0)
-		return;
-	l->addresses[l->n++] = m->record.caller_address;
-}
-
 static void answer_lookup(struct srv *s, struct http_server_request *request)
 {
-	struct listing l = {.s = s, .now_ms = clock_now_ms()};
+	const char *addresses[ADDRESSES_MAX];
+	uint32_t n;
 	int64_t ttl_ms =
 		MIN(TTL_MAX_MS, (int64_t)(srvconf_number(s->set->lookup_ttl_s) * MS_PER_S));
 	struct hdr_list headers = {0};
@@ -47,18 +27,12 @@
 		http_server_respond(request, 404, NULL, "", 0);
 		return;
 	}
-	l.region = lookup.region;
-	gossip_foreach(s->fleet, list_address, &l);
-	if (l.n < REGION_NODES_MIN) {
-		l.n = 0;
-		l.region = NULL;
-		gossip_foreach(s->fleet, list_address, &l);
-	}
+	n = gossip_list_callers(s->fleet, lookup.region, addresses, ADDRESSES_MAX, clock_now_ms());
 	srv_count(s, SRV_LOOKUPS);
-	if (l.n == 0) {
+	if (n == 0) {
 		http_server_respond(request, 503, NULL, "", 0);
 	} else {
-		body = s->adapter->caller->lookup_body(l.addresses, l.n, ttl_ms);
+		body = s->adapter->caller->lookup_body(addresses, n, ttl_ms);
 		hdr_add(&headers, "Content-Type", s->adapter->upstream->media_type);
 		http_server_respond(request, 200, &headers, body, strlen(body));
 		hdr_clear(&headers);
@@ -86,14 +60,14 @@
 {
 	json_t *list = arg;
 
-	json_array_append_new(list,
-			      json_pack("{s:s, s:s, s:s, s:I, s:I, s:b, s:b, s:I}", "peer",
-					m->record.peer_address, "caller", m->record.caller_address,
-					"data_centre", m->record.data_centre, "incarnation",
-					(json_int_t)m->record.incarnation, "beat",
-					(json_int_t)m->record.beat, "ready", (int)m->record.ready,
-					"leaving", (int)m->record.leaving, "heard_ms",
-					(json_int_t)(clock_now_ms() - m->heard_ms)));
+	json_array_append_new(
+		list,
+		json_pack("{s:s, s:s, s:s, s:I, s:I, s:b, s:b, s:b, s:I}", "peer",
+			  m->record.peer_address, "caller", m->record.caller_address, "data_centre",
+			  m->record.data_centre, "incarnation", (json_int_t)m->record.incarnation,
+			  "beat", (json_int_t)m->record.beat, "ready", (int)m->record.ready,
+			  "leaving", (int)m->record.leaving, "isolated", (int)m->record.isolated,
+			  "heard_ms", (json_int_t)(clock_now_ms() - m->heard_ms)));
 }
 
 static json_t *upstreams_json(struct srv *s, int64_t now_ms)
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -200,6 +200,9 @@
 void srv_peer_stop(struct srv *s);
 void srv_peer_send(struct srv *s, const char *peer_address, Peer__Message *message);
 
+/* Sends this node's changed state to some nodes at once, which pass it on. */
+void srv_peer_announce(struct srv *s, int64_t now_ms);
+
 /* srv_chain.c: chains owned by this node. srv_chain_client.c: chains requested by this node. */
 GHashTable *srv_chain_requests_new(void);
 void srv_chain_view_changed(struct srv *s);
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -13,6 +13,7 @@
 #define TROUBLES_MAX 8
 #define TARGETS_MAX 8
 #define SEEDS_MAX 8
+#define ANNOUNCE_TARGETS_MAX 16 /* these pass it on to the rest of a large fleet */
 
 void srv_peer_send(struct srv *s, const char *peer_address, Peer__Message *message)
 {
@@ -31,6 +32,7 @@
 	out->beat = r->beat;
 	out->ready = r->ready;
 	out->leaving = r->leaving;
+	out->isolated = r->isolated;
 }
 
 static void decode_member(struct gossip_record *r, const Peer__Member *in)
@@ -44,6 +46,7 @@
 	r->beat = in->beat;
 	r->ready = in->ready;
 	r->leaving = in->leaving;
+	r->isolated = in->isolated;
 }
 
 /*
@@ -139,6 +142,17 @@
 	srv_gate_round(s, targets[prng_below(&s->prng, n)], now_ms);
 }
 
+void srv_peer_announce(struct srv *s, int64_t now_ms)
+{
+	char targets[ANNOUNCE_TARGETS_MAX][GOSSIP_NAME_BYTES];
+	uint32_t n;
+
+	gossip_begin_round(s->fleet, now_ms);
+	n = gossip_pick_live(s->fleet, &s->prng, targets, ANNOUNCE_TARGETS_MAX, now_ms);
+	for (uint32_t i = 0; i < n; i++)
+		send_beat(s, targets[i], now_ms);
+}
+
 static void log_membership(struct srv *s, const char *from, int64_t now_ms)
 {
 	log_info("fleet_changed", "{s:s, s:i, s:s}", "heard_from", from, "alive",
--- a/packages/serve/srv_reach.c
+++ b/packages/serve/srv_reach.c
@@ -102,6 +102,8 @@
 	reach->probes = 0;
 	if (is_isolated)
 		srv_count(s, SRV_ISOLATIONS);
+	gossip_set_isolated(s->fleet, is_isolated);
+	srv_peer_announce(s, now_ms);
 }
 
 void srv_reach_note(struct srv *s, const char *id, enum reach_event event, int64_t now_ms)
--- a/tests/proc_reach.c
+++ b/tests/proc_reach.c
@@ -14,6 +14,7 @@
 #define CUT 0 /* the node that is cut off */
 #define ENGINES 6
 #define REFUSING "127.0.0.1:1"
+#define LOOKUP "/-/resolve?name=h.example&region=r&zone=a1"
 #define SEND_EVERY_MS 100
 #define POLL_MS 20
 #define KNOWN_MS                                                                                   \
@@ -120,6 +121,37 @@
 	stub_free(own_store);
 }
 
+/* Returns whether the node that is asked lists the other one for callers. */
+static bool is_listed(uint32_t asked, uint32_t node)
+{
+	int status;
+	char *body = cluster_get(c->nodes[asked].lookup, LOOKUP, &status);
+	bool listed;
+
+	ck_assert_int_eq(status, 200);
+	listed = strstr(body, c->nodes[node].front) != NULL;
+	g_free(body);
+	return listed;
+}
+
+static bool is_listed_by_any(void)
+{
+	for (uint32_t i = 0; i < NODES; i++) {
+		if (is_listed(i, CUT))
+			return true;
+	}
+	return false;
+}
+
+static bool is_listed_by_all(void)
+{
+	for (uint32_t i = 0; i < NODES; i++) {
+		if (!is_listed(i, CUT))
+			return false;
+	}
+	return true;
+}
+
 static bool is_isolated(uint32_t node)
 {
 	json_t *status = get_json(node, "/status");
@@ -194,10 +226,72 @@
 }
 END_TEST
 
+/* Callers went on being sent to a node that reaches no upstream. */
+START_TEST(is_not_listed)
+{
+	GThread *sender = start_sender();
+
+	ck_assert(is_listed_by_all());
+	publish(own_store, true);
+	wait_until(is_listed_by_any, false, KNOWN_MS, "listed though it reaches no upstream");
+	publish(own_store, false);
+	wait_until(is_listed_by_all, true, HEALED_MS, "not listed after it reached upstreams");
+	stop_sender(sender);
+}
+END_TEST
+
+/* A node without requests finds out too. */
+START_TEST(idle_is_not_listed)
+{
+	publish(own_store, true);
+	wait_until(is_listed_by_any, false, KNOWN_MS + 4000, "listed while idle");
+	publish(own_store, false);
+	wait_until(is_listed_by_all, true, HEALED_MS, "not listed after it reached upstreams");
+}
+END_TEST
+
+static bool all_are_isolated(void)
+{
+	for (uint32_t i = 0; i < NODES; i++) {
+		if (!is_isolated(i))
+			return false;
+	}
+	return true;
+}
+
+static bool any_is_isolated(void)
+{
+	for (uint32_t i = 0; i < NODES; i++) {
+		if (is_isolated(i))
+			return true;
+	}
+	return false;
+}
+
+/* If no node reaches an upstream, callers still get addresses. */
+START_TEST(all_are_listed_if_none_reaches)
+{
+	publish(own_store, true);
+	publish(store, true);
+	wait_until(all_are_isolated, true, KNOWN_MS + 4000, "not all are isolated");
+	clock_sleep_ms(1000);
+	for (uint32_t asked = 0; asked < NODES; asked++) {
+		for (uint32_t node = 0; node < NODES; node++)
+			ck_assert_msg(is_listed(asked, node), "%u isn't listed by %u", node, asked);
+	}
+	publish(own_store, false);
+	publish(store, false);
+	wait_until(any_is_isolated, false, HEALED_MS, "isolated after the healing");
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		knows_that_it_reaches_none,
+		is_not_listed,
+		idle_is_not_listed,
+		all_are_listed_if_none_reaches,
 	};
 	Suite *suite = suite_create("proc_reach");
 	TCase *tcase = tcase_create("all");
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -5,6 +5,7 @@
 #include "decide/gossip.h"
 #include "decide/lb.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -349,6 +350,178 @@
 }
 END_TEST
 
+struct listed_member {
+	const char *region;
+	bool isolated;
+	bool not_ready;
+	bool leaving;
+};
+
+static const struct {
+	const char *name;
+	struct listed_member members[6];
+	const char *region;
+	const char *listed; /* indexes of the members */
+} lists[] = {
+	{"none is isolated: those of the region", {{"r"}, {"q"}, {"r"}, {"q"}, {"r"}}, "r", "024"},
+	{"no region is named: all", {{"r"}, {"q"}, {"r", true}, {"q"}}, NULL, "013"},
+	{"one is isolated: the others of the region",
+	 {{"r"}, {"q"}, {"r", true}, {"q"}, {"r"}},
+	 "r",
+	 "04"},
+	{"the node itself is isolated", {{"r", true}, {"q"}, {"r"}, {"q"}, {"r"}}, "r", "24"},
+	{"one of the region is left: all that reach upstreams",
+	 {{"r"}, {"q"}, {"r", true}, {"q", true}, {"q"}},
+	 "r",
+	 "014"},
+	{"the region is isolated: the other one",
+	 {{"r", true}, {"q"}, {"r", true}, {"q"}, {"r", true}},
+	 "r",
+	 "13"},
+	{"a single node of the fleet reaches upstreams",
+	 {{"r", true}, {"q"}, {"r", true}, {"q", true}},
+	 "r",
+	 "1"},
+	{"all are isolated: those of the region",
+	 {{"r", true}, {"q", true}, {"r", true}, {"q", true}},
+	 "r",
+	 "02"},
+	{"all are isolated, one in the region: all",
+	 {{"r", true}, {"q", true}, {"q", true}},
+	 "r",
+	 "012"},
+	{"those that reach upstreams leave or aren't ready: the isolated ones",
+	 {{"r", true}, {"r", false, true}, {"q", false, false, true}, {"r", true}},
+	 "r",
+	 "03"},
+	{"none is ready", {{"r", false, true}, {"r", true, true}}, "r", ""},
+};
+
+static struct gossip *new_listed_fleet(const struct listed_member *members, uint32_t max)
+{
+	struct gossip_record records[6] = {0};
+	struct gossip *f;
+	uint32_t n = 0;
+
+	for (; n < max && members[n].region; n++) {
+		records[n] = record((int)n, 10 + n);
+		g_strlcpy(records[n].region, members[n].region, sizeof(records[n].region));
+		records[n].beat = 1;
+		records[n].ready = !members[n].not_ready;
+		records[n].leaving = members[n].leaving;
+		records[n].isolated = members[n].isolated;
+	}
+	f = gossip_new(&records[0], T0);
+	gossip_merge(f, &records[1], n - 1, T0);
+	return f;
+}
+
+/* Callers aren't sent to nodes that reach no upstream, and always get addresses if nodes live. */
+START_TEST(lists_nodes_that_reach_upstreams)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+		struct gossip *f = new_listed_fleet(lists[i].members, 6);
+		const char *addresses[8];
+		uint32_t n = gossip_list_callers(f, lists[i].region, addresses, 8, T0);
+
+		ck_assert_msg(n == strlen(lists[i].listed), "%s: %u listed", lists[i].name, n);
+		for (const char *c = lists[i].listed; *c; c++) {
+			char wanted[GOSSIP_NAME_BYTES];
+			bool found = false;
+			g_snprintf(wanted, sizeof(wanted), "10.0.0.%c:2", *c);
+			for (uint32_t k = 0; k < n; k++)
+				found = found || strcmp(addresses[k], wanted) == 0;
+			ck_assert_msg(found, "%s: %s isn't listed", lists[i].name, wanted);
+		}
+		ck_assert_uint_le(gossip_list_callers(f, lists[i].region, addresses, 1, T0), 1);
+		gossip_free(f);
+	}
+}
+END_TEST
+
+#define LARGE_FLEET 410
+#define ANNOUNCED 16
+#define NEWS_ROUNDS 4
+
+static struct gossip *large[LARGE_FLEET];
+
+static struct gossip_record large_record(int i)
+{
+	struct gossip_record r = {.incarnation = 1, .beat = 1, .ready = true};
+
+	g_snprintf(r.peer_address, sizeof(r.peer_address), "10.0.%d.%d:1", i / 256, i % 256);
+	return r;
+}
+
+static int index_of(const char *address)
+{
+	int high = 0;
+	int low = 0;
+
+	ck_assert_int_eq(sscanf(address, "10.0.%d.%d:", &high, &low), 2);
+	return high * 256 + low;
+}
+
+static void start_large_fleet(void)
+{
+	prng.state = 11;
+	for (int i = 0; i < LARGE_FLEET; i++) {
+		struct gossip_record r = large_record(i);
+		large[i] = gossip_new(&r, T0);
+		gossip_set_self(large[i], true, false);
+		for (int k = 0; k < LARGE_FLEET; k++) {
+			r = large_record(k);
+			gossip_merge(large[i], &r, 1, T0);
+		}
+	}
+}
+
+static void send_large(int from, char (*targets)[GOSSIP_NAME_BYTES], uint32_t n, int64_t now_ms)
+{
+	struct gossip_record records[GOSSIP_RECORDS_MAX];
+	uint32_t n_records =
+		gossip_fill_records(large[from], records, GOSSIP_RECORDS_MAX, &prng, now_ms);
+
+	for (uint32_t i = 0; i < n; i++)
+		gossip_merge(large[index_of(targets[i])], records, n_records, now_ms);
+}
+
+static int count_informed(const char *address)
+{
+	int n = 0;
+
+	for (int i = 0; i < LARGE_FLEET; i++)
+		n += gossip_find(large[i], address)->record.isolated;
+	return n;
+}
+
+/* In a fleet of 410 nodes, all know within about a second which node has become isolated. */
+START_TEST(isolation_spreads)
+{
+	char targets[ANNOUNCED][GOSSIP_NAME_BYTES];
+	struct gossip_record isolated = large_record(0);
+
+	start_large_fleet();
+	gossip_set_isolated(large[0], true);
+	gossip_begin_round(large[0], T0);
+	send_large(0, targets, gossip_pick_live(large[0], &prng, targets, ANNOUNCED, T0), T0);
+	ck_assert_int_eq(count_informed(isolated.peer_address), 1 + ANNOUNCED);
+	for (int round = 1; round <= NEWS_ROUNDS; round++) {
+		int64_t now_ms = at(round);
+		for (int i = 0; i < LARGE_FLEET; i++) {
+			gossip_begin_round(large[i], now_ms);
+			send_large(i, targets,
+				   gossip_pick_targets(large[i], NULL, 0, &prng, targets, ANNOUNCED,
+						       now_ms),
+				   now_ms);
+		}
+	}
+	ck_assert_int_ge(count_informed(isolated.peer_address), LARGE_FLEET * 99 / 100);
+	for (int i = 0; i < LARGE_FLEET; i++)
+		gossip_free(large[i]);
+}
+END_TEST
+
 #define RANK_KEYS 20
 #define TOLD 2
 #define ASKED 3
@@ -399,6 +572,8 @@
 {
 	const TTest *const tests[] = {
 		owner_of_a_region,
+		lists_nodes_that_reach_upstreams,
+		isolation_spreads,
 		ranks_alike,
 		finds_all_through_seeds,
 		notices_the_dead_and_keeps_the_rest,
