Take chains from an owner that reaches no upstream

The owner of a region's chains was the longest-running ready node, whether it reached pools or not. In the incident a node that was cut off owned all chains of the fleet for 13 s: 116 were admitted, 93 refused, and requests with stages failed at all nodes, also at those that reached everything.

Among ready members those that aren't isolated come first now, also from another region; if all are isolated the order is as before. An isolated owner hands its chains off as after any other loss of ownership. In a large fleet the newest heartbeat of the next owner may be seconds old, and a node loses a region only to an owner heard from within 900 ms. So an isolated node sends that owner a heartbeat; nodes that reach upstreams answer those of isolated ones, and an owner that hasn't answered after 600 ms is passed over as suspect. This question to a silent owner has no test of its own: with four nodes all heartbeats are recent.

gossip_task_owner() (permits) is unchanged: permits need no upstream.

Before, with the tests of this commit: unit_fleet fails at "the isolated one is passed over" and in owner_flaps, proc_reach in loses_its_chains ("owns chains though it reaches no upstream", 2.5 s after the cut).

--- a/packages/decide/gossip.c
+++ b/packages/decide/gossip.c
@@ -349,8 +349,9 @@
 }
 
 /*
- * Returns whether a is preferred to b as owner of a region: ready members first, then those in the
- * region, then the longest-running. Right after a start of the whole fleet no member is ready.
+ * Returns whether a is preferred to b as owner of a region: ready members first, then those that
+ * reach upstreams, then those in the region, then the longest-running. Right after a start of the
+ * whole fleet no member is ready.
  */
 static bool precedes(const char *region, const struct gossip_member *a,
 		     const struct gossip_member *b)
@@ -360,6 +361,8 @@
 
 	if (a->record.ready != b->record.ready)
 		return a->record.ready;
+	if (a->record.isolated != b->record.isolated)
+		return b->record.isolated;
 	if (a_is_there != b_is_there)
 		return a_is_there;
 	if (a->record.incarnation != b->record.incarnation)
--- a/packages/decide/include/decide/gossip.h
+++ b/packages/decide/include/decide/gossip.h
@@ -171,10 +171,11 @@
 
 /*
  * Returns the member that owns the tasks done once for a region: the longest-running one there that
- * is alive, ready, not leaving and not suspect; if there is none, the longest-running one of the
- * fleet. The member with the address except is left out (NULL: none is). While no member is ready,
- * the longest-running one that isn't ready owns the tasks. A starting node never takes over from a
- * ready one. Returns this node if no member qualifies.
+ * is alive, ready, not isolated, not leaving and not suspect; if there is none, the longest-running
+ * one of the fleet; if all are isolated, as if none was. The member with the address except is left
+ * out (NULL: none is). While no member is ready, the longest-running one that isn't ready owns the
+ * tasks. A starting node never takes over from a ready one. Returns this node if no member
+ * qualifies.
  */
 const struct gossip_member *gossip_owner(const struct gossip *f, const char *region,
 					 const char *except, int64_t now_ms);
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -203,6 +203,9 @@
 /* Sends this node's changed state to some nodes at once, which pass it on. */
 void srv_peer_announce(struct srv *s, int64_t now_ms);
 
+/* Sends a heartbeat to a node, which answers it with its own if this node is isolated. */
+void srv_peer_ask(struct srv *s, const char *peer_address, int64_t now_ms);
+
 /* srv_chain.c: chains owned by this node. srv_chain_client.c: chains requested by this node. */
 GHashTable *srv_chain_requests_new(void);
 void srv_chain_view_changed(struct srv *s);
@@ -214,6 +217,7 @@
 	char *name;
 	bool is_owned;
 	int64_t other_since_ms; /* since when another owner is available; 0: none is */
+	int64_t asked_ms;	/* when that owner was asked for a heartbeat; 0: it wasn't */
 };
 
 /* srv_region.c: which regions this node owns. */
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -153,6 +153,23 @@
 		send_beat(s, targets[i], now_ms);
 }
 
+void srv_peer_ask(struct srv *s, const char *peer_address, int64_t now_ms)
+{
+	gossip_begin_round(s->fleet, now_ms);
+	send_beat(s, peer_address, now_ms);
+}
+
+/*
+ * An isolated node has to know that those that take over its tasks are alive. Two isolated nodes
+ * would answer each other without end.
+ */
+static bool is_answer_due(const struct srv *s, const char *from)
+{
+	const struct gossip_member *m = gossip_find(s->fleet, from);
+
+	return m && m->record.isolated && !srv_reach_is_isolated(s);
+}
+
 static void log_membership(struct srv *s, const char *from, int64_t now_ms)
 {
 	log_info("fleet_changed", "{s:s, s:i, s:s}", "heard_from", from, "alive",
@@ -174,6 +191,8 @@
 		send_beat(s, from, now_ms);
 		srv_quarantine_send_all(s, from, now_ms);
 		srv_gate_send_all(s, from, now_ms);
+	} else if (is_answer_due(s, from)) {
+		send_beat(s, from, now_ms);
 	}
 	for (size_t i = 0; i < beat->n_troubles; i++)
 		srv_upstream_note_report(s, beat->troubles[i]->upstream, beat->troubles[i]->wait_ms,
--- a/packages/serve/srv_region.c
+++ b/packages/serve/srv_region.c
@@ -13,6 +13,8 @@
 #define HEARTBEAT_AGE_MAX_MS 900
 /* A region is lost once another node has been its owner for this long. */
 #define HANDOFF_DELAY_MS 300
+/* An owner that was asked for a heartbeat and hasn't sent one for this long is suspect. */
+#define ASKED_OWNER_MS 600
 
 static struct srv_region *find_region(const GPtrArray *regions, const char *name)
 {
@@ -68,13 +70,34 @@
 	return gossip_owner(s->fleet, s->is_split ? region : "", except, now_ms);
 }
 
+/*
+ * An isolated node asks the region's next owner for a heartbeat, as the newest may be seconds old
+ * in a large fleet, and passes over an owner that doesn't answer.
+ */
+static void ask_owner(struct srv *s, struct srv_region *region, const struct gossip_record *owner,
+		      int64_t now_ms)
+{
+	if (region->asked_ms == 0) {
+		region->asked_ms = now_ms;
+		srv_peer_ask(s, owner->peer_address, now_ms);
+	} else if (now_ms - region->asked_ms > ASKED_OWNER_MS) {
+		region->asked_ms = 0;
+		gossip_suspect(s->fleet, owner->peer_address, now_ms);
+	}
+}
+
 /* Updates whether the node owns the region; returns whether that changed. */
-static bool update_region(const struct srv *s, struct srv_region *region, int64_t now_ms)
+static bool update_region(struct srv *s, struct srv_region *region, int64_t now_ms)
 {
 	const struct gossip_member *owner = srv_region_owner(s, region->name, NULL, now_ms);
 	bool is_self = strcmp(owner->record.peer_address, s->set->peer_address) == 0;
 	bool was_owned = region->is_owned;
 
+	if (!is_self && was_owned && srv_reach_is_isolated(s) && !owner->record.isolated &&
+	    now_ms - owner->heard_ms >= HEARTBEAT_AGE_MAX_MS)
+		ask_owner(s, region, &owner->record, now_ms);
+	else
+		region->asked_ms = 0;
 	/* an owner without a recent heartbeat may be dead, and would lose chains handed to it */
 	if (is_self) {
 		region->other_since_ms = 0;
--- a/tests/proc_reach.c
+++ b/tests/proc_reach.c
@@ -11,10 +11,12 @@
 #include <signal.h>
 
 #define NODES 4
-#define CUT 0 /* the node that is cut off */
+#define CUT 0 /* the node that is cut off; it owns the chains, as it started first */
 #define ENGINES 6
 #define REFUSING "127.0.0.1:1"
 #define LOOKUP "/-/resolve?name=h.example&region=r&zone=a1"
+#define PIECES "Content-Length: 0\r\nX-Currantscale-Pieces: 1,3\r\nX-Currantscale-Piece-Key: k\r\n"
+#define CHAINS 10
 #define SEND_EVERY_MS 100
 #define POLL_MS 20
 #define KNOWN_MS                                                                                   \
@@ -250,6 +252,60 @@
 }
 END_TEST
 
+static bool owns_chains(uint32_t asked)
+{
+	json_t *status = get_json(asked, "/status");
+	bool owns = strcmp(json_string_value(json_object_get(status, "owner")),
+			   c->nodes[CUT].peer) == 0;
+
+	json_decref(status);
+	return owns;
+}
+
+static bool owner_is_cut(void)
+{
+	for (uint32_t i = 0; i < NODES; i++) {
+		if (owns_chains(i))
+			return true;
+	}
+	return false;
+}
+
+static gpointer send_chain(gpointer arg)
+{
+	cluster_send(c, 1, "POST", "/chain/x", PIECES, arg);
+	return NULL;
+}
+
+/*
+ * The owner of all chains reached no pool, so that requests with stages failed at all nodes. Once
+ * it has lost them to another node they are served.
+ */
+START_TEST(loses_its_chains)
+{
+	struct cluster_answer answers[CHAINS];
+	GThread *threads[CHAINS];
+	GThread *sender = start_sender();
+
+	ck_assert(owner_is_cut());
+	publish(own_store, true);
+	wait_until(owner_is_cut, false, KNOWN_MS, "owns chains though it reaches no upstream");
+	for (int i = 0; i < CHAINS; i++) {
+		threads[i] = g_thread_new("chain", send_chain, &answers[i]);
+		clock_sleep_ms(50);
+	}
+	for (int i = 0; i < CHAINS; i++) {
+		g_thread_join(threads[i]);
+		ck_assert_msg(answers[i].status == 200 && answers[i].whole, "%d: %s", i,
+			      answers[i].text->str);
+		cluster_answer_clear(&answers[i]);
+	}
+	publish(own_store, false);
+	wait_until(owner_is_cut, true, HEALED_MS + 1000, "the chains didn't return");
+	stop_sender(sender);
+}
+END_TEST
+
 static bool all_are_isolated(void)
 {
 	for (uint32_t i = 0; i < NODES; i++) {
@@ -288,9 +344,7 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		knows_that_it_reaches_none,
-		is_not_listed,
-		idle_is_not_listed,
+		knows_that_it_reaches_none,	is_not_listed, idle_is_not_listed, loses_its_chains,
 		all_are_listed_if_none_reaches,
 	};
 	Suite *suite = suite_create("proc_reach");
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -296,6 +296,7 @@
 		uint64_t incarnation;
 		bool ready;
 		bool leaving;
+		bool isolated;
 	} members[4];
 	const char *region;
 	int owner; /* index of the member */
@@ -316,6 +317,26 @@
 	 {{"r", 3, false, false}, {"q", 2, true, false}, {"q", 4, true, false}},
 	 "r",
 	 1},
+	{"the isolated one is passed over",
+	 {{"r", 3, true, false, true}, {"q", 2, true, false}, {"r", 5, true, false}},
+	 "r",
+	 2},
+	{"the region is isolated: another region's longest-running",
+	 {{"r", 3, true, false, true}, {"q", 4, true, false}, {"r", 1, true, false, true}},
+	 "r",
+	 1},
+	{"the fleet's owner is isolated",
+	 {{"r", 1, true, false, true}, {"q", 2, true, false}, {"r", 3, true, false}},
+	 "",
+	 1},
+	{"all are isolated: as if none was",
+	 {{"r", 3, true, false, true}, {"q", 1, true, false, true}, {"r", 2, true, false, true}},
+	 "r",
+	 2},
+	{"one that isn't ready doesn't take over from an isolated one",
+	 {{"r", 1, true, false, true}, {"r", 2, false, false}},
+	 "r",
+	 0},
 	{"no member is ready: the longest-running of the region",
 	 {{"r", 5, false, false}, {"q", 2, false, false}, {"r", 3, false, false}},
 	 "r",
@@ -337,6 +358,7 @@
 			records[n].beat = 1;
 			records[n].ready = owners[i].members[n].ready;
 			records[n].leaving = owners[i].members[n].leaving;
+			records[n].isolated = owners[i].members[n].isolated;
 		}
 		f = gossip_new(&records[0], T0);
 		gossip_set_self(f, records[0].ready, records[0].leaving);
@@ -350,6 +372,20 @@
 }
 END_TEST
 
+/* Chains leave the owner while it is isolated, and return to it; no member keeps old news. */
+START_TEST(owner_flaps)
+{
+	start();
+	run_rounds(0, 8, 0, false);
+	for (int i = 0; i < 4; i++) {
+		gossip_set_isolated(nodes[0], i % 2 == 0);
+		run_rounds(8 + 6 * i, 14 + 6 * i, 0, false);
+		expect_owner(i % 2 == 0, 0, at(14 + 6 * i));
+	}
+	stop();
+}
+END_TEST
+
 struct listed_member {
 	const char *region;
 	bool isolated;
@@ -572,6 +608,7 @@
 {
 	const TTest *const tests[] = {
 		owner_of_a_region,
+		owner_flaps,
 		lists_nodes_that_reach_upstreams,
 		isolation_spreads,
 		ranks_alike,
