Keep an upstream in memory while requests refer to it

Callers: the node crashed, and cut all that it was serving, when an upstream got another address under its id while a request that had failed at the former one was waiting to be tried again. Cause: srv_upstream_get() frees the upstream at the former address once nothing is in flight there; the request's attempts still refer to it, as it picks another upstream or logs its end. Change: attempts hold references; a replaced or removed upstream is freed with the last one.

--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -195,6 +195,7 @@
 		.last_data_ms = now_ms,
 		.timeout_from_ms = now_ms,
 	};
+	srv_upstream_ref(u);
 	r->fetch_check_at_ms = now_ms + FETCH_DELAY_MS;
 	srv_count(r->s, SRV_SENDS);
 	if (r->n_attempts > 1) {
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -97,6 +97,8 @@
 	int64_t failure_rate_ms;
 	struct budget_token_bucket cold;
 	int64_t seen_ms; /* when the upstream was last in the published view */
+	uint32_t n_refs;  /* attempts that refer to it, ended ones included */
+	bool is_detached; /* replaced or removed; freed with the last reference */
 };
 
 struct gate;
@@ -284,6 +286,11 @@
 
 /* srv_upstream.c */
 struct srv_upstream *srv_upstream_get(struct srv *s, const char *id, const char *address);
+
+/* Keep an upstream from being freed while requests refer to it. */
+void srv_upstream_ref(struct srv_upstream *u);
+void srv_upstream_unref(struct srv_upstream *u);
+
 void srv_upstream_note_success(struct srv_upstream *u, int64_t now_ms);
 
 enum srv_failure {
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -77,8 +77,10 @@
 void srv_req_free(struct srv_req *r)
 {
 	g_queue_unlink(&r->s->requests, &r->link);
-	for (uint32_t i = 0; i < r->n_attempts; i++)
+	for (uint32_t i = 0; i < r->n_attempts; i++) {
 		srv_attempt_cancel(&r->attempts[i]);
+		srv_upstream_unref(r->attempts[i].upstream);
+	}
 	srv_origin_clear(r);
 	srv_permit_stop_waiting(r);
 	if (r->chain)
--- a/packages/serve/srv_upstream.c
+++ b/packages/serve/srv_upstream.c
@@ -41,6 +41,26 @@
 	srv_reach_note(u->srv, u->id, events[event], clock_now_ms());
 }
 
+/* Called when it is no longer in the table: frees it unless requests refer to it. */
+static void detach(struct srv_upstream *u)
+{
+	u->is_detached = true;
+	if (u->n_refs == 0)
+		free_upstream(u);
+}
+
+void srv_upstream_ref(struct srv_upstream *u)
+{
+	u->n_refs++;
+}
+
+void srv_upstream_unref(struct srv_upstream *u)
+{
+	u->n_refs--;
+	if (u->is_detached && u->n_refs == 0)
+		free_upstream(u);
+}
+
 struct srv_upstream *srv_upstream_get(struct srv *s, const char *id, const char *address)
 {
 	struct srv_upstream *u = g_hash_table_lookup(s->upstreams, id);
@@ -51,7 +71,7 @@
 		return u; /* active calls use the old address; replaced when none is left */
 	if (u) {
 		g_hash_table_steal(s->upstreams, id);
-		free_upstream(u);
+		detach(u);
 	}
 	u = g_new0(struct srv_upstream, 1);
 	u->srv = s;
@@ -170,7 +190,7 @@
 			u->seen_ms = now_ms;
 		} else if (u->in_flight == 0 && now_ms - u->seen_ms > UNPUBLISHED_KEEP_MS) {
 			g_hash_table_iter_remove(&iter);
-			free_upstream(u);
+			detach(u);
 		}
 	}
 }
