Give the cut node of proc_reach its own store through its settings

cluster_start_node() reads the address from the node since links were added, so the node read the store of all others, was never cut off, and four of five tests failed after the merge. They pass again.

--- a/tests/proc_reach.c
+++ b/tests/proc_reach.c
@@ -92,9 +92,8 @@
 
 static void start_node(uint32_t node)
 {
-	c->stub = node == CUT ? own_store : store;
+	c->nodes[node].source = stub_store_address(node == CUT ? own_store : store);
 	cluster_start_node(c, node);
-	c->stub = store;
 	cluster_wait_ready(c, node);
 }
 
