Charge the retry budget only for requests that may have arrived twice

Callers: 503 "retry budget exhausted" for requests of which nothing had arrived at any upstream. Cause: every further attempt counted as a retry, also one after a connection that was never made. Change: an attempt is a retry if an earlier one may have arrived.

--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -163,8 +163,19 @@
 	return srv_upstream_pick(r->s, &want, now_ms);
 }
 
+/* Returns whether an attempt has arrived at an upstream, or may yet do so. */
+static bool may_have_arrived(const struct srv_req *r)
+{
+	for (uint32_t i = 0; i < r->n_attempts; i++) {
+		if (!r->attempts[i].is_unsent)
+			return true;
+	}
+	return false;
+}
+
 static void send_to(struct srv_req *r, struct srv_upstream *u, int64_t now_ms)
 {
+	bool is_retry = may_have_arrived(r);
 	struct srv_attempt *attempt = &r->attempts[r->n_attempts++];
 	struct hdr_list headers = {0};
 	const struct adapter_forward forward = {
@@ -198,7 +209,7 @@
 	srv_upstream_ref(u);
 	r->fetch_check_at_ms = now_ms + FETCH_DELAY_MS;
 	srv_count(r->s, SRV_SENDS);
-	if (r->n_attempts > 1) {
+	if (is_retry) {
 		srv_count(r->s, SRV_REPEATS);
 		budget_add_retries(srv_retry_budget(r->s, r->service_name), 1, now_ms);
 	}
@@ -247,7 +258,7 @@
 		return "refused by too many upstreams";
 	if (count_runs(r) > 0 && is_doubted(r))
 		return "a part of the prompt may crash upstreams";
-	if (r->n_attempts > 0 && !srv_retry_allowed(r->s, r->service_name, now_ms))
+	if (may_have_arrived(r) && !srv_retry_allowed(r->s, r->service_name, now_ms))
 		return "retry budget exhausted";
 	return NULL;
 }
@@ -413,6 +424,7 @@
 	case HTTP_CLIENT_NOT_SENT:
 		attempt->verdict = SRV_ATTEMPT_NOT_RUN;
 		attempt->is_wrong_address = true; /* don't count it as a refusal */
+		attempt->is_unsent = true;
 		srv_upstream_note_failure(r->s, attempt->upstream, SRV_FAILURE_UNREACHABLE, now_ms);
 		retry_or_end(attempt, "no connection");
 		break;
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -42,6 +42,7 @@
 	bool is_good_noted;
 	bool is_paused;
 	bool is_silent;		/* other upstreams are preferred to its own one meanwhile */
+	bool is_unsent;		/* no byte of it was written */
 	bool is_wrong_address;	/* not sent, or the address belongs to another upstream */
 	bool is_missing_inputs; /* the upstream could not fetch the chain's results */
 };
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -19,6 +19,7 @@
 #define READY_MS 10000
 #define POLL_MS 25
 #define ANSWER_MS 6000
+#define RETRY_SLACK 400 /* no test but those of budgets uses it up */
 
 extern char **environ;
 
@@ -68,9 +69,11 @@
 			       "data_centres:\n  - {name: a1, region: %s}\n"
 			       "  - {name: b1, region: %s}\n",
 			       region_of(c, 0), region_of(c, 1));
-	g_string_append(text, "lookup_ttl_s: \"5\"\nstop_grace_s: \"8\"\nretry_ratio: \"0.2\"\n"
-			      "retry_window_s: \"10\"\nretry_slack: \"400\"\ncold_factor: \"1.5\"\n"
-			      "cold_slack: \"5\"\n");
+	g_string_append_printf(text,
+			       "lookup_ttl_s: \"5\"\nstop_grace_s: \"8\"\nretry_ratio: \"0.2\"\n"
+			       "retry_window_s: \"10\"\nretry_slack: \"%d\"\ncold_factor: \"1.5\"\n"
+			       "cold_slack: \"5\"\n",
+			       c->retry_slack);
 	ck_assert(g_file_set_contents(path, text->str, (gssize)text->len, NULL));
 	g_string_free(text, TRUE);
 	return path;
@@ -248,6 +251,7 @@
 	c->dir = g_dir_make_tmp("currantscale-XXXXXX", NULL);
 	c->stub = stub_new(NULL);
 	c->n_nodes = n_nodes;
+	c->retry_slack = RETRY_SLACK;
 	c->has_regions = options->has_regions;
 	cluster_configure(c, 7, NULL, NULL);
 	add_engines(c);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -29,6 +29,7 @@
 	struct cluster_node nodes[CLUSTER_NODES_MAX];
 	uint32_t n_nodes;
 	bool has_regions; /* each data centre is a region, which has an owner */
+	int retry_slack;  /* of the retry budgets of nodes that are started next */
 	gint next_attempt;
 };
 
