Relay requests of a node that reaches no upstream to another node

An isolated node now hands such a request to another node's listener for callers, with the caller's method, target, body and end-to-end fields, the deadline less the time spent, and a mark, which upstreams don't get. A node that reads the mark relays no further. decide/relay chooses the node: alive, ready, not leaving, not isolated, inside the request's allowed regions, nearest first, at random among equals. A second node is tried only if nothing was sent to the first. Without a node the request is refused at once. The answer is passed on as it arrives and ends complete only if the other node's did.

srv_reach_is_isolated() is a stub in srv_relay.c, which says no, until the detection is there; so nothing is relayed yet. srv_relay_take_over() is for requests that are in progress when the node becomes isolated; nothing calls it yet.

--- a/packages/serve/include/serve/adapter.h
+++ b/packages/serve/include/serve/adapter.h
@@ -36,6 +36,13 @@
 	int64_t last_event; /* last event id received by the caller; -1: none */
 	/* attempt that brought the first event of the stream that this one resumes */
 	const char *resumes;
+	const char *relayed_by; /* the node that relayed the request to this one */
+};
+
+/* Metadata set in a caller's request that is relayed to another node. */
+struct adapter_relay {
+	const char *vm;	     /* this node's; marks the request as relayed */
+	int64_t deadline_ms; /* time left until the deadline */
 };
 
 /* Metadata added to a request that is forwarded to an upstream. */
@@ -185,6 +192,9 @@
 	char *(*lookup_body)(const char *const *addresses, uint32_t n, int64_t ttl_ms);
 	bool (*is_ready_target)(const char *target);
 	void (*retry_after)(int64_t wait_ms, struct hdr_list *out);
+	/* Copies the end-to-end header fields of a caller's request for another node. */
+	void (*relay)(const struct hdr_list *in, const struct adapter_relay *relay,
+		      struct hdr_list *out);
 };
 
 struct adapter_ops {
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -154,6 +154,7 @@
 	check_settings_file(s);
 	update_limits(s);
 	srv_upstream_sweep(s, now_ms);
+	srv_relays_tick(s->relays, now_ms);
 	if (s->front)
 		http_server_enforce_timeouts(s->front, now_ms);
 	http_server_enforce_timeouts(s->ready, now_ms);
@@ -258,6 +259,7 @@
 	s->resumptions = g_hash_table_new(NULL, NULL);
 	s->upstreams = g_hash_table_new(g_str_hash, g_str_equal);
 	s->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->relays = srv_relays_new();
 	s->chain_requests = srv_chain_requests_new();
 	g_queue_init(&s->requests);
 	s->stop_by_ms = INT64_MAX;
@@ -299,6 +301,7 @@
 	srv_endpoints_stop(s);
 	srv_peer_stop(s);
 	srv_feed_free(s->feed);
+	srv_relays_free(s->relays);
 	uv_run(&s->loop, UV_RUN_NOWAIT);
 	uv_walk(&s->loop, close_handle, NULL);
 	uv_run(&s->loop, UV_RUN_NOWAIT);
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -59,6 +59,10 @@
 	X(SRV_LOOKUPS, "lookups_total", "address lookups answered")                                \
 	X(SRV_CRASH_REPORTS, "crash_reports_total",                                                \
 	  "crashes of upstreams reported to other nodes, with the prompt parts")                   \
+	X(SRV_RELAYED, "relayed_total",                                                            \
+	  "requests relayed to other nodes, as this one reaches no upstream")                      \
+	X(SRV_RELAY_FAILURES, "relay_failures_total",                                              \
+	  "relayed requests to which no complete answer was passed on")                            \
 	X(SRV_QUARANTINED, "quarantined_total",                                                    \
 	  "requests refused because a part of their prompt crashes upstreams")
 
@@ -97,6 +101,7 @@
 struct gate;
 struct quarantine;
 struct srv_feed;
+struct srv_relays;
 struct srv_req;
 struct srv_chain_request;
 
@@ -127,7 +132,8 @@
 	struct http_server *admin;
 	struct http_server *metrics;
 	struct srv_feed *feed;
-	GHashTable *upstreams;	    /* id -> struct srv_upstream */
+	GHashTable *upstreams; /* id -> struct srv_upstream */
+	struct srv_relays *relays;
 	GHashTable *budgets;	    /* service -> struct budget_window (retries) */
 	GHashTable *chain_requests; /* chain id -> struct srv_chain_request */
 	GQueue requests;	    /* struct srv_req: callers' requests in progress */
@@ -320,6 +326,16 @@
 void srv_req_disconnected(void *arg, struct http_server_request *request);
 void srv_req_drained(void *arg, struct http_server_request *request);
 
+/* srv_reach.c: returns whether this node reaches no upstream while others do. */
+bool srv_reach_is_isolated(const struct srv *s);
+
+/* srv_relay.c: requests relayed to other nodes while this one reaches no upstream. */
+struct srv_relays *srv_relays_new(void);
+void srv_relays_free(struct srv_relays *relays);
+
+/* Closes connections that have been idle; to be called about once a second. */
+void srv_relays_tick(struct srv_relays *relays, int64_t now_ms);
+
 /* Applies stop_by_ms to the requests in progress. */
 void srv_req_bound_all(struct srv *s);
 
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -77,6 +77,7 @@
 void srv_req_free(struct srv_req *r)
 {
 	g_queue_unlink(&r->s->requests, &r->link);
+	srv_relay_clear(r);
 	for (uint32_t i = 0; i < r->n_attempts; i++)
 		srv_attempt_cancel(&r->attempts[i]);
 	srv_origin_clear(r);
@@ -353,13 +354,17 @@
 		return;
 	}
 	set_deadlines(r);
+	r->rank = r->account && r->account->rank >= 0 ? r->account->rank : r->route->rank;
+	r->regions = intersect_regions(r->route->regions, r->account ? r->account->regions : NULL);
+	if (srv_reach_is_isolated(s)) {
+		srv_relay_start(r);
+		return;
+	}
 	srv_quarantine_check(s, &r->meta, &verdict);
 	if (verdict.state == QUARANTINE_BLOCKED) {
 		srv_req_end_quarantined(r, &verdict);
 		return;
 	}
-	r->rank = r->account && r->account->rank >= 0 ? r->account->rank : r->route->rank;
-	r->regions = intersect_regions(r->route->regions, r->account ? r->account->regions : NULL);
 	r->service_name = choose_service(r->route, srv_origin_is_resumption(r) && r->meta.resumes
 							   ? r->meta.resumes
 							   : r->meta.attempt);
@@ -410,6 +415,8 @@
 {
 	struct srv_req *r = request->user;
 
+	if (r && r->relay)
+		srv_relay_drained(r);
 	if (r && r->winner && r->winner->is_paused) {
 		r->winner->is_paused = false;
 		http_client_pause(r->winner->call, false);
@@ -476,7 +483,10 @@
 	for (const GList *at = s->requests.head; at; at = at->next) {
 		struct srv_req *r = at->data;
 		r->end_at_ms = MIN(r->end_at_ms, s->stop_by_ms);
-		srv_req_arm_timer(r);
+		if (r->relay)
+			srv_relay_arm_timer(r);
+		else
+			srv_req_arm_timer(r);
 	}
 }
 
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -9,6 +9,7 @@
 /* No attempt is sent if less time than this is left. */
 #define SEND_TIME_MIN_MS 40
 
+struct srv_relay;
 struct srv_req;
 
 /* Classification of an upstream's answer by its head. */
@@ -95,6 +96,7 @@
 	GString *partial; /* an incomplete event of a resumable stream */
 	GString *tail;	  /* the last bytes of the attempt's answer, to see whether an event ends */
 	struct srv_req_origin origin;
+	struct srv_relay *relay;     /* NULL: not relayed to another node */
 	int64_t last_event;	     /* id of the last event sent to the caller; -1: none */
 	char *permit_for;	     /* upstream for which a permit was asked for; NULL: none */
 	int64_t send_at_ms;	     /* when to try again to send it; INT64_MAX: it doesn't wait */
@@ -177,6 +179,21 @@
  */
 bool srv_req_forward_failure(struct srv_req *r);
 
+/*
+ * srv_relay.c: relays a request to another node if this one reaches no upstream. srv_relay_start()
+ * refuses a request that no node may serve.
+ */
+void srv_relay_start(struct srv_req *r);
+
+/*
+ * Relays a request in progress, of which nothing can have run. Returns whether it was relayed or
+ * has ended, which may have freed it. Only while no attempt is active.
+ */
+bool srv_relay_take_over(struct srv_req *r);
+void srv_relay_drained(struct srv_req *r);
+void srv_relay_arm_timer(struct srv_req *r);
+void srv_relay_clear(struct srv_req *r);
+
 /* srv_origin.c: finds the version of a resumed stream, then starts or refuses the request. */
 void srv_origin_start(struct srv_req *r);
 void srv_origin_decide(struct srv_req *r);
