Log a relayed request by its own copy of the attempt id

The id that the request borrows is freed with the request when its answer is complete, before the line is written. Seen in a trial under AddressSanitizer: heap-use-after-free in srv_relay_clear(), the node ended after its first relayed answer.

--- a/packages/serve/srv_relay.c
+++ b/packages/serve/srv_relay.c
@@ -405,7 +405,7 @@
 	if (relay->call)
 		http_client_cancel(relay->call);
 	release_node(relay);
-	log_info("relayed", "{s:s, s:s, s:s, s:i, s:i, s:I, s:I}", "request", r->meta.attempt,
+	log_info("relayed", "{s:s, s:s, s:s, s:i, s:i, s:I, s:I}", "request", relay->attempt,
 		 "node", relay->address, "outcome",
 		 relay->is_complete ? "complete" : (r->reason ? r->reason : ""), "status",
 		 relay->status, "tries", (int)relay->n_tries, "body_bytes",
