--- a/packages/serve/srv_relay.c
+++ b/packages/serve/srv_relay.c
@@ -130,6 +130,7 @@
 		.alive = gossip_is_alive(s->fleet, m, search->now_ms),
 		.ready = m->record.ready,
 		.leaving = m->record.leaving,
+		.isolated = m->record.isolated,
 		.avoided = (node && search->now_ms < node->avoid_until_ms) ||
 			   (m->suspected_ms > 0 &&
 			    search->now_ms - m->suspected_ms < GOSSIP_SUSPECT_MS),
@@ -431,8 +432,3 @@
 	g_free(relay);
 	r->relay = NULL;
 }
-
-bool srv_reach_is_isolated(const struct srv *s)
-{
-	return false;
-}
