--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -344,6 +344,9 @@
 /* Returns whether this node knows that it reaches no upstream. */
 bool srv_reach_is_isolated(const struct srv *s);
 
+/* Returns for how long the node has known, or has known the contrary. */
+int64_t srv_reach_age_ms(const struct srv *s, int64_t now_ms);
+
 /* Notes what happened to a connection to an upstream. */
 void srv_reach_note(struct srv *s, const char *id, enum reach_event event, int64_t now_ms);
 void srv_reach_tick(struct srv *s, int64_t now_ms);
--- a/packages/serve/srv_reach.c
+++ b/packages/serve/srv_reach.c
@@ -57,6 +57,11 @@
 	return s->reach->was_isolated;
 }
 
+int64_t srv_reach_age_ms(const struct srv *s, int64_t now_ms)
+{
+	return now_ms - s->reach->changed_ms;
+}
+
 static json_t *failures_json(const struct srv_reach *reach, int64_t now_ms)
 {
 	struct reach_failure failures[FAILURES_LOGGED_MAX];
--- a/packages/serve/srv_relay.c
+++ b/packages/serve/srv_relay.c
@@ -47,6 +47,7 @@
 	int status; /* of the answer; 0: none has come */
 	size_t body_bytes;
 	int64_t began_ms;
+	int64_t isolated_ms; /* for how long this node had known that it reaches no upstream */
 	bool is_paused;
 	bool is_complete;
 };
@@ -324,6 +325,7 @@
 	r->relay = g_new0(struct srv_relay, 1);
 	r->relay->attempt = g_strdup(r->meta.attempt);
 	r->relay->began_ms = clock_now_ms();
+	r->relay->isolated_ms = srv_reach_age_ms(r->s, r->relay->began_ms);
 	r->relay->body_bytes = body_bytes;
 	relays->n_active++;
 	relays->body_bytes += body_bytes;
@@ -408,6 +410,20 @@
 	uv_timer_start(&r->timer, on_timer, (uint64_t)MAX(r->end_at_ms - clock_now_ms(), 1), 0);
 }
 
+static void note_end(const struct srv_req *r)
+{
+	const struct srv_relay *relay = r->relay;
+
+	if (!relay->is_complete)
+		srv_count(r->s, SRV_RELAY_FAILURES);
+	log_info("relayed", "{s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:I}", "request", relay->attempt,
+		 "node", relay->address, "outcome",
+		 relay->is_complete ? "complete" : (r->reason ? r->reason : ""), "status",
+		 relay->status, "tries", (int)relay->n_tries, "body_bytes",
+		 (json_int_t)relay->body_bytes, "isolated_ms", (json_int_t)relay->isolated_ms,
+		 "total_ms", (json_int_t)(clock_now_ms() - relay->began_ms));
+}
+
 void srv_relay_clear(struct srv_req *r)
 {
 	struct srv_relay *relay = r->relay;
@@ -418,14 +434,8 @@
 	if (relay->call)
 		http_client_cancel(relay->call);
 	release_node(relay);
-	log_info("relayed", "{s:s, s:s, s:s, s:i, s:i, s:I, s:I}", "request", relay->attempt,
-		 "node", relay->address, "outcome",
-		 relay->is_complete ? "complete" : (r->reason ? r->reason : ""), "status",
-		 relay->status, "tries", (int)relay->n_tries, "body_bytes",
-		 (json_int_t)relay->body_bytes, "total_ms",
-		 (json_int_t)(clock_now_ms() - relay->began_ms));
-	if (!relay->is_complete)
-		srv_count(r->s, SRV_RELAY_FAILURES);
+	if (relay->n_tries > 0)
+		note_end(r);
 	relays->n_active--;
 	relays->body_bytes -= relay->body_bytes;
 	g_free(relay->attempt);
