Relay requests in progress as a node finds that it reaches no upstream

Their next send goes to another node if they have run nowhere and nothing of an answer was passed on. Before, they were sent on to upstreams that can't be reached until they were refused.

--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -271,6 +271,8 @@
 	struct srv_upstream *u;
 
 	srv_permit_stop_waiting(r);
+	if (srv_relay_take_over(r))
+		return;
 	srv_quarantine_check(r->s, &r->meta, &verdict);
 	if (verdict.state == QUARANTINE_BLOCKED && srv_req_count_active(r) == 0) {
 		srv_req_end_quarantined(r, &verdict);
