Keep connections whose bytes stay unacknowledged for up to four seconds

Callers saw: a request that may run once only, answered with 502, or a stream cut, after an upstream, or the path to it, had been silent for about two seconds and was back. Cause: TCP_USER_TIMEOUT was 2 s. The time between retransmissions doubles, so the last one is sent long before that, and a silence is noticed as over only with the next. Evidence: proc_silence/unacknowledged on the code before: an upstream that reads nothing for 3.0 s: the call ends as broken. A trial with a link that is down (two network namespaces): with 2 s, silences up to 1.5 s are survived, those of 1.8 and 2.0 s end in ETIMEDOUT after 2.2 and 2.0 s; with 4 s, all of 0.5 to 3.0 s are survived. Ruled out: keep-alive probes; none are sent, and with TCP_USER_TIMEOUT set they would give up at its limit whatever their count. Calls, streams and idle connections have timeouts. Result: the four cases pass, with one that is silent for good, which is still found.

--- a/packages/http/http_client.c
+++ b/packages/http/http_client.c
@@ -16,8 +16,12 @@
 #define HTTP_CLIENT_KEEP_ALIVE_MARGIN_MS 500
 /* A call that must not run twice reuses a connection only if it has been idle for at most this. */
 #define HTTP_CLIENT_FRESH_MS 700
-/* TCP_USER_TIMEOUT: the connection fails if sent bytes stay unacknowledged for this long. */
-#define HTTP_CLIENT_UNACKED_MS 2000
+/*
+ * TCP_USER_TIMEOUT: the connection fails if sent bytes stay unacknowledged for this long. The time
+ * between retransmissions doubles, so a silence of half of it is always survived. There are no
+ * keep-alive probes: calls have timeouts of their own, idle connections a limit.
+ */
+#define HTTP_CLIENT_UNACKED_MS 4000
 
 /*
  * Responses that a call skips: interim ones, and late copies of other responses. More of them, or
--- a/tests/proc_silence.c
+++ b/tests/proc_silence.c
@@ -6,10 +6,15 @@
 #include "stream.h"
 
 #include "base/clock.h"
+#include "http/http_client.h"
+#include "raw.h"
 
+#include <arpa/inet.h>
 #include <check.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define TEST_TIMEOUT_S 120
 #define RESUMABLE "/resume/x"
@@ -256,6 +261,127 @@
 }
 END_TEST
 
+#define LATE_BODY_BYTES (512 * 1024) /* more than the connection holds */
+#define LATE_RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+/* A listener that takes a connection and reads nothing from it for a time. */
+struct late_reader {
+	int fd;
+	int64_t wait_ms;
+	char address[CLUSTER_ADDRESS_BYTES];
+};
+
+static void listen_late(struct late_reader *reader, int64_t wait_ms)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	socklen_t at_bytes = sizeof(at);
+	int buffer_bytes = 4096;
+
+	reader->wait_ms = wait_ms;
+	reader->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(reader->fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
+	ck_assert_int_eq(bind(reader->fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	ck_assert_int_eq(listen(reader->fd, 1), 0);
+	getsockname(reader->fd, (struct sockaddr *)&at, &at_bytes);
+	g_snprintf(reader->address, sizeof(reader->address), "127.0.0.1:%u", ntohs(at.sin_port));
+}
+
+static gpointer read_late(gpointer arg)
+{
+	const struct late_reader *reader = arg;
+	int fd = accept(reader->fd, NULL, NULL);
+	char block[4096];
+	size_t got = 0;
+	ssize_t n;
+
+	clock_sleep_ms(reader->wait_ms);
+	while (got < LATE_BODY_BYTES && (n = recv(fd, block, sizeof(block), 0)) > 0)
+		got += (size_t)n;
+	raw_write_text(fd, LATE_RESPONSE);
+	close(fd);
+	return NULL;
+}
+
+static bool on_late_head(void *arg, const struct http_client_head *head)
+{
+	return true;
+}
+
+static bool on_late_data(void *arg, const void *data, size_t len)
+{
+	return true;
+}
+
+static void on_late_end(void *arg, enum http_client_result end)
+{
+	*(enum http_client_result *)arg = end;
+}
+
+static const struct http_client_ops late_ops = {
+	.on_head = on_late_head,
+	.on_data = on_late_data,
+	.on_end = on_late_end,
+};
+
+static enum http_client_result send_late(const struct late_reader *reader)
+{
+	enum http_client_result end = HTTP_CLIENT_NOT_SENT;
+	struct hdr_list headers = {0};
+	char *body = g_malloc0(LATE_BODY_BYTES);
+	const struct http_client_request request = {
+		.method = "POST",
+		.target = "/x",
+		.headers = &headers,
+		.body = body,
+		.len = LATE_BODY_BYTES,
+		.once = true,
+		.connect_timeout_ms = 200,
+	};
+	struct http_client_origin *origin;
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	origin = http_client_origin_new(&loop, reader->address);
+	hdr_add(&headers, "Host", "h");
+	ck_assert_ptr_nonnull(http_client_start(origin, &request, &late_ops, &end));
+	http_client_origin_free(origin);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+	hdr_clear(&headers);
+	g_free(body);
+	return end;
+}
+
+static const struct {
+	int64_t silence_ms;
+	enum http_client_result end;
+} late[] = {
+	{1000, HTTP_CLIENT_DONE},
+	{2000, HTTP_CLIENT_DONE},
+	{3000, HTTP_CLIENT_DONE},
+	{8000, HTTP_CLIENT_BROKEN}, /* for good */
+};
+
+/*
+ * Guards against a connection that is closed because an upstream acknowledges nothing for a second
+ * or two, and against one that is kept when it never will.
+ */
+START_TEST(unacknowledged)
+{
+	struct late_reader reader;
+	enum http_client_result end;
+	GThread *thread;
+
+	listen_late(&reader, late[_i].silence_ms);
+	thread = g_thread_new("late", read_late, &reader);
+	end = send_late(&reader);
+	g_thread_join(thread);
+	close(reader.fd);
+	ck_assert_msg(end == late[_i].end, "silent for %d ms: ended as %d",
+		      (int)late[_i].silence_ms, (int)end);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("proc_silence");
@@ -270,6 +396,10 @@
 	tcase_add_test(tcase, beside_a_stop);
 	tcase_add_test(tcase, silent_for_good);
 	suite_add_tcase(suite, tcase);
+	tcase = tcase_create("connection");
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_loop_test(tcase, unacknowledged, 0, G_N_ELEMENTS(late));
+	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
