Begin all streams of proc_silence at the upstream that falls silent; try answers and chains

The balancer kept resumable streams away from an upstream that had been silent in the case before, so silences of 1.5 and 2.0 s met none of them where the other upstream was sound. Change: the other upstream is published once all streams are open. New cases: single answers (once, or hedged), and chains whose pool has a silent upstream, or silent ones alone.

--- a/tests/proc_silence.c
+++ b/tests/proc_silence.c
@@ -23,12 +23,11 @@
 #define HALF (STREAMS / 2)
 #define EVENTS 24
 #define GAP_MS 25
-#define BEGUN_AT 3	 /* id of the last event before an upstream falls silent */
-#define SETTLE_MS 400	 /* until every node knows of a change at the source */
-#define RECOVERY_MS 1200 /* until a silence has been forgotten */
-#define RUNS_MAX 2	 /* maxAttempts of the route */
-#define CLOSE_MS 400	 /* within which the upstream before is left by a stream that goes on */
-#define STALL_MS 1500	 /* longest gap if another upstream can take a stream */
+#define BEGUN_AT 3    /* id of the last event before an upstream falls silent */
+#define SETTLE_MS 400 /* until every node knows of a change at the source */
+#define RUNS_MAX 2    /* maxAttempts of the route */
+#define CLOSE_MS 400  /* within which the upstream before is left by a stream that goes on */
+#define STALL_MS 1500 /* longest gap if another upstream can take a stream */
 #define FIRST "v1-a1"
 #define SECOND "v1-b1"
 
@@ -94,14 +93,6 @@
 			      streams[i].text->str);
 }
 
-static uint32_t count_runs(const char *id)
-{
-	struct stub_stats stats;
-
-	stub_get_stats(c->stub, id, &stats);
-	return stats.runs;
-}
-
 static void expect_whole(const char *what, int64_t silence_ms)
 {
 	for (uint32_t i = 0; i < STREAMS; i++) {
@@ -138,31 +129,27 @@
 	[OTHER_SILENT] = "other upstream silent too",
 };
 
-/* Before any stream is opened; nodes know of it after a time. */
-static void change_other(enum other other)
+/* Has all streams begin at the first upstream. */
+static void hide_other(enum other other)
 {
-	if (other == OTHER_GONE || other == OTHER_CLOSES)
-		stub_publish(c->stub, SECOND, NULL);
-	else if (other == OTHER_HAS_VERSION)
+	stub_set_fault(c->stub, SECOND, STUB_FAULT_NONE);
+	if (other == OTHER_HAS_VERSION)
 		stub_set_version(c->stub, SECOND, "v2", false);
+	stub_publish(c->stub, SECOND, NULL);
 	clock_sleep_ms(SETTLE_MS);
 }
 
-/* As the first one falls silent. */
-static void disturb_other(enum other other, int64_t silence_ms)
+/* When all streams have been opened; nodes know of the other one before a silence is too long. */
+static void show_other(enum other other, int64_t silence_ms)
 {
+	if (other == OTHER_GONE)
+		return;
 	if (other == OTHER_REFUSES)
 		stub_set_fault(c->stub, SECOND, STUB_FAULT_SHED);
+	else if (other == OTHER_CLOSES)
+		stub_set_fault(c->stub, SECOND, STUB_FAULT_CLOSE);
 	else if (other == OTHER_SILENT)
 		stub_pause_engine(c->stub, SECOND, silence_ms);
-}
-
-/* When all streams have been opened, and before the timeout of a silence. */
-static void publish_other(enum other other)
-{
-	if (other != OTHER_CLOSES)
-		return;
-	stub_set_fault(c->stub, SECOND, STUB_FAULT_CLOSE);
 	stub_publish(c->stub, SECOND, "ready");
 }
 
@@ -171,20 +158,13 @@
 /* Has an upstream fall silent in the middle of some streams and before the heads of others. */
 static void play(enum other other, int64_t silence_ms)
 {
-	uint32_t runs = count_runs(FIRST);
-
+	hide_other(other);
 	begin_streams(HALF);
-	disturb_other(other, silence_ms);
 	stub_pause_engine(c->stub, FIRST, silence_ms);
 	open_streams(HALF, HALF);
-	publish_other(other);
+	show_other(other, silence_ms);
 	stream_finish_all(streams, STREAMS);
-	ck_assert_uint_gt(count_runs(FIRST), runs);
 	expect_whole(other_names[other], silence_ms);
-	stub_set_fault(c->stub, SECOND, STUB_FAULT_NONE);
-	if (other == OTHER_CLOSES)
-		stub_publish(c->stub, SECOND, NULL);
-	clock_sleep_ms(RECOVERY_MS);
 }
 
 /*
@@ -193,11 +173,8 @@
  */
 START_TEST(streams_stay_whole)
 {
-	enum other other = (enum other)_i;
-
-	change_other(other);
 	for (size_t i = 0; i < G_N_ELEMENTS(silences_ms); i++)
-		play(other, silences_ms[i]);
+		play((enum other)_i, silences_ms[i]);
 }
 END_TEST
 
@@ -206,7 +183,7 @@
 {
 	int version = 8;
 
-	change_other(OTHER_GONE);
+	hide_other(OTHER_GONE);
 	for (size_t i = 0; i < G_N_ELEMENTS(silences_ms); i++) {
 		begin_streams(STREAMS);
 		stub_pause_engine(c->stub, FIRST, silences_ms[i]);
@@ -221,17 +198,16 @@
 START_TEST(beside_a_stop)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(silences_ms); i++) {
+		hide_other(OTHER_REFUSES);
 		begin_streams(STREAMS);
-		stub_set_fault(c->stub, SECOND, STUB_FAULT_SHED);
 		stub_pause_engine(c->stub, FIRST, silences_ms[i]);
+		show_other(OTHER_REFUSES, silences_ms[i]);
 		kill(c->nodes[0].pid, SIGTERM);
 		stream_finish_all(streams, STREAMS);
 		expect_whole("beside a stop", silences_ms[i]);
-		stub_set_fault(c->stub, SECOND, STUB_FAULT_NONE);
 		cluster_signal(c, 0, SIGTERM);
 		cluster_start_node(c, 0);
 		cluster_wait_ready(c, 0);
-		clock_sleep_ms(RECOVERY_MS);
 	}
 }
 END_TEST
@@ -261,6 +237,94 @@
 }
 END_TEST
 
+static const struct {
+	const char *target;
+	const char *method;
+	int64_t silence_ms;
+	int64_t held_ms; /* longest time until the answer */
+	uint32_t runs_max;
+} singles[] = {
+	{"/once/x", "POST", 500, 800, 1},
+	{"/once/x", "POST", 1000, 1300, 1},
+	{"/safe/x", "GET", 500, 400, 2},
+	{"/safe/x", "GET", 1000, 400, 2},
+};
+
+/* Guards against an answer that is given up, or a request that runs twice, for a silence. */
+START_TEST(single_answers)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(singles); i++) {
+		char attempt[CLUSTER_ADDRESS_BYTES];
+		struct cluster_answer answer;
+		int64_t sent_ms = clock_now_ms();
+		stub_pause_engine(c->stub, "plain-1", singles[i].silence_ms);
+		cluster_try_send(c, 0, singles[i].method, singles[i].target,
+				 "Content-Length: 0\r\n", attempt, sizeof(attempt), &answer);
+		ck_assert_msg(answer.status == 200 && answer.whole &&
+				      clock_now_ms() - sent_ms <= singles[i].held_ms &&
+				      stub_count_runs(c->stub, attempt) <= singles[i].runs_max,
+			      "%s, silent for %d ms: status %d after %d ms, %u runs",
+			      singles[i].target, (int)singles[i].silence_ms, answer.status,
+			      (int)(clock_now_ms() - sent_ms), stub_count_runs(c->stub, attempt));
+		cluster_answer_clear(&answer);
+		clock_sleep_ms(singles[i].silence_ms);
+	}
+}
+END_TEST
+
+#define CHAIN_MS 1200 /* longest time until an answer if another pool upstream can take pieces */
+
+static const struct {
+	bool has_sound; /* one of the pool's upstreams isn't silent */
+	int64_t silence_ms;
+} pools[] = {
+	{true, 500},  {true, 1000},  {true, 1500},  {true, 2000},
+	{false, 500}, {false, 1000}, {false, 1500}, {false, 2000},
+};
+
+static void add_pool_upstream(void)
+{
+	const struct stub_engine_options options = {
+		.id = "first-2",
+		.service = "first",
+		.zone = "b1",
+		.kind = STUB_POOL,
+		.work_ms = 60,
+		.results_max = 100,
+	};
+
+	stub_add_engine(c->stub, &options);
+	clock_sleep_ms(SETTLE_MS);
+}
+
+/* Guards against a chain that fails, or waits for a call's timeout, at a silent pool upstream. */
+START_TEST(chains_go_on)
+{
+	add_pool_upstream();
+	for (size_t i = 0; i < G_N_ELEMENTS(pools); i++) {
+		struct cluster_answer answer;
+		int64_t sent_ms = clock_now_ms();
+		int64_t took_ms;
+		stub_pause_engine(c->stub, "first-1", pools[i].silence_ms);
+		if (!pools[i].has_sound)
+			stub_pause_engine(c->stub, "first-2", pools[i].silence_ms);
+		cluster_send(c, 0, "POST", "/chain/x",
+			     "Content-Length: 0\r\nX-Currantscale-Pieces: 6,2\r\n"
+			     "X-Currantscale-Piece-Key: k\r\n",
+			     &answer);
+		took_ms = clock_now_ms() - sent_ms - EVENTS * GAP_MS;
+		ck_assert_msg(answer.status == 200 && answer.whole &&
+				      took_ms <= (pools[i].has_sound ? 0 : pools[i].silence_ms) +
+							 CHAIN_MS,
+			      "silent for %d ms, other sound %d: status %d, %d ms",
+			      (int)pools[i].silence_ms, pools[i].has_sound, answer.status,
+			      (int)took_ms);
+		cluster_answer_clear(&answer);
+		clock_sleep_ms(pools[i].silence_ms);
+	}
+}
+END_TEST
+
 #define LATE_BODY_BYTES (512 * 1024) /* more than the connection holds */
 #define LATE_RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -395,6 +459,8 @@
 	tcase_add_test(tcase, beside_a_change);
 	tcase_add_test(tcase, beside_a_stop);
 	tcase_add_test(tcase, silent_for_good);
+	tcase_add_test(tcase, single_answers);
+	tcase_add_test(tcase, chains_go_on);
 	suite_add_tcase(suite, tcase);
 	tcase = tcase_create("connection");
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
