--- a/tests/proc_silence.c
+++ b/tests/proc_silence.c
@@ -13,6 +13,7 @@
 #include <check.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -325,6 +326,58 @@
 }
 END_TEST
 
+static gpointer send_chain(gpointer arg)
+{
+	cluster_send(c, 0, "POST", "/again/x",
+		     "Content-Length: 0\r\nX-Currantscale-Pieces: 2,2\r\n"
+		     "X-Currantscale-Piece-Key: k\r\n",
+		     arg);
+	return NULL;
+}
+
+static void wait_until_begun(void)
+{
+	struct stub_stats stats = {0};
+
+	while (stats.open == 0) {
+		clock_sleep_ms(5);
+		stub_get_stats(c->stub, FIRST, &stats);
+	}
+	clock_sleep_ms((BEGUN_AT + 1) * GAP_MS);
+}
+
+static bool is_in_order(const char *body)
+{
+	GString *want = g_string_new(NULL);
+	bool same;
+
+	for (int i = 0; i < EVENTS; i++)
+		g_string_append_printf(want, "id: %d\ndata: v1 token %d\n\n", i, i);
+	same = strcmp(want->str, body) == 0;
+	g_string_free(want, TRUE);
+	return same;
+}
+
+/* Guards against a stream that is cut, or repeats events, where its inputs have been freed. */
+START_TEST(inputs_freed)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(silences_ms); i++) {
+		struct cluster_answer answer;
+		GThread *thread;
+		hide_other(OTHER_SOUND);
+		thread = g_thread_new("chain", send_chain, &answer);
+		wait_until_begun();
+		stub_pause_engine(c->stub, FIRST, silences_ms[i]);
+		show_other(OTHER_SOUND, silences_ms[i]);
+		g_thread_join(thread);
+		ck_assert_msg(answer.whole && answer.status == 200 && is_in_order(answer.body),
+			      "silent for %d ms: status %d, whole %d: %s", (int)silences_ms[i],
+			      answer.status, answer.whole, answer.body);
+		cluster_answer_clear(&answer);
+	}
+}
+END_TEST
+
 #define LATE_BODY_BYTES (512 * 1024) /* more than the connection holds */
 #define LATE_RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -462,6 +515,11 @@
 	tcase_add_test(tcase, single_answers);
 	tcase_add_test(tcase, chains_go_on);
 	suite_add_tcase(suite, tcase);
+	tcase = tcase_create("inputs");
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_test(tcase, inputs_freed);
+	suite_add_tcase(suite, tcase);
 	tcase = tcase_create("connection");
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_loop_test(tcase, unacknowledged, 0, G_N_ELEMENTS(late));
