Cut nodes off from upstreams in the soak

The soak had no fault that separates a node from its upstreams while the source, other nodes and callers reach it. Its nodes now have links of their own. Beside the other faults, one node or every other one is cut off for 1 to 6 s: new connections refused and open ones hanging, all reset, all hanging, or new ones alone refused. The choices have a generator of their own, so that the other faults of a seed stay as they were. No check is changed.

--- a/tests/proc_soak.c
+++ b/tests/proc_soak.c
@@ -1,13 +1,14 @@
 /*
  * Soak test, under load, of nodes that serve through the adapter. Nodes are killed, paused and
  * restarted, engines fail or change their version, the source becomes unavailable or returns from
- * a copy, the configuration changes and upstreams say things about themselves, in an order that the
- * seed decides. The answers to callers are checked against the runs at engines; then callers go on
- * while one node is killed. SOAK_SEED, SOAK_SECONDS and SOAK_NODES configure it; with odd seeds the
- * fleet has two regions.
+ * a copy, the configuration changes, nodes are cut off from upstreams and upstreams say things
+ * about themselves, in an order that the seed decides. The answers to callers are checked against
+ * the runs at engines; then callers go on while one node is killed. SOAK_SEED, SOAK_SECONDS and
+ * SOAK_NODES configure it; with odd seeds the fleet has two regions.
  */
 #include "advice.h"
 #include "cluster.h"
+#include "outage.h"
 #include "run_tests.h"
 #include "takeup.h"
 
@@ -195,9 +196,11 @@
 			cluster_configure(a, version, "\"timeoutMs\":1500", "\"timeoutMs\":1400");
 		}
 		advice_change();
+		outage_change();
 		clock_sleep_ms((int64_t)prng_below(prng, 2 * FAULT_INTERVAL_MS));
 	}
 	advice_clear();
+	outage_clear();
 	clear_faults(paused);
 }
 
@@ -308,11 +311,12 @@
 	struct prng prng = {.state = (uint64_t)env_number("SOAK_SEED", 1)};
 	uint32_t violations;
 
-	a = (env_number("SOAK_SEED", 1) % 2 == 1 ? cluster_new_regions : cluster_new)(
-		(uint32_t)env_number("SOAK_NODES", NODES));
+	a = cluster_new_links((uint32_t)env_number("SOAK_NODES", NODES),
+			      env_number("SOAK_SEED", 1) % 2 == 1);
 	outcomes = g_array_new(FALSE, FALSE, sizeof(struct outcome));
 	takeup_start(a);
 	advice_start(a, (uint64_t)env_number("SOAK_SEED", 1));
+	outage_start(a, (uint64_t)env_number("SOAK_SEED", 1));
 	with_callers(&prng, inject_faults);
 	check_recovery();
 	with_callers(&prng, kill_one);
