Pause upstreams in the soak

Sound upstreams that send nothing for half a second to two seconds are a fault that the soak lacked; one of six is paused at a third of the steps. No check is changed.

--- a/tests/outage.c
+++ b/tests/outage.c
@@ -8,6 +8,8 @@
 #define SHORTEST_MS 1000
 #define LONGEST_MS 6000
 #define BEGIN_OF 3 /* one in this many chances is taken */
+#define PAUSE_SHORTEST_MS 500
+#define PAUSE_LONGEST_MS 2000
 
 static const enum stub_cut cuts[] = {STUB_CUT_REFUSE, STUB_CUT_RESET, STUB_CUT_HANG, STUB_CUT_NEW};
 
@@ -17,6 +19,7 @@
 static uint32_t n_nodes; /* cut off, every other node from the first; 0: there is no outage */
 static int64_t end_ms;
 static uint32_t n_outages;
+static uint32_t n_pauses;
 
 void outage_start(struct cluster *c, uint64_t seed)
 {
@@ -46,8 +49,22 @@
 	n_nodes = 0;
 }
 
+static void pause_upstream(void)
+{
+	static const char *const ids[] = {"plain-1", "plain-2", "model-1",
+					  "model-2", "first-1", "second-1"};
+	const char *id = ids[prng_below(&prng, G_N_ELEMENTS(ids))];
+
+	stub_pause_engine(cluster->stub, id,
+			  PAUSE_SHORTEST_MS +
+				  (int64_t)prng_below(&prng, PAUSE_LONGEST_MS - PAUSE_SHORTEST_MS));
+	n_pauses++;
+}
+
 void outage_change(void)
 {
+	if (prng_below(&prng, BEGIN_OF) == 0)
+		pause_upstream();
 	if (n_nodes > 0 && clock_now_ms() >= end_ms)
 		end();
 	else if (n_nodes == 0 && prng_below(&prng, BEGIN_OF) == 0)
@@ -57,5 +74,5 @@
 void outage_clear(void)
 {
 	end();
-	printf("soak: %u outages\n", n_outages);
+	printf("soak: %u outages, %u pauses of upstreams\n", n_outages, n_pauses);
 }
--- a/tests/proc_soak.c
+++ b/tests/proc_soak.c
@@ -1,10 +1,10 @@
 /*
  * Soak test, under load, of nodes that serve through the adapter. Nodes are killed, paused and
  * restarted, engines fail or change their version, the source becomes unavailable or returns from
- * a copy, the configuration changes, nodes are cut off from upstreams and upstreams say things
- * about themselves, in an order that the seed decides. The answers to callers are checked against
- * the runs at engines; then callers go on while one node is killed. SOAK_SEED, SOAK_SECONDS and
- * SOAK_NODES configure it; with odd seeds the fleet has two regions.
+ * a copy, the configuration changes, nodes are cut off from upstreams, upstreams pause and say
+ * things about themselves, in an order that the seed decides. The answers to callers are checked
+ * against the runs at engines; then callers go on while one node is killed. SOAK_SEED, SOAK_SECONDS
+ * and SOAK_NODES configure it; with odd seeds the fleet has two regions.
  */
 #include "advice.h"
 #include "cluster.h"
