Stop reading a caller that sends far ahead instead of cutting its request

Callers saw a connection closed with no answer if they sent over 64 KiB of the next request behind one that was in progress; the request had been passed on, and was cancelled at its upstream. Cause: bytes that come during an answer were collected up to a limit, and the connection closed beyond it. Evidence: unit_http/answers_before_a_long_pipelined_request, on the code before: n_disconnects 1 of 0. Change: beyond the limit the connection isn't read until the answer is complete; TCP holds the caller back.

--- a/packages/http/http_server.c
+++ b/packages/http/http_server.c
@@ -7,6 +7,7 @@
 
 #include <errno.h>
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -172,11 +173,22 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp) + (size_t)queued_bytes;
 }
 
+/* Whether the caller has closed a connection that isn't being read. */
+static bool has_left(const struct http_server_conn *c)
+{
+	struct pollfd p = {.events = POLLRDHUP};
+
+	return c->is_read_paused && uv_fileno((const uv_handle_t *)&c->tcp, &p.fd) == 0 &&
+	       poll(&p, 1, 0) > 0;
+}
+
 static void sweep_conn(struct http_server_conn *c, int64_t now_ms)
 {
 	int64_t idle_timeout_ms = c->server->limits.idle_timeout_ms;
 	size_t unsent;
 
+	if (has_left(c))
+		http_server_close_conn(c);
 	if (c->state == CONN_READING)
 		sweep_reading(c, now_ms);
 	if (c->state != CONN_IDLE && c->state != CONN_CLOSING)
--- a/packages/http/http_server_internal.h
+++ b/packages/http/http_server_internal.h
@@ -40,6 +40,7 @@
 	int64_t since_ms; /* of the state; idle or closing: of the last change of unsent */
 	size_t unsent;	  /* bytes that the caller hadn't taken at the last sweep */
 	GByteArray *read_ahead;	 /* bytes received beyond the request in progress */
+	bool is_read_paused;	 /* until the request in progress is answered */
 	uint32_t pending_writes; /* writes queued in libuv and not completed */
 	bool write_closed;
 };
@@ -69,6 +70,8 @@
 
 /* http_server_read.c */
 void http_server_parse(struct http_server_conn *c, const char *data, size_t len);
+/* Goes on reading unless the response in progress still has to be waited for. */
+void http_server_resume_reading(struct http_server_conn *c);
 /* Sends a response with the given status and no body, then closes the connection. */
 void http_server_reject(struct http_server_conn *c, int status);
 /* Returns whether bytes have arrived that weren't read yet. */
--- a/packages/http/http_server_read.c
+++ b/packages/http/http_server_read.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
-/* A connection that receives more bytes than this beyond a request in progress is closed. */
+/* A connection isn't read while more bytes than this stand behind a request in progress. */
 #define HTTP_SERVER_READ_AHEAD_BYTES_MAX (64 * 1024)
 
 /* Answers a request that can't be parsed or exceeds a limit, then closes the connection. */
@@ -216,6 +216,17 @@
 	*buf = uv_buf_init(c->server->read_buffer, HTTP_SERVER_READ_BYTES);
 }
 
+void http_server_resume_reading(struct http_server_conn *c)
+{
+	bool is_full =
+		c->state == CONN_BUSY && c->read_ahead->len > HTTP_SERVER_READ_AHEAD_BYTES_MAX;
+
+	if (!c->is_read_paused || is_full || uv_is_closing((uv_handle_t *)&c->tcp))
+		return;
+	c->is_read_paused = false;
+	uv_read_start((uv_stream_t *)&c->tcp, http_server_on_alloc, http_server_on_read);
+}
+
 void http_server_on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct http_server_conn *c = stream->data;
@@ -233,8 +244,10 @@
 		break;
 	case CONN_BUSY:
 		g_byte_array_append(c->read_ahead, (const guint8 *)buf->base, (guint)n);
-		if (c->read_ahead->len > HTTP_SERVER_READ_AHEAD_BYTES_MAX)
-			http_server_close_conn(c);
+		if (c->read_ahead->len > HTTP_SERVER_READ_AHEAD_BYTES_MAX) {
+			c->is_read_paused = true;
+			uv_read_stop(stream);
+		}
 		break;
 	case CONN_CLOSING:
 		/* Discard input: closing with unread input would reset the connection. */
--- a/packages/http/http_server_write.c
+++ b/packages/http/http_server_write.c
@@ -193,6 +193,7 @@
 	if (!c->keep) {
 		http_server_set_state(c, CONN_CLOSING);
 		close_write_side(c);
+		http_server_resume_reading(c);
 		return;
 	}
 	c->begun = false;
@@ -203,6 +204,7 @@
 	if (read_ahead->len > 0)
 		http_server_parse(c, (const char *)read_ahead->data, read_ahead->len);
 	g_byte_array_unref(read_ahead);
+	http_server_resume_reading(c);
 }
 
 void http_server_begin(struct http_server_request *request, int status,
--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -7,6 +7,7 @@
 #include "raw.h"
 #include "run_tests.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -238,6 +239,76 @@
 		g_string_append_len(taken, block, n);
 }
 
+/*
+ * Guards against cutting a request that is being answered as its caller sends much of the next one
+ * behind it.
+ */
+START_TEST(answers_before_a_long_pipelined_request)
+{
+	static char body[256 * 1024]; /* more than is read ahead */
+	const struct http_server_limits long_limits = {
+		.max_header_bytes = 1024,
+		.max_body_bytes = sizeof(body),
+		.header_timeout_ms = 1000,
+		.idle_timeout_ms = 1000,
+	};
+	char head[128];
+	int fd;
+
+	start_server();
+	http_server_set_limits(server, &long_limits);
+	memset(body, 'x', sizeof(body));
+	g_snprintf(head, sizeof(head), "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: %zu\r\n\r\n",
+		   sizeof(body));
+	fd = raw_connect(http_server_address(server));
+	raw_write_text(fd, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	raw_write_text(fd, head);
+	for (size_t sent = 0; sent < sizeof(body); run_loop(1)) {
+		ssize_t n = send(fd, body + sent, sizeof(body) - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+		if (n > 0)
+			sent += (size_t)n;
+		if (n < 0 && errno != EAGAIN)
+			break;
+	}
+	run_loop(50);
+	ck_assert_uint_eq(n_requests, 1);
+	ck_assert_uint_eq(n_disconnects, 0);
+	http_server_respond(last_request, 200, NULL, "one", 3);
+	run_loop(200);
+	ck_assert_uint_eq(n_requests, 2);
+	ck_assert_uint_eq(last_request->body->len, sizeof(body));
+	http_server_announce_close(server);
+	http_server_respond(last_request, 200, NULL, "two", 3);
+	run_loop(50);
+	ck_assert_uint_eq(n_disconnects, 0);
+	close(fd);
+	stop_server(NULL);
+}
+END_TEST
+
+/* Guards against work for a caller that has closed a connection which isn't being read. */
+START_TEST(notices_callers_that_leave_unread)
+{
+	static char bytes[96 * 1024]; /* more than is read ahead */
+	int fd;
+
+	start_server();
+	memset(bytes, 'x', sizeof(bytes));
+	fd = raw_connect(http_server_address(server));
+	raw_write_text(fd, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_loop(20);
+	ck_assert_int_eq(send(fd, bytes, sizeof(bytes), 0), sizeof(bytes));
+	run_loop(50);
+	http_server_enforce_timeouts(server, clock_now_ms());
+	ck_assert_uint_eq(n_disconnects, 0);
+	close(fd);
+	run_loop(20);
+	http_server_enforce_timeouts(server, clock_now_ms());
+	ck_assert_uint_eq(n_disconnects, 1);
+	stop_server(NULL);
+}
+END_TEST
+
 /* Returns a connection that has had one answer and is kept open. */
 static int connect_kept(void)
 {
@@ -847,6 +918,8 @@
 		keeps_limits,
 		notices_who_leaves,
 		answers_pipelined_in_turn,
+		answers_before_a_long_pipelined_request,
+		notices_callers_that_leave_unread,
 		drains,
 		drains_beside_arrivals,
 		drains_beside_unwritten_answers,
