--- a/tests/proc_silence.c
+++ b/tests/proc_silence.c
@@ -23,7 +23,8 @@
 #define RECOVERY_MS 1200 /* until a silence has been forgotten */
 #define RUNS_MAX 2	 /* maxAttempts of the route */
 #define CLOSE_MS 400	 /* within which the upstream before is left by a stream that goes on */
-#define STALL_MS 1500	 /* longest gap if another upstream can take a stream */
+#define BREAK_SILENCE_MS 2500
+#define STALL_MS 1500 /* longest gap if another upstream can take a stream */
 #define FIRST "v1-a1"
 #define SECOND "v1-b1"
 
@@ -256,6 +257,39 @@
 }
 END_TEST
 
+/*
+ * Guards against a stream that is sent to more upstreams than its route allows, as the one that it
+ * was sent to beside the silent one breaks.
+ */
+START_TEST(attempts_are_bounded)
+{
+	const struct stub_engine_options third = {
+		.id = "v1-c1",
+		.service = "model",
+		.zone = "a1",
+		.kind = STUB_STREAM,
+		.work_ms = 10,
+		.gap_ms = GAP_MS,
+		.events = EVENTS,
+	};
+	struct stream *st = &streams[0];
+	uint32_t runs;
+
+	change_other(OTHER_GONE);
+	stream_open(st, c, 0, RESUMABLE);
+	ck_assert(stream_read(st, BEGUN_AT));
+	stub_pause_engine(c->stub, FIRST, BREAK_SILENCE_MS);
+	publish_other(OTHER_CLOSES);
+	clock_sleep_ms(SETTLE_MS);
+	clock_sleep_ms(SETTLE_MS); /* the second one has broken by then */
+	stub_add_engine(c->stub, &third);
+	stream_finish(st);
+	runs = stub_count_runs(c->stub, st->attempt);
+	ck_assert(st->is_whole && !st->is_disordered);
+	ck_assert_uint_eq(runs, RUNS_MAX);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("proc_silence");
@@ -269,6 +303,7 @@
 	tcase_add_test(tcase, beside_a_change);
 	tcase_add_test(tcase, beside_a_stop);
 	tcase_add_test(tcase, silent_for_good);
+	tcase_add_test(tcase, attempts_are_bounded);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
