Let a silent stream go on at two upstreams for 0.3 s at most

Upstreams were at work on one stream for up to a second and more, though the node reached both: the silent one was kept until the other one had sent its head, which takes as long as its first event does. Evidence: proc_silence/slow_to_take_over, on the code before: "at work at two upstreams for 1380 ms" (first one silent for 2 s, second one with its head as late); the bound is 400 ms. Change: 300 ms after the request was sent to the second upstream, which has neither refused nor broken, the silent one is closed. One that refuses or breaks by then still leaves the stream where it was. Known cost: if the second one refuses or breaks later than that, and no attempt is left, the stream is cut.

--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -30,6 +30,13 @@
 #define INPUTS_SILENCE_MS 1800
 /* Most attempts of a stream at a time. */
 #define STREAM_ACTIVE_MAX 2
+/*
+ * Longest time for which both work on it. An upstream that can't take a request has refused it by
+ * then; one that can may take longer for its first event.
+ */
+#define STREAM_OVERLAP_MS 300
+/* Between checks whether a request has been sent. */
+#define UNSENT_CHECK_MS 50
 /* Difference in urgency between one rank and the next. */
 #define URGENCY_STEP 2
 #define URGENCY_MAX 9
@@ -560,6 +567,33 @@
 		hedge(attempt, now_ms);
 }
 
+/* Returns when the older of a stream's attempts is to be closed; INT64_MAX: there is one only. */
+static int64_t overlap_end_ms(struct srv_req *r, int64_t now_ms)
+{
+	const struct srv_attempt *attempt = last_active(r);
+
+	if (r->route->kind != PUB_KIND_STREAM || srv_req_count_active(r) < STREAM_ACTIVE_MAX ||
+	    attempt->verdict != SRV_ATTEMPT_PENDING)
+		return INT64_MAX;
+	if (!http_client_was_sent(attempt->call))
+		return now_ms + UNSENT_CHECK_MS;
+	return attempt->sent_ms + STREAM_OVERLAP_MS;
+}
+
+/* Leaves a stream to its newest attempt, which the upstream has neither refused nor broken. */
+static void end_overlap(struct srv_req *r)
+{
+	struct srv_attempt *attempt = last_active(r);
+
+	if (r->winner && r->winner != attempt) {
+		r->winner = NULL;
+		g_string_truncate(r->partial, 0);
+	}
+	cancel_others(attempt);
+	log_attempt(attempt, "left to this upstream");
+	srv_req_arm_timer(r);
+}
+
 /* Notifies the chain's owner that the upstream should have fetched the results. */
 static void note_fetched(struct srv_req *r, int64_t now_ms)
 {
@@ -629,7 +663,9 @@
 	}
 	if (r->chain && now_ms >= r->fetch_check_at_ms)
 		note_fetched(r, now_ms);
-	if (now_ms >= silence_deadline_ms(r))
+	if (now_ms >= overlap_end_ms(r, now_ms))
+		end_overlap(r);
+	else if (now_ms >= silence_deadline_ms(r))
 		handle_silence(r, now_ms); /* may free the request */
 	else
 		srv_req_arm_timer(r);
@@ -640,6 +676,7 @@
 	int64_t now_ms = clock_now_ms();
 	int64_t at_ms = MIN(r->end_at_ms, silence_deadline_ms(r));
 
+	at_ms = MIN(at_ms, overlap_end_ms(r, now_ms));
 	at_ms = MIN(at_ms, srv_origin_wait_until_ms(r));
 	at_ms = MIN(at_ms, MIN(r->send_at_ms, unread_end_by_ms(r)));
 	if (r->chain)
--- a/tests/proc_silence.c
+++ b/tests/proc_silence.c
@@ -10,6 +10,7 @@
 #include <check.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define TEST_TIMEOUT_S 120
 #define RESUMABLE "/resume/x"
@@ -23,7 +24,9 @@
 #define RECOVERY_MS 1200 /* until a silence has been forgotten */
 #define RUNS_MAX 2	 /* maxAttempts of the route */
 #define CLOSE_MS 400	 /* within which the upstream before is left by a stream that goes on */
+#define SLOW_MS 1000
 #define BREAK_SILENCE_MS 2500
+#define SAMPLE_MS 10
 #define STALL_MS 1500 /* longest gap if another upstream can take a stream */
 #define FIRST "v1-a1"
 #define SECOND "v1-b1"
@@ -257,6 +260,37 @@
 }
 END_TEST
 
+/*
+ * Guards against a stream that runs at two upstreams while the second one takes its time for the
+ * first event.
+ */
+START_TEST(slow_to_take_over)
+{
+	struct stream *st = &streams[0];
+	struct stub_stats first;
+	struct stub_stats second;
+	const char *other;
+	int64_t until_ms;
+	int64_t both_ms = 0;
+
+	stream_open(st, c, 0, RESUMABLE);
+	ck_assert(stream_read(st, BEGUN_AT));
+	other = strcmp(st->upstream, FIRST) == 0 ? SECOND : FIRST;
+	stub_pause_engine(c->stub, st->upstream, SLOW_MS * 2);
+	stub_pause_engine(c->stub, other, SLOW_MS * 2);
+	for (until_ms = clock_now_ms() + SLOW_MS * 2; clock_now_ms() < until_ms;
+	     clock_sleep_ms(SAMPLE_MS)) {
+		stub_get_stats(c->stub, st->upstream, &first);
+		stub_get_stats(c->stub, other, &second);
+		if (first.open > 0 && second.open > 0)
+			both_ms += SAMPLE_MS;
+	}
+	stream_finish(st);
+	ck_assert(st->is_whole && !st->is_disordered);
+	ck_assert_msg(both_ms <= CLOSE_MS, "at work at two upstreams for %d ms", (int)both_ms);
+}
+END_TEST
+
 /*
  * Guards against a stream that is sent to more upstreams than its route allows, as the one that it
  * was sent to beside the silent one breaks.
@@ -303,6 +337,7 @@
 	tcase_add_test(tcase, beside_a_change);
 	tcase_add_test(tcase, beside_a_stop);
 	tcase_add_test(tcase, silent_for_good);
+	tcase_add_test(tcase, slow_to_take_over);
 	tcase_add_test(tcase, attempts_are_bounded);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
