Wait until all streams have arrived before the other upstream is published

proc_silence/streams_stay_whole:4 failed once in a loaded run: "other upstream closes, silent for 1000 ms: at-most-once stream 15 (new): whole 0, status 502, 1 runs, 15 ms". The test published the upstream that closes its connections as soon as the requests were written: a node that read one of them afterwards sent it there, and a request that may run once only can't be repeated. The node did as it should. Change: the test waits until the first upstream runs all 16. The checks are as before.

--- a/tests/proc_silence.c
+++ b/tests/proc_silence.c
@@ -156,11 +156,13 @@
 		stub_pause_engine(c->stub, SECOND, silence_ms);
 }
 
-/* When all streams have been opened, and before the timeout of a silence. */
-static void publish_other(enum other other)
+/* When the first one runs all streams, and before the timeout of a silence. */
+static void publish_other(enum other other, uint32_t runs)
 {
 	if (other != OTHER_CLOSES)
 		return;
+	while (count_runs(FIRST) < runs)
+		clock_sleep_ms(1);
 	stub_set_fault(c->stub, SECOND, STUB_FAULT_CLOSE);
 	stub_publish(c->stub, SECOND, "ready");
 }
@@ -176,7 +178,7 @@
 	disturb_other(other, silence_ms);
 	stub_pause_engine(c->stub, FIRST, silence_ms);
 	open_streams(HALF, HALF);
-	publish_other(other);
+	publish_other(other, runs + STREAMS);
 	stream_finish_all(streams, STREAMS);
 	ck_assert_uint_gt(count_runs(FIRST), runs);
 	expect_whole(other_names[other], silence_ms);
@@ -313,7 +315,7 @@
 	stream_open(st, c, 0, RESUMABLE);
 	ck_assert(stream_read(st, BEGUN_AT));
 	stub_pause_engine(c->stub, FIRST, BREAK_SILENCE_MS);
-	publish_other(OTHER_CLOSES);
+	publish_other(OTHER_CLOSES, 1);
 	clock_sleep_ms(SETTLE_MS);
 	clock_sleep_ms(SETTLE_MS); /* the second one has broken by then */
 	stub_add_engine(c->stub, &third);
