Test that an attempt which is closed for another one counts

proc_silence/closed_attempts_count: three upstreams; the first one goes on while the second one is at work beside it, and is silent again.

--- a/tests/proc_silence.c
+++ b/tests/proc_silence.c
@@ -26,10 +26,13 @@
 #define CLOSE_MS 400	 /* within which the upstream before is left by a stream that goes on */
 #define SLOW_MS 1000
 #define BREAK_SILENCE_MS 2500
+#define STALL_MIN_MS 750 /* a second upstream is at work by then, and the first isn't closed yet   \
+			  */
 #define SAMPLE_MS 10
 #define STALL_MS 1500 /* longest gap if another upstream can take a stream */
 #define FIRST "v1-a1"
 #define SECOND "v1-b1"
+#define THIRD "v1-c1"
 
 static struct cluster *c;
 static struct stream streams[STREAMS];
@@ -293,14 +296,11 @@
 }
 END_TEST
 
-/*
- * Guards against a stream that is sent to more upstreams than its route allows, as the one that it
- * was sent to beside the silent one breaks.
- */
-START_TEST(attempts_are_bounded)
+/* Adds a third upstream, in good order. */
+static void add_third(void)
 {
 	const struct stub_engine_options third = {
-		.id = "v1-c1",
+		.id = THIRD,
 		.service = "model",
 		.zone = "a1",
 		.kind = STUB_STREAM,
@@ -308,8 +308,23 @@
 		.gap_ms = GAP_MS,
 		.events = EVENTS,
 	};
+
+	stub_add_engine(c->stub, &third);
+}
+
+static void expect_bounded(const struct stream *st)
+{
+	ck_assert(st->is_whole && !st->is_disordered);
+	ck_assert_uint_eq(stub_count_runs(c->stub, st->attempt), RUNS_MAX);
+}
+
+/*
+ * Guards against a stream that is sent to more upstreams than its route allows, as the one that it
+ * was sent to beside the silent one breaks.
+ */
+START_TEST(attempts_are_bounded)
+{
 	struct stream *st = &streams[0];
-	uint32_t runs;
 
 	change_other(OTHER_GONE);
 	stream_open(st, c, 0, RESUMABLE);
@@ -318,11 +333,30 @@
 	publish_other(OTHER_CLOSES, 1);
 	clock_sleep_ms(SETTLE_MS);
 	clock_sleep_ms(SETTLE_MS); /* the second one has broken by then */
-	stub_add_engine(c->stub, &third);
+	add_third();
 	stream_finish(st);
-	runs = stub_count_runs(c->stub, st->attempt);
-	ck_assert(st->is_whole && !st->is_disordered);
-	ck_assert_uint_eq(runs, RUNS_MAX);
+	expect_bounded(st);
+}
+END_TEST
+
+/* The same as the silent one goes on, and the one beside it is closed, before another silence. */
+START_TEST(closed_attempts_count)
+{
+	static const char *const ids[] = {FIRST, SECOND, THIRD};
+	struct stream *st = &streams[0];
+
+	add_third();
+	clock_sleep_ms(SETTLE_MS);
+	stream_open(st, c, 0, RESUMABLE);
+	ck_assert(stream_read(st, BEGUN_AT));
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		stub_pause_engine(c->stub, ids[i],
+				  strcmp(ids[i], st->upstream) == 0 ? STALL_MIN_MS
+								    : BREAK_SILENCE_MS);
+	ck_assert(stream_read(st, BEGUN_AT + 3));
+	stub_pause_engine(c->stub, st->upstream, BREAK_SILENCE_MS);
+	stream_finish(st);
+	expect_bounded(st);
 }
 END_TEST
 
@@ -341,6 +375,7 @@
 	tcase_add_test(tcase, silent_for_good);
 	tcase_add_test(tcase, slow_to_take_over);
 	tcase_add_test(tcase, attempts_are_bounded);
+	tcase_add_test(tcase, closed_attempts_count);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
