--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -659,6 +659,25 @@
 }
 END_TEST
 
+/* Guards against refusing a request whose end has arrived as its time passes. */
+START_TEST(reads_the_end_before_it_times_out)
+{
+	int fd;
+
+	start_server();
+	http_server_set_limits(server, &short_limits);
+	fd = raw_connect(http_server_address(server));
+	raw_write_text(fd, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na");
+	run_loop(100);
+	raw_write_text(fd, "b");
+	http_server_enforce_timeouts(server, clock_now_ms());
+	run_loop(20);
+	http_server_announce_close(server);
+	answer_and_close(fd, "/x");
+	stop_server(NULL);
+}
+END_TEST
+
 /*
  * Guards against cutting an answer that a slow caller is taking, also as a lower limit comes into
  * force. A caller that takes nothing is closed.
@@ -930,6 +949,7 @@
 		counts_unwritten_answers,
 		keeps_limits_of_a_request,
 		reads_before_it_times_out,
+		reads_the_end_before_it_times_out,
 		writes_to_slow_callers,
 		takes_answers,
 		knows_what_was_not_sent,
