--- a/tests/proc_silence.c
+++ b/tests/proc_silence.c
@@ -26,8 +26,8 @@
 #define CLOSE_MS 400	 /* within which the upstream before is left by a stream that goes on */
 #define SLOW_MS 1000
 #define BREAK_SILENCE_MS 2500
-#define STALL_MIN_MS 750 /* a second upstream is at work by then, and the first isn't closed yet   \
-			  */
+/* A second upstream is at work by then, and the first one not yet closed for it. */
+#define SHORT_SILENCE_MS 750
 #define SAMPLE_MS 10
 #define STALL_MS 1500 /* longest gap if another upstream can take a stream */
 #define FIRST "v1-a1"
@@ -351,7 +351,7 @@
 	ck_assert(stream_read(st, BEGUN_AT));
 	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
 		stub_pause_engine(c->stub, ids[i],
-				  strcmp(ids[i], st->upstream) == 0 ? STALL_MIN_MS
+				  strcmp(ids[i], st->upstream) == 0 ? SHORT_SILENCE_MS
 								    : BREAK_SILENCE_MS);
 	ck_assert(stream_read(st, BEGUN_AT + 3));
 	stub_pause_engine(c->stub, st->upstream, BREAK_SILENCE_MS);
