--- a/tests/proc_silence.c
+++ b/tests/proc_silence.c
@@ -28,9 +28,15 @@
 #define SETTLE_MS 400 /* until every node knows of a change at the source */
 #define RUNS_MAX 2    /* maxAttempts of the route */
 #define CLOSE_MS 400  /* within which the upstream before is left by a stream that goes on */
+#define SLOW_MS 1000
+#define BREAK_SILENCE_MS 2500
+/* A second upstream is at work by then, and the first one not yet closed for it. */
+#define SHORT_SILENCE_MS 750
+#define SAMPLE_MS 10
 #define STALL_MS 1500 /* longest gap if another upstream can take a stream */
 #define FIRST "v1-a1"
 #define SECOND "v1-b1"
+#define THIRD "v1-c1"
 
 static struct cluster *c;
 static struct stream streams[STREAMS];
@@ -499,6 +505,101 @@
 }
 END_TEST
 
+/*
+ * Guards against a stream that runs at two upstreams while the second one takes its time for the
+ * first event.
+ */
+START_TEST(slow_to_take_over)
+{
+	struct stream *st = &streams[0];
+	struct stub_stats first;
+	struct stub_stats second;
+	const char *other;
+	int64_t until_ms;
+	int64_t both_ms = 0;
+
+	stream_open(st, c, 0, RESUMABLE);
+	ck_assert(stream_read(st, BEGUN_AT));
+	other = strcmp(st->upstream, FIRST) == 0 ? SECOND : FIRST;
+	stub_pause_engine(c->stub, st->upstream, SLOW_MS * 2);
+	stub_pause_engine(c->stub, other, SLOW_MS * 2);
+	for (until_ms = clock_now_ms() + SLOW_MS * 2; clock_now_ms() < until_ms;
+	     clock_sleep_ms(SAMPLE_MS)) {
+		stub_get_stats(c->stub, st->upstream, &first);
+		stub_get_stats(c->stub, other, &second);
+		if (first.open > 0 && second.open > 0)
+			both_ms += SAMPLE_MS;
+	}
+	stream_finish(st);
+	ck_assert(st->is_whole && !st->is_disordered);
+	ck_assert_msg(both_ms <= CLOSE_MS, "at work at two upstreams for %d ms", (int)both_ms);
+}
+END_TEST
+
+/* Adds a third upstream, in good order. */
+static void add_third(void)
+{
+	const struct stub_engine_options third = {
+		.id = THIRD,
+		.service = "model",
+		.zone = "a1",
+		.kind = STUB_STREAM,
+		.work_ms = 10,
+		.gap_ms = GAP_MS,
+		.events = EVENTS,
+	};
+
+	stub_add_engine(c->stub, &third);
+}
+
+static void expect_bounded(const struct stream *st)
+{
+	ck_assert(st->is_whole && !st->is_disordered);
+	ck_assert_uint_eq(stub_count_runs(c->stub, st->attempt), RUNS_MAX);
+}
+
+/*
+ * Guards against a stream that is sent to more upstreams than its route allows, as the one that it
+ * was sent to beside the silent one breaks.
+ */
+START_TEST(attempts_are_bounded)
+{
+	struct stream *st = &streams[0];
+
+	hide_other(OTHER_CLOSES);
+	stream_open(st, c, 0, RESUMABLE);
+	ck_assert(stream_read(st, BEGUN_AT));
+	stub_pause_engine(c->stub, FIRST, BREAK_SILENCE_MS);
+	show_other(OTHER_CLOSES, BREAK_SILENCE_MS);
+	clock_sleep_ms(SETTLE_MS);
+	clock_sleep_ms(SETTLE_MS); /* the second one has broken by then */
+	add_third();
+	stream_finish(st);
+	expect_bounded(st);
+}
+END_TEST
+
+/* The same as the silent one goes on, and the one beside it is closed, before another silence. */
+START_TEST(closed_attempts_count)
+{
+	static const char *const ids[] = {FIRST, SECOND, THIRD};
+	struct stream *st = &streams[0];
+
+	add_third();
+	clock_sleep_ms(SETTLE_MS);
+	stream_open(st, c, 0, RESUMABLE);
+	ck_assert(stream_read(st, BEGUN_AT));
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		stub_pause_engine(c->stub, ids[i],
+				  strcmp(ids[i], st->upstream) == 0 ? SHORT_SILENCE_MS
+								    : BREAK_SILENCE_MS);
+	ck_assert(stream_read(st, BEGUN_AT + 3));
+	stub_pause_engine(c->stub, st->upstream, BREAK_SILENCE_MS);
+	stream_finish(st);
+	expect_bounded(st);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("proc_silence");
@@ -512,6 +613,9 @@
 	tcase_add_test(tcase, beside_a_change);
 	tcase_add_test(tcase, beside_a_stop);
 	tcase_add_test(tcase, silent_for_good);
+	tcase_add_test(tcase, slow_to_take_over);
+	tcase_add_test(tcase, attempts_are_bounded);
+	tcase_add_test(tcase, closed_attempts_count);
 	tcase_add_test(tcase, single_answers);
 	tcase_add_test(tcase, chains_go_on);
 	suite_add_tcase(suite, tcase);
