Keep brittle upstreams from refusing more requests than they bear

Cause: a refusal was known to the node that got it alone, and for 150 ms. Seven nodes found the same full upstream one after the other, again and again, and what a crashed or full one could not take went to the others. Change: the gate keeps what upstreams say of it; a refusal closes it at all nodes, then permits of the limit's owner let single requests through, more and more; while many upstreams of a service are full, their share of the choices is refused at once and not shifted to the last one with room. While nothing is refused nothing is held back.

--- a/packages/decide/gate.c
+++ b/packages/decide/gate.c
@@ -36,15 +36,25 @@
 	static const char *const names[] = {
 		[GATE_OPEN] = "open",	    [GATE_UNPERMITTED] = "unpermitted",
 		[GATE_PENDING] = "pending", [GATE_LIMITED] = "limited",
-		[GATE_BACKOFF] = "backoff", [GATE_LEAVING] = "leaving",
+		[GATE_FULL] = "full",	    [GATE_BACKOFF] = "backoff",
+		[GATE_LEAVING] = "leaving",
 	};
 
 	return names[state];
 }
 
-bool gate_is_limited(const struct gate_record *r)
+double gate_limit_of(const struct gate_record *r, int64_t now_ms)
 {
-	return r->limit_per_s >= 0 && r->limit_per_s < GATE_UNBINDING_PER_S;
+	double per_s = gate_recovery_per_s(r, now_ms);
+
+	if (r->limit_per_s >= 0 && r->limit_per_s < GATE_UNBINDING_PER_S)
+		per_s = per_s >= 0 ? MIN(per_s, r->limit_per_s) : r->limit_per_s;
+	return per_s;
+}
+
+bool gate_is_limited(const struct gate_record *r, int64_t now_ms)
+{
+	return gate_limit_of(r, now_ms) >= 0;
 }
 
 struct gate_record *gate_find(const struct gate *g, struct gate_run run)
@@ -72,6 +82,7 @@
 	r->published_ms = now_ms;
 	r->limit_per_s = NO_LIMIT;
 	r->told_per_s = NO_LIMIT;
+	r->brittle.refusals_per_s = NO_LIMIT;
 	g_hash_table_insert(g->records, r->id, r);
 	return r;
 }
@@ -102,12 +113,17 @@
 static void set_limit(struct gate *g, struct gate_record *r, double per_s, int64_t as_of_ms,
 		      int64_t now_ms)
 {
-	if (gate_is_limited(r))
+	if (gate_is_limited(r, now_ms))
 		gate_fill_bucket(g, r, now_ms); /* at the former rate */
 	r->limit_per_s = per_s;
 	r->limit_ms = as_of_ms;
 }
 
+struct gate_record *gate_find_or_add(struct gate *g, struct gate_run run, int64_t now_ms)
+{
+	return is_former(g, run) ? NULL : add_record(g, run, now_ms);
+}
+
 bool gate_note_limit(struct gate *g, struct gate_run run, double per_s, int64_t sent_ms,
 		     int64_t now_ms)
 {
@@ -129,7 +145,7 @@
 
 bool gate_note_leaving(struct gate *g, struct gate_run run, int64_t now_ms)
 {
-	struct gate_record *r = is_former(g, run) ? NULL : add_record(g, run, now_ms);
+	struct gate_record *r = gate_find_or_add(g, run, now_ms);
 
 	if (!r || r->leaving_ms != 0)
 		return false;
@@ -139,7 +155,7 @@
 
 void gate_note_backoff(struct gate *g, struct gate_run run, int64_t wait_ms, int64_t now_ms)
 {
-	struct gate_record *r = is_former(g, run) ? NULL : add_record(g, run, now_ms);
+	struct gate_record *r = gate_find_or_add(g, run, now_ms);
 
 	if (!r)
 		return;
@@ -154,14 +170,14 @@
 	struct gate_record *r;
 	bool is_changed;
 
-	if (is_former(g, notice->run))
-		return false;
-	r = add_record(g, notice->run, now_ms);
+	r = gate_find_or_add(g, notice->run, now_ms);
 	if (!r)
 		return false;
-	is_changed = notice->leaving_ms != 0 && r->leaving_ms == 0;
-	if (is_changed)
+	is_changed = gate_merge_brittle(r, notice);
+	if (notice->leaving_ms != 0 && r->leaving_ms == 0) {
+		is_changed = true;
 		r->leaving_ms = notice->leaving_ms;
+	}
 	if (notice->limit_ms == 0 || !is_news(r, is_named, notice->limit_ms))
 		return is_changed;
 	is_changed |= differs(r->limit_per_s, notice->limit_per_s);
@@ -177,6 +193,9 @@
 		.limit_per_s = r->limit_per_s,
 		.limit_ms = r->limit_ms,
 		.leaving_ms = r->leaving_ms,
+		.brittle_per_s = r->brittle.refusals_per_s,
+		.brittle_ms = r->brittle.said_ms,
+		.refused_ms = r->brittle.refused_ms,
 	};
 }
 
@@ -215,8 +234,14 @@
 		verdict->told_ms = r->leaving_ms;
 		return;
 	}
-	if (r && gate_is_limited(r))
+	if (r && gate_is_limited(r, now_ms))
 		gate_check_limit(g, r, is_urgent, now_ms, verdict);
+	verdict->is_overloaded = r && gate_recovery_per_s(r, now_ms) >= 0;
+	if (r && gate_full_until_ms(r, now_ms) > 0) {
+		verdict->state = GATE_FULL;
+		verdict->until_ms = gate_full_until_ms(r, now_ms);
+		verdict->told_ms = r->brittle.refused_ms;
+	}
 	if (r && now_ms < r->backoff_until_ms) {
 		verdict->state = GATE_BACKOFF;
 		verdict->until_ms = r->backoff_until_ms;
@@ -228,9 +253,10 @@
 {
 	struct gate_record *r = gate_find(g, run);
 
-	if (r && (r->leaving_ms != 0 || now_ms < r->backoff_until_ms))
+	if (r && (r->leaving_ms != 0 || now_ms < r->backoff_until_ms ||
+		  gate_full_until_ms(r, now_ms) > 0))
 		return false;
-	return !r || !gate_is_limited(r) || gate_spend_permit(g, r, is_urgent, now_ms);
+	return !r || !gate_is_limited(r, now_ms) || gate_spend_permit(g, r, is_urgent, now_ms);
 }
 
 static gboolean is_expired(const struct gate *g, struct gate_record *r, int64_t now_ms)
@@ -250,7 +276,7 @@
 		struct gate_record *r = value;
 		if (is_expired(g, r, now_ms))
 			g_hash_table_iter_remove(&iter);
-		else if (gate_is_limited(r))
+		else if (gate_is_limited(r, now_ms))
 			gate_fill_bucket(g, r, now_ms);
 	}
 }
--- a/packages/decide/gate_internal.h
+++ b/packages/decide/gate_internal.h
@@ -24,6 +24,13 @@
 	int64_t waiting_since_ms; /* first refusal of a request that isn't urgent; 0: none */
 };
 
+/* A brittle upstream crashes when it refuses too many requests in a second. */
+struct gate_brittle {
+	double refusals_per_s; /* most that it bears; below 0: it doesn't say that it is brittle */
+	int64_t said_ms;       /* as of when; 0: it has never said so */
+	int64_t refused_ms;    /* when it last refused a request of any node; 0: never */
+};
+
 struct gate_record {
 	char *id;
 	int64_t born_ms;
@@ -34,6 +41,7 @@
 	int64_t backoff_ms;   /* when it last named a time to come back */
 	int64_t backoff_until_ms;
 	int64_t leaving_ms; /* when it first said that it leaves; 0: it hasn't */
+	struct gate_brittle brittle;
 	struct gate_bucket bucket;
 	int64_t owner_checked_ms; /* when the limit's owner was last looked up; 0: never */
 	struct gate_batch batches[GATE_BATCHES_MAX];
@@ -53,7 +61,24 @@
 /* Returns the record of the run; NULL if nothing is known, or only something of a former run. */
 struct gate_record *gate_find(const struct gate *g, struct gate_run run);
 
-bool gate_is_limited(const struct gate_record *r);
+/* The same; adds a record if there is none. NULL: the run has ended, or there are too many. */
+struct gate_record *gate_find_or_add(struct gate *g, struct gate_run run, int64_t now_ms);
+
+/* Returns the requests a second that the upstream may get from the fleet now; below 0: any. */
+double gate_limit_of(const struct gate_record *r, int64_t now_ms);
+
+bool gate_is_limited(const struct gate_record *r, int64_t now_ms);
+
+/* gate_brittle.c */
+
+/* Returns until when nothing may be sent after the last refusal; 0: something may. */
+int64_t gate_full_until_ms(const struct gate_record *r, int64_t now_ms);
+
+/* Returns the rate at which a brittle upstream is tried again after a refusal; below 0: any. */
+double gate_recovery_per_s(const struct gate_record *r, int64_t now_ms);
+
+/* Applies another node's notice. Returns whether it was news. */
+bool gate_merge_brittle(struct gate_record *r, const struct gate_notice *notice);
 
 /* gate_permit.c */
 
--- a/packages/decide/gate_permit.c
+++ b/packages/decide/gate_permit.c
@@ -6,9 +6,9 @@
 #define RETURN_MIN_MS 100
 #define RETURN_MAX_MS 5000
 
-static double rate_per_s(const struct gate_record *r)
+static double rate_per_s(const struct gate_record *r, int64_t now_ms)
 {
-	return MAX(r->limit_per_s, GATE_PROBE_PER_S);
+	return MAX(gate_limit_of(r, now_ms), GATE_PROBE_PER_S);
 }
 
 /* Returns the rate at which the bucket fills now. */
@@ -18,7 +18,7 @@
 
 	if (now_ms - r->bucket.owned_since_ms < GATE_TAKEOVER_MS)
 		share = MIN(share, GATE_TAKEOVER_SHARE);
-	return rate_per_s(r) * share;
+	return rate_per_s(r, now_ms) * share;
 }
 
 /* Asks at times whether this node is the limit's owner. */
@@ -48,7 +48,7 @@
 void gate_fill_bucket(struct gate *g, struct gate_record *r, int64_t now_ms)
 {
 	struct gate_bucket *b = &r->bucket;
-	double size = GATE_BURST + rate_per_s(r) * GATE_BURST_MS / GATE_MS_PER_S;
+	double size = GATE_BURST + rate_per_s(r, now_ms) * GATE_BURST_MS / GATE_MS_PER_S;
 
 	refresh_owner(g, r, now_ms);
 	if (b->owned_since_ms == 0)
@@ -121,8 +121,8 @@
 void gate_check_limit(struct gate *g, struct gate_record *r, bool is_urgent, int64_t now_ms,
 		      struct gate_verdict *verdict)
 {
-	verdict->per_s = r->limit_per_s;
-	verdict->told_ms = r->limit_ms;
+	verdict->per_s = gate_limit_of(r, now_ms);
+	verdict->told_ms = MAX(r->limit_ms, r->brittle.refused_ms);
 	gate_fill_bucket(g, r, now_ms);
 	expire_ask(r, now_ms);
 	if (r->bucket.owned_since_ms > 0) {
@@ -220,7 +220,7 @@
 	r = gate_find(g, ask->notice.run);
 	if (!r)
 		return;
-	if (!gate_is_limited(r)) { /* the asker hasn't heard yet that the limit has ended */
+	if (!gate_is_limited(r, now_ms)) { /* the asker hasn't heard yet that the limit has ended */
 		reply->n_granted = MIN(ask->want, GATE_WANT_MAX);
 		return;
 	}
--- a/packages/decide/include/decide/gate.h
+++ b/packages/decide/include/decide/gate.h
@@ -51,6 +51,15 @@
 /* Other nodes are told of a limit that has changed by this share. */
 #define GATE_TELL_SHARE 0.1
 #define GATE_TICK_MS 500
+/*
+ * Refusals that a brittle upstream is risked in a second, as a share of those that it bears: the
+ * time for which it gets nothing after one follows from it, within these bounds.
+ */
+#define GATE_REFUSALS_SHARE 0.5
+#define GATE_FULL_MIN_MS 250
+#define GATE_FULL_MAX_MS 1000
+/* After that time it is tried at a rate that doubles as often as this before it is open again. */
+#define GATE_RECOVERY_STEPS 7
 /* Longest time that an upstream may be left alone; it is then asked again. */
 #define GATE_BACKOFF_MAX_MS 3600000
 /*
@@ -70,6 +79,7 @@
 	GATE_UNPERMITTED, /* a permit has to be asked for */
 	GATE_PENDING,	  /* a permit was asked for */
 	GATE_LIMITED,	  /* no permit is to be had until until_ms */
+	GATE_FULL,	  /* it is brittle and has refused a request: nothing until until_ms */
 	GATE_BACKOFF,	  /* it wants nothing from this node until until_ms */
 	GATE_LEAVING,	  /* the run ends soon and gets nothing more */
 };
@@ -79,9 +89,10 @@
 
 struct gate_verdict {
 	enum gate_state state;
-	int64_t until_ms; /* when it may change without news */
-	int64_t told_ms;  /* when the upstream said what decided; 0: it said nothing */
-	double per_s;	  /* its limit; below 0: none */
+	int64_t until_ms;   /* when it may change without news */
+	int64_t told_ms;    /* when the upstream said what decided; 0: it said nothing */
+	double per_s;	    /* its limit; below 0: none */
+	bool is_overloaded; /* brittle, and has refused a request a short time ago */
 };
 
 /* What an upstream has said about itself, as nodes tell each other. */
@@ -90,6 +101,11 @@
 	double limit_per_s; /* below 0: its answers no longer name one */
 	int64_t limit_ms;   /* as of when; 0: it has never named one */
 	int64_t leaving_ms; /* when it first said that it leaves; 0: it hasn't */
+	/* refusals a second that it bears without a crash; below 0: it doesn't say that it is
+	 * brittle */
+	double brittle_per_s;
+	int64_t brittle_ms; /* as of when; 0: it has never said so */
+	int64_t refused_ms; /* when it last refused a request while brittle; 0: never */
 };
 
 /* A request for permits, to the limit's owner. */
@@ -141,6 +157,21 @@
  */
 bool gate_note_leaving(struct gate *g, struct gate_run run, int64_t now_ms);
 
+/*
+ * Notes whether an answer to a request sent at sent_ms says that the upstream is brittle: that it
+ * crashes when it refuses more than per_s requests in a second; per_s below 0: it doesn't. Returns
+ * whether other nodes should be told.
+ */
+bool gate_note_brittle(struct gate *g, struct gate_run run, double per_s, int64_t sent_ms,
+		       int64_t now_ms);
+
+/*
+ * Notes that the upstream refused a request for want of room. A brittle one gets nothing from any
+ * node for a while, then single requests by permits of its limit's owner, and more and more of
+ * them. Returns whether other nodes should be told.
+ */
+bool gate_note_refusal(struct gate *g, struct gate_run run, int64_t now_ms);
+
 /* Applies another node's notice. Returns whether it was news. */
 bool gate_merge(struct gate *g, const struct gate_notice *notice, int64_t now_ms);
 
--- a/packages/decide/include/decide/lb.h
+++ b/packages/decide/include/decide/lb.h
@@ -25,6 +25,7 @@
 	bool cold; /* the upstream is cold and this node's share of requests to it is used up */
 	bool full; /* all connections that this node may use are in use */
 	bool needs_permit; /* its limit's owner has to be asked first */
+	bool overloaded;   /* brittle, and has just refused a request: it gets nothing now */
 	double failed;	   /* recent failure rate, 0..1 */
 };
 
@@ -40,6 +41,14 @@
 /* Returns the index of the chosen candidate, or -1 when none may be used. */
 int lb_pick(const struct lb_request *request, const struct lb_candidate *candidates, uint32_t n);
 
+/*
+ * As lb_pick(), leaving out overloaded candidates. If they are many, they keep their share of the
+ * choices, and most of it is not sent, so that the last ones with room don't get the load of all;
+ * draw is a random number that decides which part is. Returns -1 for what isn't sent.
+ */
+int lb_pick_sharing(const struct lb_request *request, const struct lb_candidate *candidates,
+		    uint32_t n, uint64_t draw);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/decide/lb.c
+++ b/packages/decide/lb.c
@@ -1,5 +1,6 @@
 #include "decide/lb.h"
 
+#include <glib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -26,6 +27,8 @@
 #define LB_PREFIX_WEIGHT 0.3
 /* Scale of a cost that depends only on the candidate's id and so breaks ties alike on all nodes. */
 #define LB_TIE_BREAK_MS 4.0
+/* Overloaded candidates up to this share of all leave their load to the others. */
+#define LB_SPILL_SHARE_MAX 0.34
 
 /* Returns a hash of key and id that is uniform in [0, 1). */
 static double unit_hash(uint64_t key, const char *id)
@@ -102,3 +105,42 @@
 	}
 	return best;
 }
+
+static bool may_replace(const struct lb_candidate *c)
+{
+	return !c->tried && !c->cold && !c->full && !c->blocked && !c->overloaded;
+}
+
+static int pick_open(const struct lb_request *request, const struct lb_candidate *candidates,
+		     uint32_t n)
+{
+	struct lb_candidate *open = g_memdup2(candidates, n * sizeof(*candidates));
+	int best;
+
+	for (uint32_t i = 0; i < n; i++)
+		open[i].tried |= open[i].overloaded;
+	best = lb_pick(request, open, n);
+	g_free(open);
+	return best;
+}
+
+int lb_pick_sharing(const struct lb_request *request, const struct lb_candidate *candidates,
+		    uint32_t n, uint64_t draw)
+{
+	uint32_t n_overloaded = 0;
+	int best;
+
+	for (uint32_t i = 0; i < n; i++)
+		n_overloaded += candidates[i].overloaded;
+	if (n_overloaded == 0)
+		return lb_pick(request, candidates, n);
+	if (n_overloaded <= LB_SPILL_SHARE_MAX * n)
+		return pick_open(request, candidates, n);
+	best = lb_pick(request, candidates, n);
+	if (best < 0 || !candidates[best].overloaded)
+		return best;
+	/* the fewer have room, the less of the others' share each of them gets */
+	if (!may_replace(&candidates[(draw >> 32) % n]) || !may_replace(&candidates[draw % n]))
+		return -1;
+	return (int)(draw % n);
+}
--- a/packages/emul/include/emul/stub.h
+++ b/packages/emul/include/emul/stub.h
@@ -99,6 +99,7 @@
 	const char *limit;	 /* requests a second that it accepts from all nodes together */
 	const char *leaving;	 /* set when it is about to leave */
 	const char *retry_after; /* in answers with status 503 alone */
+	const char *brittle;	 /* refusals a second that it bears without a crash */
 };
 
 /* Copies the texts. NULL: the engine adds nothing. */
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -1022,10 +1022,28 @@
    * it has named a limit at some time
    */
   protobuf_c_boolean has_named;
+  /*
+   * it says that it is brittle
+   */
+  protobuf_c_boolean brittle;
+  /*
+   * refusals a second that it bears
+   */
+  double brittle_per_s;
+  /*
+   * at some time
+   */
+  protobuf_c_boolean has_said_brittle;
+  uint64_t brittle_age_ms;
+  /*
+   * it has refused a request while brittle
+   */
+  protobuf_c_boolean refused;
+  uint64_t refused_age_ms;
 };
 #define PEER__UPSTREAM_NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__upstream_notice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__UpstreamNotices
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -5811,7 +5811,7 @@
   (ProtobufCMessageInit) peer__origin_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__upstream_notice__field_descriptors[8] =
+static const ProtobufCFieldDescriptor peer__upstream_notice__field_descriptors[14] =
 {
   {
     "upstream",
@@ -5909,21 +5909,99 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "brittle",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__UpstreamNotice, brittle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "brittle_per_s",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__UpstreamNotice, brittle_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_said_brittle",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__UpstreamNotice, has_said_brittle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "brittle_age_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__UpstreamNotice, brittle_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__UpstreamNotice, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused_age_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__UpstreamNotice, refused_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__upstream_notice__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
+  8,   /* field[8] = brittle */
+  11,   /* field[11] = brittle_age_ms */
+  9,   /* field[9] = brittle_per_s */
   7,   /* field[7] = has_named */
+  10,   /* field[10] = has_said_brittle */
   5,   /* field[5] = leaving */
   6,   /* field[6] = leaving_age_ms */
   4,   /* field[4] = limit_age_ms */
   3,   /* field[3] = limit_per_s */
   2,   /* field[2] = limited */
+  12,   /* field[12] = refused */
+  13,   /* field[13] = refused_age_ms */
   0,   /* field[0] = upstream */
 };
 static const ProtobufCIntRange peer__upstream_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor peer__upstream_notice__descriptor =
 {
@@ -5933,7 +6011,7 @@
   "Peer__UpstreamNotice",
   "peer",
   sizeof(Peer__UpstreamNotice),
-  8,
+  14,
   peer__upstream_notice__field_descriptors,
   peer__upstream_notice__field_indices_by_name,
   1,  peer__upstream_notice__number_ranges,
--- a/packages/serve/include/serve/adapter.h
+++ b/packages/serve/include/serve/adapter.h
@@ -68,7 +68,9 @@
 	int64_t retry_after_ms;		 /* for which the upstream wants nothing from this node */
 	enum adapter_advice leaving;	 /* given: the upstream is about to leave */
 	enum adapter_advice limit;	 /* given: limit_per_s is set */
-	double limit_per_s; /* requests a second that it accepts from all nodes together */
+	double limit_per_s;	     /* requests a second that it accepts from all nodes together */
+	enum adapter_advice brittle; /* given: brittle_per_s is set */
+	double brittle_per_s; /* it crashes when it refuses more requests than this in a second */
 };
 
 enum adapter_change_kind {
--- a/packages/serve/srv_gate.c
+++ b/packages/serve/srv_gate.c
@@ -69,24 +69,50 @@
 		 "so_far", (json_int_t)s->counters[SRV_ADVICE_MALFORMED]);
 }
 
-void srv_gate_log_limit(struct gate_run run, double per_s, const char *from, const char *request)
+static void log_limit(struct gate_run run, double per_s, const char *from, const char *request)
 {
 	log_info("upstream_limit", "{s:s, s:I, s:b, s:f, s:s, s:s}", "upstream", run.id, "born_ms",
 		 (json_int_t)run.born_ms, "limited", per_s >= 0, "per_s", per_s, "from", from,
 		 "request", request);
 }
 
-void srv_gate_log_leaving(struct gate_run run, const char *from, const char *request)
+static void log_leaving(struct gate_run run, const char *from, const char *request)
 {
 	log_info("upstream_leaving", "{s:s, s:I, s:s, s:s}", "upstream", run.id, "born_ms",
 		 (json_int_t)run.born_ms, "from", from, "request", request);
 }
 
+static void log_brittle(struct gate_run run, double per_s, const char *from, const char *request)
+{
+	log_info("upstream_brittle", "{s:s, s:I, s:b, s:f, s:s, s:s}", "upstream", run.id,
+		 "born_ms", (json_int_t)run.born_ms, "brittle", per_s >= 0, "refusals_per_s", per_s,
+		 "from", from, "request", request);
+}
+
+static void log_refusal(struct gate_run run, int64_t age_ms, const char *from, const char *request)
+{
+	log_info("upstream_full", "{s:s, s:I, s:I, s:s, s:s}", "upstream", run.id, "born_ms",
+		 (json_int_t)run.born_ms, "age_ms", (json_int_t)age_ms, "from", from, "request",
+		 request);
+}
+
+void srv_gate_log_notice(const struct gate_notice *notice, const char *from, int64_t now_ms)
+{
+	if (notice->leaving_ms != 0)
+		log_leaving(notice->run, from, "");
+	else if (notice->limit_ms != 0)
+		log_limit(notice->run, notice->limit_per_s, from, "");
+	if (notice->brittle_ms != 0)
+		log_brittle(notice->run, notice->brittle_per_s, from, "");
+	if (notice->refused_ms != 0)
+		log_refusal(notice->run, now_ms - notice->refused_ms, from, "");
+}
+
 static void note_leaving(struct srv *s, struct gate_run run, const char *request, int64_t now_ms)
 {
 	if (!gate_note_leaving(s->gate, run, now_ms))
 		return;
-	srv_gate_log_leaving(run, s->set->peer_address, request);
+	log_leaving(run, s->set->peer_address, request);
 	srv_gate_tell_all(s, run, now_ms);
 	s->is_pool_update_due = true;
 }
@@ -101,7 +127,30 @@
 		return;
 	if (!gate_note_limit(s->gate, run, per_s, sent_ms, now_ms))
 		return;
-	srv_gate_log_limit(run, per_s, s->set->peer_address, request);
+	log_limit(run, per_s, s->set->peer_address, request);
+	srv_gate_tell_all(s, run, now_ms);
+	srv_gate_update_pools(s, now_ms);
+}
+
+static void note_brittle(struct srv *s, struct gate_run run, int64_t sent_ms,
+			 const struct adapter_answer *answer, const char *request, int64_t now_ms)
+{
+	double per_s = answer->brittle == ADAPTER_ADVICE_GIVEN ? answer->brittle_per_s : -1;
+
+	/* a malformed field says neither that it is brittle nor that it isn't */
+	if (answer->brittle == ADAPTER_ADVICE_MALFORMED ||
+	    !gate_note_brittle(s->gate, run, per_s, sent_ms, now_ms))
+		return;
+	log_brittle(run, per_s, s->set->peer_address, request);
+	srv_gate_tell_all(s, run, now_ms);
+}
+
+static void note_refusal(struct srv *s, struct gate_run run, const char *request, int64_t now_ms)
+{
+	if (!gate_note_refusal(s->gate, run, now_ms))
+		return;
+	srv_count(s, SRV_BRITTLE_REFUSALS);
+	log_refusal(run, 0, s->set->peer_address, request);
 	srv_gate_tell_all(s, run, now_ms);
 	srv_gate_update_pools(s, now_ms);
 }
@@ -127,11 +176,15 @@
 	if (retry_after == ADAPTER_ADVICE_GIVEN)
 		note_backoff(s, run, answer, request, now_ms);
 	if (retry_after == ADAPTER_ADVICE_MALFORMED || answer->limit == ADAPTER_ADVICE_MALFORMED ||
-	    answer->leaving == ADAPTER_ADVICE_MALFORMED)
+	    answer->leaving == ADAPTER_ADVICE_MALFORMED ||
+	    answer->brittle == ADAPTER_ADVICE_MALFORMED)
 		note_malformed(s, run.id, request, now_ms);
 	if (answer->leaving == ADAPTER_ADVICE_GIVEN)
 		note_leaving(s, run, request, now_ms);
 	note_limit(s, run, sent_ms, answer, request, now_ms);
+	note_brittle(s, run, sent_ms, answer, request, now_ms);
+	if (status == STATUS_UNAVAILABLE && answer->not_run)
+		note_refusal(s, run, request, now_ms);
 }
 
 json_t *srv_gate_json(struct srv *s, const struct pub_upstream *doc, bool is_urgent, int64_t now_ms)
--- a/packages/serve/srv_gate.h
+++ b/packages/serve/srv_gate.h
@@ -43,8 +43,8 @@
 void srv_gate_log_refusal(struct srv *s, const char *request, const char *service, bool is_urgent,
 			  int64_t retry_ms);
 
-void srv_gate_log_limit(struct gate_run run, double per_s, const char *from, const char *request);
-void srv_gate_log_leaving(struct gate_run run, const char *from, const char *request);
+/* Logs what another node told of an upstream. */
+void srv_gate_log_notice(const struct gate_notice *notice, const char *from, int64_t now_ms);
 
 /* srv_gate_msg.c: tells all nodes what is known of the run. */
 void srv_gate_tell_all(struct srv *s, struct gate_run run, int64_t now_ms);
--- a/packages/serve/srv_gate_msg.c
+++ b/packages/serve/srv_gate_msg.c
@@ -22,6 +22,12 @@
 	size_t n;
 };
 
+/* at_ms 0: it never happened. */
+static uint64_t age_of(int64_t at_ms, int64_t now_ms)
+{
+	return at_ms != 0 ? (uint64_t)MAX(now_ms - at_ms, 0) : 0;
+}
+
 static void encode(Peer__UpstreamNotice *out, const struct gate_notice *notice, int64_t now_ms)
 {
 	peer__upstream_notice__init(out);
@@ -30,26 +36,36 @@
 	out->limited = notice->limit_per_s >= 0;
 	out->limit_per_s = notice->limit_per_s;
 	out->has_named = notice->limit_ms != 0;
-	out->limit_age_ms = out->has_named ? (uint64_t)MAX(now_ms - notice->limit_ms, 0) : 0;
+	out->limit_age_ms = age_of(notice->limit_ms, now_ms);
 	out->leaving = notice->leaving_ms != 0;
-	out->leaving_age_ms = out->leaving ? (uint64_t)MAX(now_ms - notice->leaving_ms, 0) : 0;
+	out->leaving_age_ms = age_of(notice->leaving_ms, now_ms);
+	out->brittle = notice->brittle_per_s >= 0;
+	out->brittle_per_s = notice->brittle_per_s;
+	out->has_said_brittle = notice->brittle_ms != 0;
+	out->brittle_age_ms = age_of(notice->brittle_ms, now_ms);
+	out->refused = notice->refused_ms != 0;
+	out->refused_age_ms = age_of(notice->refused_ms, now_ms);
 }
 
 /* Ages are bounded, so that times of other nodes can't overflow. */
-static int64_t clamp_age(uint64_t age_ms)
+static int64_t time_of(bool has_happened, uint64_t age_ms, int64_t now_ms)
 {
-	return (int64_t)MIN(age_ms, NOTICE_AGE_MAX_MS);
+	return has_happened ? now_ms - (int64_t)MIN(age_ms, NOTICE_AGE_MAX_MS) : 0;
 }
 
 static bool decode(const Peer__UpstreamNotice *in, struct gate_notice *out, int64_t now_ms)
 {
-	if (!in || !in->upstream[0] || (in->limited && !(in->limit_per_s >= 0)))
+	if (!in || !in->upstream[0] || (in->limited && !(in->limit_per_s >= 0)) ||
+	    (in->brittle && !(in->brittle_per_s >= 0)))
 		return false;
 	*out = (struct gate_notice){
 		.run = {in->upstream, in->born_ms},
 		.limit_per_s = in->limited ? in->limit_per_s : -1,
-		.limit_ms = in->has_named ? now_ms - clamp_age(in->limit_age_ms) : 0,
-		.leaving_ms = in->leaving ? now_ms - clamp_age(in->leaving_age_ms) : 0,
+		.limit_ms = time_of(in->has_named, in->limit_age_ms, now_ms),
+		.leaving_ms = time_of(in->leaving, in->leaving_age_ms, now_ms),
+		.brittle_per_s = in->brittle ? in->brittle_per_s : -1,
+		.brittle_ms = time_of(in->has_said_brittle, in->brittle_age_ms, now_ms),
+		.refused_ms = time_of(in->refused, in->refused_age_ms, now_ms),
 	};
 	return true;
 }
@@ -181,10 +197,7 @@
 		if (!gate_merge(s->gate, &notice, now_ms))
 			continue;
 		is_changed = true;
-		if (notice.leaving_ms != 0)
-			srv_gate_log_leaving(notice.run, from, "");
-		else
-			srv_gate_log_limit(notice.run, notice.limit_per_s, from, "");
+		srv_gate_log_notice(&notice, from, now_ms);
 	}
 	s->is_pool_update_due |= is_changed;
 }
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -36,6 +36,8 @@
 	  "requests that an upstream's limit kept from being sent")                                \
 	X(SRV_BACKOFFS, "upstream_backoffs_total",                                                 \
 	  "answers of upstreams that name a time to come back")                                    \
+	X(SRV_BRITTLE_REFUSALS, "brittle_refusals_total",                                          \
+	  "requests that brittle upstreams refused for want of room")                              \
 	X(SRV_PERMIT_ASKS, "permit_asks_total", "asks for permits for limited upstreams")          \
 	X(SRV_PERMITS_REFUSED, "permits_refused_total", "asks that got no permit")                 \
 	X(SRV_PERMITS_GRANTED, "permits_granted_total", "permits granted to other nodes")          \
@@ -288,11 +290,12 @@
 
 /* Why upstreams of a service were left out. */
 struct srv_pick_report {
-	uint32_t n_usable;  /* published, in service, of a version and region that may serve */
-	uint32_t n_closed;  /* the gate doesn't let a request through */
-	uint32_t n_limited; /* of these, because of their limits */
-	int64_t open_at_ms; /* when it may for the first of them */
-	double per_s;	    /* sum of their limits */
+	uint32_t n_usable;     /* published, in service, of a version and region that may serve */
+	uint32_t n_closed;     /* the gate doesn't let a request through */
+	uint32_t n_limited;    /* of these, because of their limits */
+	uint32_t n_overloaded; /* of these, because they are brittle and full */
+	int64_t open_at_ms;    /* when it may for the first of them */
+	double per_s;	       /* sum of their limits */
 };
 
 struct srv_pick_criteria {
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -423,7 +423,8 @@
 
 bool srv_req_is_held_back(const struct srv_req *r)
 {
-	return r->pick.n_usable > 0 && r->pick.n_closed == r->pick.n_usable;
+	return r->pick.n_usable > 0 &&
+	       (r->pick.n_closed == r->pick.n_usable || r->pick.n_overloaded > 0);
 }
 
 /* Returns when the caller of a refused request should return. */
--- a/packages/serve/srv_upstream.c
+++ b/packages/serve/srv_upstream.c
@@ -244,7 +244,10 @@
 		return false;
 	want->report->n_usable++;
 	c->needs_permit = verdict.state != GATE_OPEN;
-	if (verdict.state != GATE_LIMITED && verdict.state != GATE_BACKOFF)
+	c->overloaded = verdict.is_overloaded &&
+			(verdict.state == GATE_FULL || verdict.state == GATE_LIMITED);
+	if (verdict.state != GATE_LIMITED && verdict.state != GATE_BACKOFF &&
+	    verdict.state != GATE_FULL)
 		return !c->needs_permit || !want->is_immediate;
 	want->report->n_closed++;
 	if (verdict.state == GATE_LIMITED) {
@@ -252,7 +255,7 @@
 		want->report->per_s += verdict.per_s;
 	}
 	want->report->open_at_ms = MIN(want->report->open_at_ms, verdict.until_ms);
-	return false;
+	return c->overloaded;
 }
 
 static bool fill_candidate(struct srv *s, const struct srv_pick_criteria *want,
@@ -304,7 +307,7 @@
 		n += fill_candidate(s, want, value, &candidates[n], &ups[n], now_ms);
 	}
 	/* a cold upstream's budget is charged only if it is picked; if spent, pick another */
-	while ((best = lb_pick(&want->select, candidates, n)) >= 0) {
+	while ((best = lb_pick_sharing(&want->select, candidates, n, prng_next(&s->prng))) >= 0) {
 		picked = ups[best];
 		if (candidates[best].needs_permit || !want->service ||
 		    want->service->cold_per_s <= 0 || !view_is_cold(entries[best], now_ms) ||
@@ -313,6 +316,8 @@
 		candidates[best].cold = true;
 		picked = NULL;
 	}
+	for (uint32_t i = 0; i < n; i++)
+		want->report->n_overloaded += candidates[i].overloaded;
 	g_free(candidates);
 	g_free(ups);
 	g_free(entries);
