--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -102,7 +102,7 @@
 	double failure_rate;	/* 0..1 as of failure_rate_ms; decays over time */
 	int64_t failure_rate_ms;
 	struct budget_token_bucket cold;
-	int64_t seen_ms; /* when the upstream was last in the published view */
+	int64_t seen_ms;  /* when the upstream was last in the published view */
 	uint32_t n_refs;  /* attempts that refer to it, ended ones included */
 	bool is_detached; /* replaced or removed; freed with the last reference */
 };
@@ -302,7 +302,7 @@
 void srv_upstream_note_success(struct srv_upstream *u, int64_t now_ms);
 
 enum srv_failure {
-	SRV_FAILURE_UNREACHABLE, /* no connection, or a resumable stream that went silent */
+	SRV_FAILURE_UNREACHABLE, /* no connection */
 	SRV_FAILURE_BROKEN,	/* an incomplete, malformed or error answer, or a missed deadline */
 	SRV_FAILURE_OVERLOADED, /* refused the request without running it */
 };
