Show a relayed answer without a length as cut if its node is killed

See srv_relay_frame(). node_ends_unframed in proc_relay: before, the caller of the relaying node saw an orderly end after the second event; now the connection is reset.

--- a/packages/serve/srv_answer.c
+++ b/packages/serve/srv_answer.c
@@ -44,7 +44,7 @@
 	g_byte_array_set_size(r->body, 0);
 	r->s->adapter->upstream->filter_response(&head->headers, &r->head);
 	r->status = head->status;
-	r->length_bytes = head->until_close ? HTTP_SERVER_UNTIL_CLOSE : head->length_bytes;
+	r->length_bytes = srv_relay_frame(r, head, &r->head);
 	r->buffered = attempt;
 }
 
