Pass on what a read brought of a body at once

Callers of an answer in tiny chunks waited for up to 9.8 s where 1.9 are allowed (proc_endless/endless_answer_is_cut): each chunk of 4 bytes was a callback and a write of its own, 4,000 for each read. Change: the client gathers what one read brought of a body and passes it on once.

--- a/packages/http/http_client.c
+++ b/packages/http/http_client.c
@@ -46,7 +46,8 @@
 	GString *field;
 	GString *value;
 	bool in_value;
-	bool skipping; /* the response being read is interim or belongs to another request */
+	GByteArray *block; /* of the body: what was parsed and not passed on yet */
+	bool skipping;	   /* the response being read is interim or belongs to another request */
 	bool writing;
 	uint32_t n_responses; /* to the call in progress, skipped ones included */
 	size_t skipped_bytes; /* of their bodies */
@@ -109,6 +110,7 @@
 	if (c->next)
 		c->next->prev = c->prev;
 	hdr_clear(&c->head.headers);
+	g_byte_array_unref(c->block);
 	g_string_free(c->field, TRUE);
 	g_string_free(c->value, TRUE);
 	g_free(c);
@@ -234,24 +236,40 @@
 	return call->bodyless ? 1 : 0;
 }
 
+/*
+ * Passes on what was parsed of a body: once for each read, however many chunks it had. Returns
+ * false if the response can't go on: it is refused, or its call was cancelled by the callback.
+ */
+static bool pass_block(struct conn *c)
+{
+	struct http_client_call *call = c->call;
+	bool is_taken;
+
+	if (c->block->len == 0)
+		return true;
+	is_taken = call && call->ops.on_data(call->arg, c->block->data, c->block->len);
+	g_byte_array_set_size(c->block, 0);
+	return is_taken && c->call;
+}
+
 static int on_body(http_parser *p, const char *at, size_t len)
 {
 	struct conn *c = p->data;
-	struct http_client_call *call = c->call;
 
-	if (c->skipping || !call) {
+	if (c->skipping || !c->call) {
 		c->skipped_bytes += len;
 		return c->skipped_bytes <= HTTP_CLIENT_SKIPPED_BYTES_MAX ? 0 : -1;
 	}
-	if (!call->ops.on_data(call->arg, at, len))
-		return -1;
-	return c->call ? 0 : -1; /* cancelled by the callback */
+	g_byte_array_append(c->block, (const guint8 *)at, (guint)len);
+	return 0;
 }
 
 static int on_message(http_parser *p)
 {
 	struct conn *c = p->data;
 
+	if (!pass_block(c))
+		return -1;
 	if (!c->skipping)
 		http_parser_pause(p, 1);
 	return 0;
@@ -324,6 +342,7 @@
 {
 	struct conn *c = stream->data;
 	enum http_errno parse_error;
+	bool is_taken;
 	size_t used;
 
 	if (n == 0 || c->state == CONN_CLOSING)
@@ -339,11 +358,14 @@
 	used = http_parser_execute(&c->parser, &parser_settings, buf->base, (size_t)n);
 	parse_error = HTTP_PARSER_ERRNO(&c->parser);
 	if (c->state == CONN_CLOSING)
-		return; /* cancelled by a callback */
+		return;		  /* cancelled by a callback */
+	is_taken = pass_block(c); /* also what was sound before malformed bytes */
+	if (c->state == CONN_CLOSING)
+		return;
 	if (parse_error == HPE_PAUSED) {
 		http_parser_pause(&c->parser, 0);
 		complete_response(c, (size_t)n - used);
-	} else if (parse_error != HPE_OK || c->parser.upgrade) {
+	} else if (!is_taken || parse_error != HPE_OK || c->parser.upgrade) {
 		fail_conn(c, HTTP_CLIENT_MALFORMED);
 	}
 }
@@ -416,6 +438,7 @@
 	int err;
 
 	c->origin = o;
+	c->block = g_byte_array_new();
 	c->field = g_string_new(NULL);
 	c->value = g_string_new(NULL);
 	c->keep_ms = HTTP_CLIENT_IDLE_MS;
