Reserve the addresses of each test cluster

proc_versions/other_nodes_silent once got answers of the engines of a soak in the same minute: addresses came from the process id and a random number, and could be those of another test. A process now keeps a socket bound in its network of loopback addresses, and takes another one if that is taken.

--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -19,23 +19,42 @@
 #define READY_MS 10000
 #define POLL_MS 25
 #define ANSWER_MS 6000
+#define LOCK_PORT 8000	/* of the socket that reserves a test's addresses */
 #define RETRY_SLACK 400 /* no test but those of budgets uses it up */
 
 extern char **environ;
 
 static const char *const zones[] = {"a1", "b1"};
 
-/* Each run has its own loopback addresses, so that parallel tests don't share ports. */
+/*
+ * Reserves a network of loopback addresses for this process, so that tests beside each other share
+ * no ports: the process keeps a socket bound there until it ends.
+ */
+static const char *reserve_network(void)
+{
+	static char network[CLUSTER_ADDRESS_BYTES];
+	struct sockaddr_in lock = {.sin_family = AF_INET, .sin_port = htons(LOCK_PORT)};
+	char ip[CLUSTER_ADDRESS_BYTES];
+	int fd;
+
+	if (network[0])
+		return network;
+	fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	ck_assert_int_ge(fd, 0);
+	do {
+		g_snprintf(network, sizeof(network), "127.%d.%d", g_random_int_range(1, 250),
+			   g_random_int_range(1, 250));
+		g_snprintf(ip, sizeof(ip), "%s.1", network);
+		inet_pton(AF_INET, ip, &lock.sin_addr);
+	} while (bind(fd, (struct sockaddr *)&lock, sizeof(lock)) != 0);
+	return network;
+}
+
 static void set_addresses(struct cluster_node *node, uint32_t i)
 {
-	static unsigned run;
-	unsigned pid = (unsigned)getpid();
-	char ip[32];
-
-	if (run == 0)
-		run = 1 + (unsigned)(clock_now_us() % 200);
-	g_snprintf(ip, sizeof(ip), "127.%u.%u.%u", 1 + (pid >> 8) % 250, 1 + (pid + run) % 250,
-		   10 + i);
+	char ip[CLUSTER_ADDRESS_BYTES - 8];
+
+	g_snprintf(ip, sizeof(ip), "%s.%u", reserve_network(), 10 + i);
 	g_snprintf(node->front, sizeof(node->front), "%s:8001", ip);
 	g_snprintf(node->ready, sizeof(node->ready), "%s:8002", ip);
 	g_snprintf(node->lookup, sizeof(node->lookup), "%s:8003", ip);
