Split what silent upstreams need out of the attempts

Moved as it was to srv_silence.c; functions that both files need have names of the module. No change of behaviour.

--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -9,34 +9,8 @@
 #define CONNECT_TIMEOUT_MS 700
 /* After this many refusals of a request, the service counts as full. */
 #define REFUSALS_MAX 3
-/* Share of the route's latency target after which a silent request is hedged. */
-#define HEDGE_TARGET_SHARE 0.5
-#define HEDGE_MIN_MS 100
-/* Longest wait for the head of a stream; a cold engine has processed a long prompt by then. */
-#define FIRST_EVENT_TIMEOUT_MS 1500
-/* Most chains started for one request: a repeated one costs the pools as much as the first. */
-#define CHAINS_MAX 2
 /* Time for an upstream to fetch a chain's results: two trips between regions, and 15 MB. */
 #define FETCH_DELAY_MS 80
-/* A stream is sent to a second upstream after a silence of this many times its gap_aim_ms. */
-#define STALL_GAPS 3
-#define STALL_MIN_MS 600
-/* Other upstreams are preferred to a silent one for this long, unless it goes on before. */
-#define SILENCE_BLOCK_MS 1000
-/*
- * A stream whose inputs are gone can only go on with new ones, for which the silent upstream is
- * given up. One in good order has gone on by then.
- */
-#define INPUTS_SILENCE_MS 1800
-/* Most attempts of a stream at a time. */
-#define STREAM_ACTIVE_MAX 2
-/*
- * Longest time for which both work on it. An upstream that can't take a request has refused it by
- * then; one that can may take longer for its first event.
- */
-#define STREAM_OVERLAP_MS 300
-/* Between checks whether a request has been sent. */
-#define UNSENT_CHECK_MS 50
 /* Difference in urgency between one rank and the next. */
 #define URGENCY_STEP 2
 #define URGENCY_MAX 9
@@ -77,8 +51,7 @@
 	attempt->upstream->in_flight--;
 }
 
-/* Closes the request's other attempts, and counts those that an upstream may have run. */
-static void cancel_others(struct srv_attempt *attempt)
+void srv_attempt_cancel_others(struct srv_attempt *attempt)
 {
 	struct srv_req *r = attempt->req;
 
@@ -99,7 +72,7 @@
 
 void srv_attempt_note_progress(struct srv_attempt *attempt)
 {
-	cancel_others(attempt);
+	srv_attempt_cancel_others(attempt);
 	if (!attempt->is_silent)
 		return;
 	attempt->is_silent = false;
@@ -238,8 +211,7 @@
 	return srv_stop_send_by_ms(r->s, r->route->kind == PUB_KIND_STREAM);
 }
 
-/* True if the request may be the cause of a crash: it is run once only. */
-static bool is_doubted(const struct srv_req *r)
+bool srv_req_is_doubted(const struct srv_req *r)
 {
 	struct quarantine_verdict verdict;
 
@@ -248,8 +220,7 @@
 	       verdict.n_upstreams >= QUARANTINE_DOUBT_UPSTREAMS;
 }
 
-/* Returns why no further attempt is allowed; NULL if one is allowed. */
-static const char *no_send_reason(struct srv_req *r, int64_t now_ms)
+const char *srv_req_no_send_reason(struct srv_req *r, int64_t now_ms)
 {
 	if (r->n_attempts >= SRV_ATTEMPTS_MAX)
 		return "too many attempts";
@@ -263,7 +234,7 @@
 		return "route's attempt limit reached";
 	if (count_refusals(r) >= REFUSALS_MAX)
 		return "refused by too many upstreams";
-	if (count_runs(r) > 0 && is_doubted(r))
+	if (count_runs(r) > 0 && srv_req_is_doubted(r))
 		return "a part of the prompt may crash upstreams";
 	if (may_have_arrived(r) && !srv_retry_allowed(r->s, r->service_name, now_ms))
 		return "retry budget exhausted";
@@ -273,7 +244,7 @@
 void srv_req_send(struct srv_req *r)
 {
 	int64_t now_ms = clock_now_ms();
-	const char *reason = no_send_reason(r, now_ms);
+	const char *reason = srv_req_no_send_reason(r, now_ms);
 	struct quarantine_verdict verdict;
 	struct srv_upstream *u;
 
@@ -311,7 +282,7 @@
 	srv_req_end_unserved(r, reason);
 }
 
-static void log_attempt(const struct srv_attempt *attempt, const char *outcome)
+void srv_attempt_log(const struct srv_attempt *attempt, const char *outcome)
 {
 	log_info("send_failed", "{s:s, s:s, s:s, s:s, s:i, s:I, s:i}", "request",
 		 attempt->req->meta.attempt, "upstream", attempt->upstream->id, "address",
@@ -320,11 +291,7 @@
 		 (int)attempt->req->runs);
 }
 
-/*
- * True if the upstream could not get the chain's results: the owner freed them when they should
- * have been fetched, or the upstream that held them is gone.
- */
-static bool is_missing_inputs(const struct srv_attempt *attempt)
+bool srv_attempt_is_missing_inputs(const struct srv_attempt *attempt)
 {
 	const struct srv_req *r = attempt->req;
 
@@ -332,7 +299,7 @@
 	       srv_has_policy(r->s, POLICY_CHAIN_RESTART);
 }
 
-static struct srv_attempt *last_active(struct srv_req *r)
+struct srv_attempt *srv_req_last_active(struct srv_req *r)
 {
 	for (uint32_t i = r->n_attempts; i > 0; i--) {
 		if (r->attempts[i - 1].call)
@@ -347,17 +314,16 @@
  */
 static void wait_for_other(struct srv_req *r)
 {
-	last_active(r)->timeout_from_ms =
+	srv_req_last_active(r)->timeout_from_ms =
 		r->route->kind == PUB_KIND_STREAM ? clock_now_ms() : r->end_at_ms;
 	srv_req_arm_timer(r);
 }
 
-/* Called when an attempt has ended without an answer for the caller. */
-static void retry_or_end(struct srv_attempt *attempt, const char *outcome)
+void srv_attempt_retry_or_end(struct srv_attempt *attempt, const char *outcome)
 {
 	struct srv_req *r = attempt->req;
 
-	log_attempt(attempt, outcome);
+	srv_attempt_log(attempt, outcome);
 	if (r->winner == attempt) {
 		r->winner = NULL;
 		g_string_truncate(r->partial, 0);
@@ -370,8 +336,8 @@
 		srv_req_fail(r, 502, outcome);
 		return;
 	}
-	if (is_missing_inputs(attempt) && r->n_chains < CHAINS_MAX &&
-	    !no_send_reason(r, clock_now_ms()))
+	if (srv_attempt_is_missing_inputs(attempt) && r->n_chains < CHAINS_MAX &&
+	    !srv_req_no_send_reason(r, clock_now_ms()))
 		srv_req_restart_chain(r);
 	else
 		srv_req_send(r);
@@ -400,20 +366,20 @@
 		if (!attempt->is_wrong_address)
 			srv_upstream_note_failure(r->s, attempt->upstream, SRV_FAILURE_OVERLOADED,
 						  now_ms);
-		retry_or_end(attempt, attempt->is_wrong_address
-					      ? "address belongs to another upstream"
-					      : "refused");
+		srv_attempt_retry_or_end(attempt, attempt->is_wrong_address
+							  ? "address belongs to another upstream"
+							  : "refused");
 		break;
 	case SRV_ATTEMPT_FAILED:
 		r->runs++;
 		srv_upstream_note_failure(r->s, attempt->upstream, SRV_FAILURE_BROKEN, now_ms);
-		retry_or_end(attempt, "the upstream reported a failure");
+		srv_attempt_retry_or_end(attempt, "the upstream reported a failure");
 		break;
 	case SRV_ATTEMPT_PENDING:
 	case SRV_ATTEMPT_INVALID:
 		r->runs++;
 		srv_upstream_note_failure(r->s, attempt->upstream, SRV_FAILURE_BROKEN, now_ms);
-		retry_or_end(attempt, "the upstream sent an invalid answer");
+		srv_attempt_retry_or_end(attempt, "the upstream sent an invalid answer");
 		break;
 	}
 }
@@ -435,13 +401,13 @@
 		attempt->is_wrong_address = true; /* don't count it as a refusal */
 		attempt->is_unsent = true;
 		srv_upstream_note_failure(r->s, attempt->upstream, SRV_FAILURE_UNREACHABLE, now_ms);
-		retry_or_end(attempt, "no connection");
+		srv_attempt_retry_or_end(attempt, "no connection");
 		break;
 	case HTTP_CLIENT_BROKEN:
 	case HTTP_CLIENT_MALFORMED:
 		/* the head guarantees that the request did not run, even if the body is cut */
 		if (attempt->verdict == SRV_ATTEMPT_NOT_RUN) {
-			retry_or_end(attempt, "refused");
+			srv_attempt_retry_or_end(attempt, "refused");
 			break;
 		}
 		if (end == HTTP_CLIENT_BROKEN)
@@ -450,42 +416,12 @@
 			attempt->verdict = SRV_ATTEMPT_INVALID;
 		r->runs++;
 		srv_upstream_note_failure(r->s, attempt->upstream, SRV_FAILURE_BROKEN, now_ms);
-		retry_or_end(attempt,
-			     end == HTTP_CLIENT_BROKEN ? "connection broken" : "malformed answer");
+		srv_attempt_retry_or_end(attempt, end == HTTP_CLIENT_BROKEN ? "connection broken"
+									    : "malformed answer");
 		break;
 	}
 }
 
-static int64_t hedge_delay_ms(const struct srv_req *r)
-{
-	return MAX((int64_t)((double)r->route->aim_ms * HEDGE_TARGET_SHARE), HEDGE_MIN_MS);
-}
-
-static int64_t stall_timeout_ms(const struct srv_req *r)
-{
-	return MAX(STALL_GAPS * r->route->gap_aim_ms, STALL_MIN_MS);
-}
-
-/* Returns when the last active attempt has been silent for too long; INT64_MAX: never. */
-static int64_t silence_deadline_ms(struct srv_req *r)
-{
-	const struct srv_attempt *attempt = last_active(r);
-
-	if (!attempt || !srv_req_is_repeatable(r) || r->route->max_upstreams < 2 ||
-	    r->n_attempts >= SRV_ATTEMPTS_MAX)
-		return INT64_MAX;
-	if (r->route->kind == PUB_KIND_IDEMPOTENT)
-		return attempt->verdict == SRV_ATTEMPT_PENDING && srv_req_count_active(r) == 1 &&
-				       srv_has_policy(r->s, POLICY_HEDGES)
-			       ? attempt->timeout_from_ms + hedge_delay_ms(r)
-			       : INT64_MAX;
-	if (attempt->is_paused)
-		return INT64_MAX;
-	return attempt->timeout_from_ms + (attempt->verdict == SRV_ATTEMPT_PENDING
-						   ? FIRST_EVENT_TIMEOUT_MS
-						   : stall_timeout_ms(r));
-}
-
 static void handle_deadline(struct srv_req *r)
 {
 	bool was_sent = r->runs > 0 || r->response_started;
@@ -507,112 +443,10 @@
 		srv_req_refuse(r, 0, "deadline or route timeout expired");
 }
 
-static void restart_silence_timeout(struct srv_attempt *attempt, int64_t now_ms)
-{
-	attempt->timeout_from_ms = now_ms;
-	srv_req_arm_timer(attempt->req);
-}
-
-/* Has other upstreams preferred to a silent one; once for all requests that find it silent. */
-static void note_silence(struct srv_attempt *attempt, int64_t now_ms)
-{
-	struct srv_upstream *u = attempt->upstream;
-	struct srv *s = attempt->req->s;
-
-	attempt->is_silent = true;
-	if (u->blocked_until_ms > now_ms || !srv_has_policy(s, POLICY_BACKOFF))
-		return;
-	srv_upstream_note_failure(s, u, SRV_FAILURE_BROKEN, now_ms);
-	srv_upstream_note_report(s, u->id, SILENCE_BLOCK_MS, now_ms);
-}
-
-/*
- * Sends the request to a further upstream beside the silent one, which may go on; the first answer
- * that is accepted closes the other attempt. Without an upstream that is open, tries again later.
- */
-static void hedge(struct srv_attempt *attempt, int64_t now_ms)
-{
-	struct srv_req *r = attempt->req;
-	uint32_t n_before = r->n_attempts;
-
-	srv_req_send(r);
-	restart_silence_timeout(attempt, now_ms);
-	if (r->n_attempts == n_before)
-		return;
-	log_attempt(attempt, "hedged");
-	if (r->route->kind == PUB_KIND_STREAM)
-		note_silence(attempt, now_ms);
-	if (srv_req_count_active(r) <= STREAM_ACTIVE_MAX)
-		return;
-	r->runs++;
-	srv_attempt_cancel(attempt);
-}
-
-/*
- * Gives up the silent upstream of a stream that can go on elsewhere with new inputs alone, if it
- * has been silent for long and another one is open. May free the request.
- */
-static void replace_inputs(struct srv_attempt *attempt, int64_t now_ms)
-{
-	struct srv_req *r = attempt->req;
-
-	if (r->n_chains >= CHAINS_MAX || now_ms - attempt->last_data_ms < INPUTS_SILENCE_MS ||
-	    srv_req_count_active(r) > 1 || !srv_req_pick(r, now_ms)) {
-		restart_silence_timeout(attempt, now_ms);
-		return;
-	}
-	note_silence(attempt, now_ms);
-	srv_attempt_cancel(attempt);
-	r->runs++;
-	attempt->is_missing_inputs = true;
-	retry_or_end(attempt, "stalled");
-}
-
-/* Hedges a request whose upstream is silent; may free the request. */
-static void handle_silence(struct srv_req *r, int64_t now_ms)
-{
-	struct srv_attempt *attempt = last_active(r);
-
-	if (no_send_reason(r, now_ms) || is_doubted(r) ||
-	    (r->response_started && !srv_origin_may_go_on(r, now_ms)))
-		restart_silence_timeout(attempt, now_ms);
-	else if (is_missing_inputs(&r->attempts[r->n_attempts - 1]))
-		replace_inputs(attempt, now_ms);
-	else
-		hedge(attempt, now_ms);
-}
-
-/* Returns when the older of a stream's attempts is to be closed; INT64_MAX: there is one only. */
-static int64_t overlap_end_ms(struct srv_req *r, int64_t now_ms)
-{
-	const struct srv_attempt *attempt = last_active(r);
-
-	if (r->route->kind != PUB_KIND_STREAM || srv_req_count_active(r) < STREAM_ACTIVE_MAX ||
-	    attempt->verdict != SRV_ATTEMPT_PENDING)
-		return INT64_MAX;
-	if (!http_client_was_sent(attempt->call))
-		return now_ms + UNSENT_CHECK_MS;
-	return attempt->sent_ms + STREAM_OVERLAP_MS;
-}
-
-/* Leaves a stream to its newest attempt, which the upstream has neither refused nor broken. */
-static void end_overlap(struct srv_req *r)
-{
-	struct srv_attempt *attempt = last_active(r);
-
-	if (r->winner && r->winner != attempt) {
-		r->winner = NULL;
-		g_string_truncate(r->partial, 0);
-	}
-	cancel_others(attempt);
-	log_attempt(attempt, "left to this upstream");
-	srv_req_arm_timer(r);
-}
-
 /* Notifies the chain's owner that the upstream should have fetched the results. */
 static void note_fetched(struct srv_req *r, int64_t now_ms)
 {
-	const struct srv_attempt *attempt = last_active(r);
+	const struct srv_attempt *attempt = srv_req_last_active(r);
 
 	if (!attempt || !http_client_was_sent(attempt->call)) {
 		r->fetch_check_at_ms = now_ms + FETCH_DELAY_MS; /* not sent yet */
@@ -678,10 +512,10 @@
 	}
 	if (r->chain && now_ms >= r->fetch_check_at_ms)
 		note_fetched(r, now_ms);
-	if (now_ms >= overlap_end_ms(r, now_ms))
-		end_overlap(r);
-	else if (now_ms >= silence_deadline_ms(r))
-		handle_silence(r, now_ms); /* may free the request */
+	if (now_ms >= srv_silence_overlap_end_ms(r, now_ms))
+		srv_silence_end_overlap(r);
+	else if (now_ms >= srv_silence_deadline_ms(r))
+		srv_silence_handle(r, now_ms); /* may free the request */
 	else
 		srv_req_arm_timer(r);
 }
@@ -689,9 +523,9 @@
 void srv_req_arm_timer(struct srv_req *r)
 {
 	int64_t now_ms = clock_now_ms();
-	int64_t at_ms = MIN(r->end_at_ms, silence_deadline_ms(r));
+	int64_t at_ms = MIN(r->end_at_ms, srv_silence_deadline_ms(r));
 
-	at_ms = MIN(at_ms, overlap_end_ms(r, now_ms));
+	at_ms = MIN(at_ms, srv_silence_overlap_end_ms(r, now_ms));
 	at_ms = MIN(at_ms, srv_origin_wait_until_ms(r));
 	at_ms = MIN(at_ms, MIN(r->send_at_ms, unread_end_by_ms(r)));
 	if (r->chain)
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -6,6 +6,9 @@
 
 #define HELD_BACK_REASON "all upstreams limit their requests or have named a time to come back"
 
+/* Most chains started for one request: a repeated one costs the pools as much as the first. */
+#define CHAINS_MAX 2
+
 /* No attempt is sent if less time than this is left. */
 #define SEND_TIME_MIN_MS 40
 
@@ -162,12 +165,48 @@
 /* Called when its head was accepted or its bytes are passed on; closes the other attempts. */
 void srv_attempt_note_progress(struct srv_attempt *attempt);
 
+/* Closes the request's other attempts, and counts those that an upstream may have run. */
+void srv_attempt_cancel_others(struct srv_attempt *attempt);
+
+/* Logs how an attempt ended, or what became of it. */
+void srv_attempt_log(const struct srv_attempt *attempt, const char *outcome);
+
+/* Called when an attempt has ended without an answer for the caller. May free the request. */
+void srv_attempt_retry_or_end(struct srv_attempt *attempt, const char *outcome);
+
+/*
+ * Returns whether the upstream could not get the chain's results: the owner freed them when they
+ * should have been fetched, or the upstream that held them is gone.
+ */
+bool srv_attempt_is_missing_inputs(const struct srv_attempt *attempt);
+
+/* Returns the newest attempt in progress; NULL if there is none. */
+struct srv_attempt *srv_req_last_active(struct srv_req *r);
+
+/* Returns why no further attempt is allowed; NULL if one is allowed. */
+const char *srv_req_no_send_reason(struct srv_req *r, int64_t now_ms);
+
+/* Returns whether the request may be the cause of a crash: it is run once only. */
+bool srv_req_is_doubted(const struct srv_req *r);
+
 /* Returns the number of attempts in progress. */
 uint32_t srv_req_count_active(const struct srv_req *r);
 
 /* Sets the timer to the earliest of the request's timeouts. */
 void srv_req_arm_timer(struct srv_req *r);
 
+/* srv_silence.c: returns when the newest attempt has been silent for too long; INT64_MAX: never. */
+int64_t srv_silence_deadline_ms(struct srv_req *r);
+
+/* Hedges a request whose upstream is silent; may free the request. */
+void srv_silence_handle(struct srv_req *r, int64_t now_ms);
+
+/* Returns when the older of a stream's attempts is to be closed; INT64_MAX: there is one only. */
+int64_t srv_silence_overlap_end_ms(struct srv_req *r, int64_t now_ms);
+
+/* Leaves a stream to its newest attempt, which the upstream has neither refused nor broken. */
+void srv_silence_end_overlap(struct srv_req *r);
+
 /*
  * srv_answer.c: passes answers to the caller. srv_attempt_handle_head() returns false if the answer
  * belongs to another request.
