Log what was asked when an upstream ends under a request

Each run that breaks off is now logged as run_broken, with a digest of method, host, target, client account and body, the hash of the upstream's run, and whether a head had come; the line of the request carries the digest too. Sisters of a request are found by it at all nodes. The digest is computed for such requests alone.

--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -17,6 +17,15 @@
 #define MS_PER_S 1000.0
 #define SETTINGS_CHECK_TICKS 10
 
+char *srv_hex_ids(const uint64_t *ids, uint32_t n)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < n; i++)
+		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x", i > 0 ? "," : "", ids[i]);
+	return g_string_free(text, FALSE);
+}
+
 void srv_histogram_observe(struct srv_histogram *h, int64_t ms)
 {
 	int i = 0;
--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -1,6 +1,6 @@
 /* Sends a request to upstreams: retries, hedging, timeouts and the resumption of streams. */
 #include "srv_gate.h"
-#include "srv_req_int.h"
+#include "srv_poison.h"
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -343,10 +343,13 @@
 		srv_req_send(r);
 }
 
-/* Notes a broken answer as evidence, unless it had gone on for so long that it was begun well. */
+/* Notes a broken run as evidence, unless its answer had gone on for so long that it began well. */
 static void note_break(struct srv_attempt *attempt, int64_t now_ms)
 {
-	if (attempt->begun_ms > 0 && now_ms - attempt->begun_ms <= QUARANTINE_BEGIN_MS)
+	if (attempt->begun_ms > 0 && now_ms - attempt->begun_ms > QUARANTINE_BEGIN_MS)
+		return;
+	srv_poison_note_end(attempt);
+	if (attempt->begun_ms > 0)
 		srv_quarantine_note_crash(attempt->req->s, &attempt->req->meta, attempt->upstream,
 					  attempt->begun_ms);
 }
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -189,6 +189,9 @@
 
 void srv_histogram_observe(struct srv_histogram *h, int64_t ms);
 
+/* Returns the ids as hexadecimal text, separated by commas. Free with g_free(). */
+char *srv_hex_ids(const uint64_t *ids, uint32_t n);
+
 /* srv_feed.c */
 struct srv_feed *srv_feed_new(struct srv *s);
 void srv_feed_free(struct srv_feed *feed);
@@ -299,6 +302,12 @@
 void srv_upstream_ref(struct srv_upstream *u);
 void srv_upstream_unref(struct srv_upstream *u);
 
+/*
+ * Returns what identifies one run of the upstream's process in reports of crashes: it may start
+ * again under its id.
+ */
+uint64_t srv_upstream_run_hash(const struct srv *s, const struct srv_upstream *u);
+
 void srv_upstream_note_success(struct srv_upstream *u, int64_t now_ms);
 
 enum srv_failure {
--- a/packages/serve/srv_quarantine.c
+++ b/packages/serve/srv_quarantine.c
@@ -9,7 +9,6 @@
 #include "base/log.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 /* Gossip rounds between two messages that repeat the evidence to a random node. */
 #define REPEAT_ROUNDS 10
@@ -129,20 +128,10 @@
 		flush(m);
 }
 
-/* Returns the ids as hexadecimal text, as callers send them. Free with g_free(). */
-static char *format_ids(const uint64_t *ids, uint32_t n)
-{
-	GString *text = g_string_new(NULL);
-
-	for (uint32_t i = 0; i < n; i++)
-		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x", i > 0 ? "," : "", ids[i]);
-	return g_string_free(text, FALSE);
-}
-
 static void log_change(const struct quarantine_change *change, int64_t now_ms)
 {
-	char *part = format_ids(&change->part, 1);
-	char *upstreams = format_ids(change->upstreams, change->n);
+	char *part = srv_hex_ids(&change->part, 1);
+	char *upstreams = srv_hex_ids(change->upstreams, change->n);
 	json_t *ages = json_array();
 
 	for (uint32_t i = 0; i < change->n; i++)
@@ -189,18 +178,6 @@
 	message_send(m);
 }
 
-/*
- * Returns what identifies one run of the upstream's process in crash reports: it may start again
- * under its id.
- */
-static uint64_t hash_upstream(const struct srv *s, const struct srv_upstream *u)
-{
-	const struct view_upstream *entry = g_hash_table_lookup(s->view->upstreams, u->id);
-	uint64_t born = entry ? (uint64_t)entry->doc->born_ms : 0;
-
-	return XXH64(u->id, strlen(u->id), born);
-}
-
 /* Limits the reports to REPORTS_PER_S. */
 static bool may_report(struct srv *s, int64_t now_ms)
 {
@@ -219,7 +196,7 @@
 	uint32_t n = shared_parts(meta, parts);
 	int64_t now_ms = clock_now_ms();
 	struct quarantine_crash crash = {
-		.upstream = hash_upstream(s, u), .at_ms = now_ms, .parts = report};
+		.upstream = srv_upstream_run_hash(s, u), .at_ms = now_ms, .parts = report};
 	struct message *m;
 	char *parts_text;
 	char *crash_text;
@@ -228,8 +205,8 @@
 		return;
 	crash.n_parts =
 		quarantine_note_crash(s->quarantine, crash.upstream, parts, n, report, now_ms);
-	parts_text = format_ids(parts, n);
-	crash_text = format_ids(&crash.upstream, 1);
+	parts_text = srv_hex_ids(parts, n);
+	crash_text = srv_hex_ids(&crash.upstream, 1);
 	log_info("upstream_crashed", "{s:s, s:s, s:s, s:s, s:s, s:i, s:I}", "request",
 		 meta->attempt, "upstream", u->id, "address", u->address, "crash_id", crash_text,
 		 "parts", parts_text, "suspected", (int)crash.n_parts, "answered_ms",
@@ -249,7 +226,7 @@
 static bool may_try(void *arg, uint64_t part)
 {
 	struct srv *s = arg;
-	char *task = format_ids(&part, 1);
+	char *task = srv_hex_ids(&part, 1);
 	struct gossip_share share = gossip_compute_share(s->fleet, task, clock_now_ms());
 
 	g_free(task);
@@ -271,7 +248,7 @@
 				const struct quarantine_verdict *verdict)
 {
 	int64_t now_ms = clock_now_ms();
-	char *part = format_ids(&verdict->part, 1);
+	char *part = srv_hex_ids(&verdict->part, 1);
 
 	log_info("request_quarantined", "{s:s, s:s, s:i, s:I, s:I, s:I}", "request", meta->attempt,
 		 "part", part, "crashes", (int)verdict->n_crashes, "first_ms_ago",
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -26,10 +26,11 @@
 {
 	struct srv *s = r->s;
 	int64_t now_ms = clock_now_ms();
+	char *digest = r->digest != 0 ? srv_hex_ids(&r->digest, 1) : NULL;
 
 	log_info("request",
 		 "{s:s, s:s, s:s, s:i, s:s, s:s, s:i, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, "
-		 "s:I, s:s, s:s, s:s, s:I, s:i, s:i}",
+		 "s:I, s:s, s:s, s:s, s:I, s:i, s:i, s:s}",
 		 "request", r->meta.attempt ? r->meta.attempt : "", "route",
 		 r->route ? r->route->name : "", "outcome", outcome, "status", status, "upstream",
 		 r->n_attempts > 0 && r->attempts[r->n_attempts - 1].upstream
@@ -49,7 +50,8 @@
 		 "stream_version_from", stream_origin_source_name(r->origin.source),
 		 "stream_version_age_ms", (json_int_t)r->origin.age_ms, "nodes_asked",
 		 (int)r->origin.resumption.asked, "nodes_answered",
-		 (int)r->origin.resumption.answered);
+		 (int)r->origin.resumption.answered, "digest", digest ? digest : "");
+	g_free(digest);
 }
 
 /* Logs where a request stands that ends because the node is shutting down. */
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -75,6 +75,7 @@
 	const struct pub_service *service;
 	const char *service_name;
 	struct adapter_request meta; /* borrows from http */
+	uint64_t digest;	     /* of what it asks; 0: not computed yet */
 	char **regions;		     /* allowed regions; NULL: any */
 	int32_t rank;
 	struct lb_request select;
--- a/packages/serve/srv_upstream.c
+++ b/packages/serve/srv_upstream.c
@@ -6,6 +6,7 @@
 
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Block after an attempt without an answer; doubles with each consecutive one. */
 #define BLOCK_MS 1000
@@ -103,6 +104,14 @@
 	u->failure_rate_ms = now_ms;
 }
 
+uint64_t srv_upstream_run_hash(const struct srv *s, const struct srv_upstream *u)
+{
+	const struct view_upstream *entry = g_hash_table_lookup(s->view->upstreams, u->id);
+	uint64_t born = entry ? (uint64_t)entry->doc->born_ms : 0;
+
+	return XXH64(u->id, strlen(u->id), born);
+}
+
 void srv_upstream_note_success(struct srv_upstream *u, int64_t now_ms)
 {
 	u->fails = 0;
