--- a/packages/emul/include/emul/stub.h
+++ b/packages/emul/include/emul/stub.h
@@ -177,6 +177,22 @@
  */
 void stub_set_crash_part(struct stub *s, uint64_t part, int64_t down_ms);
 
+/*
+ * The same for engines, except pool engines, that begin to run a request with this path and query:
+ * they crash some tens of ms after it has arrived, before they answer it. NULL: engines no longer
+ * crash.
+ */
+void stub_set_crash_target(struct stub *s, const char *target, int64_t down_ms);
+
+/* Number of requests with a crash target, the present one or a former, that engines began to run.
+ */
+uint32_t stub_count_target_runs(struct stub *s);
+/* Time of the run number k of them, from 0; 0: there were fewer. */
+int64_t stub_target_run_ms(struct stub *s, uint32_t k);
+
+/* Has an engine crash now, whatever it runs; it starts again as after other crashes. */
+void stub_crash_engine(struct stub *s, const char *id, int64_t down_ms);
+
 /* Time of the crash number k, from 0, of all engines; 0: there were fewer. */
 int64_t stub_crash_ms(struct stub *s, uint32_t k);
 
--- a/packages/emul/stub_crash.c
+++ b/packages/emul/stub_crash.c
@@ -1,4 +1,7 @@
-/* Engines of the stub that crash as they begin an answer on a prompt part, and start again. */
+/*
+ * Engines of the stub that crash as they begin an answer on a prompt part, or a request for a path,
+ * and start again.
+ */
 #include "stub_int.h"
 
 #include "base/clock.h"
@@ -42,9 +45,26 @@
 	g_array_append_val(times, now_ms);
 }
 
-void stub_crash_note_run(struct stub_engine *e, const struct http_server_request *request)
+/* Has the engine crash soon, unless it is about to. */
+static void schedule_crash(struct stub_engine *e)
 {
-	foreach_part(request, record_part, e->s);
+	if (e->crash_at_ms == 0)
+		e->crash_at_ms = clock_now_ms() + CRASH_DELAY_MS +
+				 (int64_t)(e->s->crashes->len % 3) * CRASH_DELAY_STEP_MS;
+}
+
+bool stub_crash_note_run(struct stub_engine *e, const struct http_server_request *request)
+{
+	struct stub *s = e->s;
+	int64_t now_ms = clock_now_ms();
+
+	if (e->options.kind == STUB_STREAM)
+		foreach_part(request, record_part, s);
+	if (!s->crash_target || strcmp(request->target, s->crash_target) != 0)
+		return false;
+	g_array_append_val(s->target_runs, now_ms);
+	schedule_crash(e);
+	return true;
 }
 
 struct part_search {
@@ -67,9 +87,8 @@
 	if (s->crash_part == 0)
 		return HTTP_SERVER_LENGTH_UNKNOWN;
 	foreach_part(request, compare_part, &search);
-	if (search.found && e->crash_at_ms == 0)
-		e->crash_at_ms = clock_now_ms() + CRASH_DELAY_MS +
-				 (int64_t)(s->crashes->len % 3) * CRASH_DELAY_STEP_MS;
+	if (search.found)
+		schedule_crash(e);
 	return ++s->answers % UNFRAMED_EVERY == 0 ? HTTP_SERVER_UNTIL_CLOSE
 						  : HTTP_SERVER_LENGTH_UNKNOWN;
 }
@@ -143,6 +162,7 @@
 	s->crashes = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	s->lapses = g_array_new(FALSE, FALSE, sizeof(struct stub_lapse));
 	s->parts = g_hash_table_new(g_int64_hash, g_int64_equal);
+	s->target_runs = g_array_new(FALSE, FALSE, sizeof(int64_t));
 }
 
 void stub_set_crash_part(struct stub *s, uint64_t part, int64_t down_ms)
@@ -153,6 +173,27 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+void stub_set_crash_target(struct stub *s, const char *target, int64_t down_ms)
+{
+	pthread_mutex_lock(&s->lock);
+	g_free(s->crash_target);
+	s->crash_target = g_strdup(target);
+	s->down_ms = down_ms;
+	pthread_mutex_unlock(&s->lock);
+}
+
+void stub_crash_engine(struct stub *s, const char *id, int64_t down_ms)
+{
+	struct stub_engine *e;
+
+	pthread_mutex_lock(&s->lock);
+	e = g_hash_table_lookup(s->engines, id);
+	s->down_ms = down_ms;
+	if (e->listener && e->crash_at_ms == 0)
+		e->crash_at_ms = clock_now_ms();
+	pthread_mutex_unlock(&s->lock);
+}
+
 static int64_t time_at(const GArray *times, uint32_t k)
 {
 	return times && k < times->len ? g_array_index(times, int64_t, k) : 0;
@@ -189,3 +230,23 @@
 	pthread_mutex_unlock(&s->lock);
 	return n;
 }
+
+uint32_t stub_count_target_runs(struct stub *s)
+{
+	uint32_t n;
+
+	pthread_mutex_lock(&s->lock);
+	n = s->target_runs->len;
+	pthread_mutex_unlock(&s->lock);
+	return n;
+}
+
+int64_t stub_target_run_ms(struct stub *s, uint32_t k)
+{
+	int64_t at_ms;
+
+	pthread_mutex_lock(&s->lock);
+	at_ms = time_at(s->target_runs, k);
+	pthread_mutex_unlock(&s->lock);
+	return at_ms;
+}
--- a/packages/emul/stub_engine.c
+++ b/packages/emul/stub_engine.c
@@ -9,6 +9,7 @@
 
 #define HEADER_ATTEMPT "X-Currantscale-Attempt-Id"
 #define DEADLINE_MAX_MS 60000
+#define CRASH_WAIT_MS 60000 /* of a run under which its engine crashes meanwhile */
 #define STATUS_OK 200
 #define STATUS_UNAVAILABLE 503
 
@@ -246,8 +247,8 @@
 	int64_t start_ms = now_ms;
 
 	record_run(e, attempt_of(request));
-	if (e->options.kind == STUB_STREAM)
-		stub_crash_note_run(e, request);
+	if (e->options.kind != STUB_POOL && stub_crash_note_run(e, request))
+		start_ms = now_ms + CRASH_WAIT_MS;
 	if (e->options.kind == STUB_POOL) {
 		start_ms = MAX(now_ms, e->busy_until_ms);
 		e->busy_until_ms = start_ms + e->options.work_ms;
--- a/packages/emul/stub_int.h
+++ b/packages/emul/stub_int.h
@@ -70,6 +70,8 @@
 	int64_t compacted_revision; /* newest revision when STUB_STORE_COMPACTED was last set */
 	uint64_t sequence;
 	uint64_t crash_part; /* 0: none */
+	char *crash_target;  /* path and query; NULL: none */
+	GArray *target_runs; /* int64_t; times of its runs */
 	int64_t down_ms;     /* time that an engine is down after a crash */
 	GArray *crashes;     /* int64_t; times of all crashes */
 	GArray *lapses;	     /* struct stub_lapse; entries of crashed engines, in order of time */
@@ -117,8 +119,8 @@
 /* stub_crash.c */
 void stub_crash_init(struct stub *s);
 void stub_crash_tick(struct stub *s, int64_t now_ms);
-/* A stream engine begins to run a request. */
-void stub_crash_note_run(struct stub_engine *e, const struct http_server_request *request);
+/* An engine begins to run a request. Returns whether it crashes before it answers. */
+bool stub_crash_note_run(struct stub_engine *e, const struct http_server_request *request);
 /* A stream engine begins an answer. Returns the length to begin it with. */
 int64_t stub_crash_note_answer(struct stub_engine *e, const struct http_server_request *request);
 
