--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -65,6 +65,12 @@
 typedef struct Peer__UpstreamNotices Peer__UpstreamNotices;
 typedef struct Peer__PermitAsk Peer__PermitAsk;
 typedef struct Peer__PermitReply Peer__PermitReply;
+typedef struct Peer__RunEnd Peer__RunEnd;
+typedef struct Peer__RunGood Peer__RunGood;
+typedef struct Peer__RunAlive Peer__RunAlive;
+typedef struct Peer__RunEvidence Peer__RunEvidence;
+typedef struct Peer__RunAsk Peer__RunAsk;
+typedef struct Peer__RunReply Peer__RunReply;
 typedef struct Peer__Message Peer__Message;
 
 
@@ -1097,6 +1103,110 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
+/*
+ * An upstream that ended while it ran a request.
+ */
+struct  Peer__RunEnd
+{
+  ProtobufCMessage base;
+  /*
+   * digest of what it asks
+   */
+  uint64_t request;
+  /*
+   * hash of its id and start
+   */
+  uint64_t upstream;
+  uint64_t age_ms;
+  /*
+   * since the request was sent there
+   */
+  uint64_t sent_age_ms;
+};
+#define PEER__RUN_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__run_end__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * The latest good answer to a request.
+ */
+struct  Peer__RunGood
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  uint64_t age_ms;
+};
+#define PEER__RUN_GOOD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__run_good__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * An upstream that has answered a request sent after its presumed end.
+ */
+struct  Peer__RunAlive
+{
+  ProtobufCMessage base;
+  uint64_t upstream;
+  uint64_t sent_age_ms;
+};
+#define PEER__RUN_ALIVE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__run_alive__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Evidence for and against requests that crash upstreams.
+ */
+struct  Peer__RunEvidence
+{
+  ProtobufCMessage base;
+  size_t n_ends;
+  Peer__RunEnd **ends;
+  size_t n_goods;
+  Peer__RunGood **goods;
+  size_t n_alive;
+  Peer__RunAlive **alive;
+};
+#define PEER__RUN_EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__run_evidence__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * Requests a run of a request that may crash upstreams, from the node that grants its runs.
+ */
+struct  Peer__RunAsk
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  /*
+   * by the requester's clock; returned in the reply
+   */
+  int64_t asked_ms;
+};
+#define PEER__RUN_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__run_ask__descriptor) \
+    , 0, 0 }
+
+
+struct  Peer__RunReply
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  int64_t asked_ms;
+  protobuf_c_boolean granted;
+  /*
+   * if it wasn't: until it may be
+   */
+  int64_t wait_ms;
+};
+#define PEER__RUN_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__run_reply__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 typedef enum {
   PEER__MESSAGE__KIND__NOT_SET = 0,
   PEER__MESSAGE__KIND_DIGEST = 10,
@@ -1131,7 +1241,10 @@
   PEER__MESSAGE__KIND_ORIGIN_REPLY = 62,
   PEER__MESSAGE__KIND_UPSTREAM_NOTICES = 63,
   PEER__MESSAGE__KIND_PERMIT_ASK = 64,
-  PEER__MESSAGE__KIND_PERMIT_REPLY = 65
+  PEER__MESSAGE__KIND_PERMIT_REPLY = 65,
+  PEER__MESSAGE__KIND_RUN_EVIDENCE = 66,
+  PEER__MESSAGE__KIND_RUN_ASK = 67,
+  PEER__MESSAGE__KIND_RUN_REPLY = 68
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -1185,6 +1298,9 @@
     Peer__UpstreamNotices *upstream_notices;
     Peer__PermitAsk *permit_ask;
     Peer__PermitReply *permit_reply;
+    Peer__RunEvidence *run_evidence;
+    Peer__RunAsk *run_ask;
+    Peer__RunReply *run_reply;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -2142,6 +2258,120 @@
 void   peer__permit_reply__free_unpacked
                      (Peer__PermitReply *message,
                       ProtobufCAllocator *allocator);
+/* Peer__RunEnd methods */
+void   peer__run_end__init
+                     (Peer__RunEnd         *message);
+size_t peer__run_end__get_packed_size
+                     (const Peer__RunEnd   *message);
+size_t peer__run_end__pack
+                     (const Peer__RunEnd   *message,
+                      uint8_t             *out);
+size_t peer__run_end__pack_to_buffer
+                     (const Peer__RunEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RunEnd *
+       peer__run_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__run_end__free_unpacked
+                     (Peer__RunEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RunGood methods */
+void   peer__run_good__init
+                     (Peer__RunGood         *message);
+size_t peer__run_good__get_packed_size
+                     (const Peer__RunGood   *message);
+size_t peer__run_good__pack
+                     (const Peer__RunGood   *message,
+                      uint8_t             *out);
+size_t peer__run_good__pack_to_buffer
+                     (const Peer__RunGood   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RunGood *
+       peer__run_good__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__run_good__free_unpacked
+                     (Peer__RunGood *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RunAlive methods */
+void   peer__run_alive__init
+                     (Peer__RunAlive         *message);
+size_t peer__run_alive__get_packed_size
+                     (const Peer__RunAlive   *message);
+size_t peer__run_alive__pack
+                     (const Peer__RunAlive   *message,
+                      uint8_t             *out);
+size_t peer__run_alive__pack_to_buffer
+                     (const Peer__RunAlive   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RunAlive *
+       peer__run_alive__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__run_alive__free_unpacked
+                     (Peer__RunAlive *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RunEvidence methods */
+void   peer__run_evidence__init
+                     (Peer__RunEvidence         *message);
+size_t peer__run_evidence__get_packed_size
+                     (const Peer__RunEvidence   *message);
+size_t peer__run_evidence__pack
+                     (const Peer__RunEvidence   *message,
+                      uint8_t             *out);
+size_t peer__run_evidence__pack_to_buffer
+                     (const Peer__RunEvidence   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RunEvidence *
+       peer__run_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__run_evidence__free_unpacked
+                     (Peer__RunEvidence *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RunAsk methods */
+void   peer__run_ask__init
+                     (Peer__RunAsk         *message);
+size_t peer__run_ask__get_packed_size
+                     (const Peer__RunAsk   *message);
+size_t peer__run_ask__pack
+                     (const Peer__RunAsk   *message,
+                      uint8_t             *out);
+size_t peer__run_ask__pack_to_buffer
+                     (const Peer__RunAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RunAsk *
+       peer__run_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__run_ask__free_unpacked
+                     (Peer__RunAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RunReply methods */
+void   peer__run_reply__init
+                     (Peer__RunReply         *message);
+size_t peer__run_reply__get_packed_size
+                     (const Peer__RunReply   *message);
+size_t peer__run_reply__pack
+                     (const Peer__RunReply   *message,
+                      uint8_t             *out);
+size_t peer__run_reply__pack_to_buffer
+                     (const Peer__RunReply   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RunReply *
+       peer__run_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__run_reply__free_unpacked
+                     (Peer__RunReply *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Message methods */
 void   peer__message__init
                      (Peer__Message         *message);
@@ -2313,6 +2543,24 @@
 typedef void (*Peer__PermitReply_Closure)
                  (const Peer__PermitReply *message,
                   void *closure_data);
+typedef void (*Peer__RunEnd_Closure)
+                 (const Peer__RunEnd *message,
+                  void *closure_data);
+typedef void (*Peer__RunGood_Closure)
+                 (const Peer__RunGood *message,
+                  void *closure_data);
+typedef void (*Peer__RunAlive_Closure)
+                 (const Peer__RunAlive *message,
+                  void *closure_data);
+typedef void (*Peer__RunEvidence_Closure)
+                 (const Peer__RunEvidence *message,
+                  void *closure_data);
+typedef void (*Peer__RunAsk_Closure)
+                 (const Peer__RunAsk *message,
+                  void *closure_data);
+typedef void (*Peer__RunReply_Closure)
+                 (const Peer__RunReply *message,
+                  void *closure_data);
 typedef void (*Peer__Message_Closure)
                  (const Peer__Message *message,
                   void *closure_data);
@@ -2373,6 +2621,12 @@
 extern const ProtobufCMessageDescriptor peer__upstream_notices__descriptor;
 extern const ProtobufCMessageDescriptor peer__permit_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__permit_reply__descriptor;
+extern const ProtobufCMessageDescriptor peer__run_end__descriptor;
+extern const ProtobufCMessageDescriptor peer__run_good__descriptor;
+extern const ProtobufCMessageDescriptor peer__run_alive__descriptor;
+extern const ProtobufCMessageDescriptor peer__run_evidence__descriptor;
+extern const ProtobufCMessageDescriptor peer__run_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__run_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -2257,6 +2257,276 @@
   assert(message->base.descriptor == &peer__permit_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__run_end__init
+                     (Peer__RunEnd         *message)
+{
+  static const Peer__RunEnd init_value = PEER__RUN_END__INIT;
+  *message = init_value;
+}
+size_t peer__run_end__get_packed_size
+                     (const Peer__RunEnd *message)
+{
+  assert(message->base.descriptor == &peer__run_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__run_end__pack
+                     (const Peer__RunEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__run_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__run_end__pack_to_buffer
+                     (const Peer__RunEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__run_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RunEnd *
+       peer__run_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RunEnd *)
+     protobuf_c_message_unpack (&peer__run_end__descriptor,
+                                allocator, len, data);
+}
+void   peer__run_end__free_unpacked
+                     (Peer__RunEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__run_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__run_good__init
+                     (Peer__RunGood         *message)
+{
+  static const Peer__RunGood init_value = PEER__RUN_GOOD__INIT;
+  *message = init_value;
+}
+size_t peer__run_good__get_packed_size
+                     (const Peer__RunGood *message)
+{
+  assert(message->base.descriptor == &peer__run_good__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__run_good__pack
+                     (const Peer__RunGood *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__run_good__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__run_good__pack_to_buffer
+                     (const Peer__RunGood *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__run_good__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RunGood *
+       peer__run_good__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RunGood *)
+     protobuf_c_message_unpack (&peer__run_good__descriptor,
+                                allocator, len, data);
+}
+void   peer__run_good__free_unpacked
+                     (Peer__RunGood *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__run_good__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__run_alive__init
+                     (Peer__RunAlive         *message)
+{
+  static const Peer__RunAlive init_value = PEER__RUN_ALIVE__INIT;
+  *message = init_value;
+}
+size_t peer__run_alive__get_packed_size
+                     (const Peer__RunAlive *message)
+{
+  assert(message->base.descriptor == &peer__run_alive__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__run_alive__pack
+                     (const Peer__RunAlive *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__run_alive__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__run_alive__pack_to_buffer
+                     (const Peer__RunAlive *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__run_alive__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RunAlive *
+       peer__run_alive__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RunAlive *)
+     protobuf_c_message_unpack (&peer__run_alive__descriptor,
+                                allocator, len, data);
+}
+void   peer__run_alive__free_unpacked
+                     (Peer__RunAlive *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__run_alive__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__run_evidence__init
+                     (Peer__RunEvidence         *message)
+{
+  static const Peer__RunEvidence init_value = PEER__RUN_EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t peer__run_evidence__get_packed_size
+                     (const Peer__RunEvidence *message)
+{
+  assert(message->base.descriptor == &peer__run_evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__run_evidence__pack
+                     (const Peer__RunEvidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__run_evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__run_evidence__pack_to_buffer
+                     (const Peer__RunEvidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__run_evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RunEvidence *
+       peer__run_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RunEvidence *)
+     protobuf_c_message_unpack (&peer__run_evidence__descriptor,
+                                allocator, len, data);
+}
+void   peer__run_evidence__free_unpacked
+                     (Peer__RunEvidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__run_evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__run_ask__init
+                     (Peer__RunAsk         *message)
+{
+  static const Peer__RunAsk init_value = PEER__RUN_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__run_ask__get_packed_size
+                     (const Peer__RunAsk *message)
+{
+  assert(message->base.descriptor == &peer__run_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__run_ask__pack
+                     (const Peer__RunAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__run_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__run_ask__pack_to_buffer
+                     (const Peer__RunAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__run_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RunAsk *
+       peer__run_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RunAsk *)
+     protobuf_c_message_unpack (&peer__run_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__run_ask__free_unpacked
+                     (Peer__RunAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__run_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__run_reply__init
+                     (Peer__RunReply         *message)
+{
+  static const Peer__RunReply init_value = PEER__RUN_REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__run_reply__get_packed_size
+                     (const Peer__RunReply *message)
+{
+  assert(message->base.descriptor == &peer__run_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__run_reply__pack
+                     (const Peer__RunReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__run_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__run_reply__pack_to_buffer
+                     (const Peer__RunReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__run_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RunReply *
+       peer__run_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RunReply *)
+     protobuf_c_message_unpack (&peer__run_reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__run_reply__free_unpacked
+                     (Peer__RunReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__run_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__message__init
                      (Peer__Message         *message)
 {
@@ -6236,7 +6506,378 @@
   (ProtobufCMessageInit) peer__permit_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[39] =
+static const ProtobufCFieldDescriptor peer__run_end__field_descriptors[4] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunEnd, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunEnd, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunEnd, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunEnd, sent_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__run_end__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = request */
+  3,   /* field[3] = sent_age_ms */
+  1,   /* field[1] = upstream */
+};
+static const ProtobufCIntRange peer__run_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__run_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RunEnd",
+  "RunEnd",
+  "Peer__RunEnd",
+  "peer",
+  sizeof(Peer__RunEnd),
+  4,
+  peer__run_end__field_descriptors,
+  peer__run_end__field_indices_by_name,
+  1,  peer__run_end__number_ranges,
+  (ProtobufCMessageInit) peer__run_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__run_good__field_descriptors[2] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunGood, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunGood, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__run_good__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange peer__run_good__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__run_good__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RunGood",
+  "RunGood",
+  "Peer__RunGood",
+  "peer",
+  sizeof(Peer__RunGood),
+  2,
+  peer__run_good__field_descriptors,
+  peer__run_good__field_indices_by_name,
+  1,  peer__run_good__number_ranges,
+  (ProtobufCMessageInit) peer__run_good__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__run_alive__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunAlive, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunAlive, sent_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__run_alive__field_indices_by_name[] = {
+  1,   /* field[1] = sent_age_ms */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange peer__run_alive__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__run_alive__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RunAlive",
+  "RunAlive",
+  "Peer__RunAlive",
+  "peer",
+  sizeof(Peer__RunAlive),
+  2,
+  peer__run_alive__field_descriptors,
+  peer__run_alive__field_indices_by_name,
+  1,  peer__run_alive__number_ranges,
+  (ProtobufCMessageInit) peer__run_alive__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__run_evidence__field_descriptors[3] =
+{
+  {
+    "ends",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__RunEvidence, n_ends),
+    offsetof(Peer__RunEvidence, ends),
+    &peer__run_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "goods",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__RunEvidence, n_goods),
+    offsetof(Peer__RunEvidence, goods),
+    &peer__run_good__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "alive",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__RunEvidence, n_alive),
+    offsetof(Peer__RunEvidence, alive),
+    &peer__run_alive__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__run_evidence__field_indices_by_name[] = {
+  2,   /* field[2] = alive */
+  0,   /* field[0] = ends */
+  1,   /* field[1] = goods */
+};
+static const ProtobufCIntRange peer__run_evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__run_evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RunEvidence",
+  "RunEvidence",
+  "Peer__RunEvidence",
+  "peer",
+  sizeof(Peer__RunEvidence),
+  3,
+  peer__run_evidence__field_descriptors,
+  peer__run_evidence__field_indices_by_name,
+  1,  peer__run_evidence__number_ranges,
+  (ProtobufCMessageInit) peer__run_evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__run_ask__field_descriptors[2] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunAsk, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunAsk, asked_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__run_ask__field_indices_by_name[] = {
+  1,   /* field[1] = asked_ms */
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange peer__run_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__run_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RunAsk",
+  "RunAsk",
+  "Peer__RunAsk",
+  "peer",
+  sizeof(Peer__RunAsk),
+  2,
+  peer__run_ask__field_descriptors,
+  peer__run_ask__field_indices_by_name,
+  1,  peer__run_ask__number_ranges,
+  (ProtobufCMessageInit) peer__run_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__run_reply__field_descriptors[4] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunReply, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunReply, asked_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunReply, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RunReply, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__run_reply__field_indices_by_name[] = {
+  1,   /* field[1] = asked_ms */
+  2,   /* field[2] = granted */
+  0,   /* field[0] = request */
+  3,   /* field[3] = wait_ms */
+};
+static const ProtobufCIntRange peer__run_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__run_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RunReply",
+  "RunReply",
+  "Peer__RunReply",
+  "peer",
+  sizeof(Peer__RunReply),
+  4,
+  peer__run_reply__field_descriptors,
+  peer__run_reply__field_indices_by_name,
+  1,  peer__run_reply__number_ranges,
+  (ProtobufCMessageInit) peer__run_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[42] =
 {
   {
     "from_vm",
@@ -6706,6 +7347,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_evidence",
+    66,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, run_evidence),
+    &peer__run_evidence__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_ask",
+    67,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, run_ask),
+    &peer__run_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_reply",
+    68,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, run_reply),
+    &peer__run_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
   23,   /* field[23] = beat */
@@ -6737,6 +7414,9 @@
   31,   /* field[31] = region_load */
   11,   /* field[11] = release */
   12,   /* field[12] = release_ack */
+  40,   /* field[40] = run_ask */
+  39,   /* field[39] = run_evidence */
+  41,   /* field[41] = run_reply */
   7,   /* field[7] = section_ask */
   8,   /* field[8] = section_reply */
   4,   /* field[4] = sent_wall_ms */
@@ -6755,7 +7435,7 @@
   { 30, 14 },
   { 40, 18 },
   { 50, 23 },
-  { 0, 39 }
+  { 0, 42 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -6765,7 +7445,7 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  39,
+  42,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
   5,  peer__message__number_ranges,
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -1,5 +1,6 @@
 /* A serving node: startup, timers, readiness and settings reload. */
 #include "srv_gate.h"
+#include "srv_poison.h"
 #include "srv_quarantine.h"
 
 #include "base/clock.h"
@@ -17,6 +18,13 @@
 #define MS_PER_S 1000.0
 #define SETTINGS_CHECK_TICKS 10
 
+bool srv_rate_take(struct srv_rate *rate, uint32_t per_s, int64_t now_ms)
+{
+	if (now_ms - rate->since_ms >= CLOCK_MS_PER_S)
+		*rate = (struct srv_rate){.since_ms = now_ms};
+	return rate->n++ < per_s;
+}
+
 char *srv_hex_ids(const uint64_t *ids, uint32_t n)
 {
 	GString *text = g_string_new(NULL);
@@ -156,6 +164,7 @@
 	srv_origin_tick(s, now_ms);
 	srv_chain_tick(s, now_ms);
 	srv_quarantine_tick(s, now_ms);
+	srv_poison_tick(s, now_ms);
 	srv_gate_tick(s, now_ms);
 	update_ready(s, now_ms);
 	srv_stop_tick(s, now_ms);
@@ -261,6 +270,7 @@
 	s->regions = srv_regions_new();
 	srv_regions_configure(s->regions, set);
 	s->quarantine = quarantine_new();
+	s->poison = poison_new();
 	s->gate = srv_gate_new(s);
 	g_queue_init(&s->permit_waiters);
 	s->returns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -322,6 +332,7 @@
 	g_hash_table_destroy(s->resumptions);
 	chain_sched_free(s->chains);
 	quarantine_free(s->quarantine);
+	poison_free(s->poison);
 	gate_free(s->gate);
 	g_hash_table_destroy(s->returns);
 	g_ptr_array_unref(s->regions);
--- a/packages/serve/srv_answer.c
+++ b/packages/serve/srv_answer.c
@@ -4,7 +4,7 @@
  * in complete events.
  */
 #include "srv_gate.h"
-#include "srv_req_int.h"
+#include "srv_poison.h"
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -93,6 +93,8 @@
 		srv_gate_note_answer(r->s,
 				     (struct gate_run){attempt->upstream->id, attempt->born_ms},
 				     attempt->sent_ms, head->status, &answer, r->meta.attempt);
+	if (!attempt->is_wrong_address)
+		srv_poison_note_answer(attempt);
 	attempt->verdict = classify(head, &answer);
 	attempt->is_missing_inputs = head->status == 409 && attempt->verdict == SRV_ATTEMPT_NOT_RUN;
 	if (attempt->verdict == SRV_ATTEMPT_ACCEPTED && !answer.attempt)
@@ -234,6 +236,7 @@
 		return;
 	attempt->is_good_noted = true;
 	srv_quarantine_note_good(r->s, &r->meta, attempt->begun_ms);
+	srv_poison_note_good(attempt);
 }
 
 bool srv_attempt_handle_data(struct srv_attempt *attempt, const void *data, size_t len)
--- a/packages/serve/srv_attempt.c
+++ b/packages/serve/srv_attempt.c
@@ -88,8 +88,7 @@
 	return n;
 }
 
-/* Returns the number of attempts that an upstream has run or may yet run. */
-static uint32_t count_runs(const struct srv_req *r)
+uint32_t srv_req_count_runs(const struct srv_req *r)
 {
 	return r->runs + srv_req_count_active(r);
 }
@@ -228,14 +227,16 @@
 		return "too little time left before the deadline or route timeout";
 	if (now_ms >= send_by_ms(r))
 		return "node is shutting down";
-	if (count_runs(r) > 0 && !srv_req_is_repeatable(r))
+	if (srv_req_count_runs(r) > 0 && !srv_req_is_repeatable(r))
 		return "may have run and must not be repeated";
-	if (count_runs(r) >= (uint32_t)MAX(r->route->max_upstreams, 1))
+	if (srv_req_count_runs(r) >= (uint32_t)MAX(r->route->max_upstreams, 1))
 		return "route's attempt limit reached";
 	if (count_refusals(r) >= REFUSALS_MAX)
 		return "refused by too many upstreams";
-	if (count_runs(r) > 0 && srv_req_is_doubted(r))
+	if (srv_req_count_runs(r) > 0 && srv_req_is_doubted(r))
 		return "a part of the prompt may crash upstreams";
+	if (srv_req_count_runs(r) > 0 && srv_poison_is_doubted(r))
+		return "the request may crash upstreams";
 	if (may_have_arrived(r) && !srv_retry_allowed(r->s, r->service_name, now_ms))
 		return "retry budget exhausted";
 	return NULL;
@@ -246,6 +247,7 @@
 	int64_t now_ms = clock_now_ms();
 	const char *reason = srv_req_no_send_reason(r, now_ms);
 	struct quarantine_verdict verdict;
+	struct poison_verdict poison;
 	struct srv_upstream *u;
 
 	srv_permit_stop_waiting(r);
@@ -256,7 +258,16 @@
 		srv_req_end_quarantined(r, &verdict);
 		return;
 	}
-	u = reason || verdict.state == QUARANTINE_BLOCKED ? NULL : srv_req_pick(r, now_ms);
+	srv_poison_check(r, &poison);
+	if (poison.state == POISON_REFUSED && srv_req_count_active(r) == 0) {
+		srv_poison_end(r, &poison);
+		return;
+	}
+	u = reason || verdict.state == QUARANTINE_BLOCKED || poison.state == POISON_REFUSED
+		    ? NULL
+		    : srv_req_pick(r, now_ms);
+	if (u && srv_req_count_active(r) == 0 && srv_poison_wait(r, now_ms))
+		return;
 	if (u && srv_permit_is_needed(r, u, now_ms)) {
 		srv_permit_wait(r, u, now_ms);
 		return;
@@ -264,6 +275,8 @@
 	if (u) {
 		if (verdict.state == QUARANTINE_TRIAL)
 			quarantine_note_trial(r->s->quarantine, verdict.part, now_ms);
+		if (poison.state == POISON_TRIAL)
+			poison_note_trial(r->s->poison, r->digest, now_ms);
 		send_to(r, u, now_ms);
 		return;
 	}
@@ -359,6 +372,8 @@
 	struct srv_req *r = attempt->req;
 	int64_t now_ms = clock_now_ms();
 
+	if (attempt->verdict == SRV_ATTEMPT_ACCEPTED || attempt->verdict == SRV_ATTEMPT_FAILED)
+		srv_poison_note_good(attempt);
 	switch (attempt->verdict) {
 	case SRV_ATTEMPT_ACCEPTED:
 		srv_upstream_note_success(attempt->upstream, now_ms);
--- a/packages/serve/srv_gate_msg.c
+++ b/packages/serve/srv_gate_msg.c
@@ -70,30 +70,20 @@
 	return true;
 }
 
-static void send_to_member(void *arg, const struct gossip_member *member)
+static void flush(struct message *m)
 {
-	struct message *m = arg;
+	const struct gossip_member *member = m->to ? gossip_find(m->s->fleet, m->to) : NULL;
 	Peer__UpstreamNotices notices = PEER__UPSTREAM_NOTICES__INIT;
 	Peer__Message wire = PEER__MESSAGE__INIT;
 
-	if (strcmp(member->record.peer_address, m->s->set->peer_address) == 0 ||
-	    !gossip_is_alive(m->s->fleet, member, m->now_ms))
-		return;
 	notices.notices = m->list;
 	notices.n_notices = m->n;
 	wire.kind_case = PEER__MESSAGE__KIND_UPSTREAM_NOTICES;
 	wire.upstream_notices = &notices;
-	srv_peer_send(m->s, member->record.peer_address, &wire);
-}
-
-static void flush(struct message *m)
-{
-	const struct gossip_member *member = m->to ? gossip_find(m->s->fleet, m->to) : NULL;
-
-	if (m->n > 0 && member)
-		send_to_member(m, member);
-	else if (m->n > 0 && !m->to)
-		gossip_foreach(m->s->fleet, send_to_member, m);
+	if (m->n > 0 && !m->to)
+		srv_peer_send_live(m->s, &wire, m->now_ms);
+	else if (m->n > 0 && member && gossip_is_alive(m->s->fleet, member, m->now_ms))
+		srv_peer_send(m->s, m->to, &wire);
 	m->n = 0;
 }
 
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -69,6 +69,14 @@
 	  "requests relayed to other nodes, as this one reaches no upstream")                      \
 	X(SRV_RELAY_FAILURES, "relay_failures_total",                                              \
 	  "relayed requests to which no complete answer was passed on")                            \
+	X(SRV_RUN_REPORTS, "run_reports_total",                                                    \
+	  "upstreams that ended under a request, as reported to other nodes")                      \
+	X(SRV_RUN_ASKS, "run_asks_total",                                                          \
+	  "requests that needed a grant to run, as they may crash upstreams")                      \
+	X(SRV_RUNS_NOT_GRANTED, "runs_not_granted_total",                                          \
+	  "requests ended as they may crash upstreams and were running elsewhere")                 \
+	X(SRV_POISON_REFUSED, "poison_refused_total",                                              \
+	  "requests refused because they crash upstreams")                                         \
 	X(SRV_QUARANTINED, "quarantined_total",                                                    \
 	  "requests refused because a part of their prompt crashes upstreams")
 
@@ -107,7 +115,14 @@
 	bool is_detached; /* replaced or removed; freed with the last reference */
 };
 
+/* Counts events of the present second. */
+struct srv_rate {
+	int64_t since_ms;
+	uint32_t n;
+};
+
 struct gate;
+struct poison;
 struct quarantine;
 struct srv_feed;
 struct srv_relays;
@@ -131,10 +146,12 @@
 	int64_t gate_ticked_ms;
 	bool is_pool_update_due; /* an upstream has said that it leaves */
 	int64_t malformed_logged_ms;
-	GQueue permit_waiters;	  /* struct srv_req */
-	GHashTable *returns;	  /* service -> int64_t: when the last refused caller may return */
-	int64_t reports_since_ms; /* start of the second in which n_reports crashes were reported */
-	uint32_t n_reports;
+	GQueue permit_waiters; /* struct srv_req */
+	GHashTable *returns;   /* service -> int64_t: when the last refused caller may return */
+	struct srv_rate crash_reports;
+	struct poison *poison;
+	int64_t poison_ticked_ms;
+	struct srv_rate run_reports;
 	struct peer *peer;
 	uv_poll_t peer_poll;
 	struct http_server *front; /* callers' listener; NULL until the node is first ready */
@@ -189,6 +206,9 @@
 
 void srv_histogram_observe(struct srv_histogram *h, int64_t ms);
 
+/* Counts an event. Returns whether it is among the first per_s of its second. */
+bool srv_rate_take(struct srv_rate *rate, uint32_t per_s, int64_t now_ms);
+
 /* Returns the ids as hexadecimal text, separated by commas. Free with g_free(). */
 char *srv_hex_ids(const uint64_t *ids, uint32_t n);
 
@@ -215,6 +235,9 @@
 void srv_peer_stop(struct srv *s);
 void srv_peer_send(struct srv *s, const char *peer_address, Peer__Message *message);
 
+/* Sends the message to all other nodes that are alive. */
+void srv_peer_send_live(struct srv *s, Peer__Message *message, int64_t now_ms);
+
 /* Sends this node's changed state to some nodes at once, which pass it on. */
 void srv_peer_announce(struct srv *s, int64_t now_ms);
 
@@ -306,7 +329,7 @@
  * Returns what identifies one run of the upstream's process in reports of crashes: it may start
  * again under its id.
  */
-uint64_t srv_upstream_run_hash(const struct srv *s, const struct srv_upstream *u);
+uint64_t srv_upstream_run_hash(const char *id, int64_t born_ms);
 
 void srv_upstream_note_success(struct srv_upstream *u, int64_t now_ms);
 
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -1,6 +1,6 @@
 /* Peer messages: heartbeat gossip with reports of unreachable upstreams, and dispatch by kind. */
 #include "srv_gate.h"
-#include "srv_quarantine.h"
+#include "srv_poison.h"
 
 #include "base/clock.h"
 #include "base/fetch.h"
@@ -21,6 +21,28 @@
 	peer_send(s->peer, peer_address, peer_address, message);
 }
 
+struct broadcast {
+	struct srv *s;
+	Peer__Message *message;
+	int64_t now_ms;
+};
+
+static void send_to_member(void *arg, const struct gossip_member *member)
+{
+	const struct broadcast *b = arg;
+
+	if (strcmp(member->record.peer_address, b->s->set->peer_address) != 0 &&
+	    gossip_is_alive(b->s->fleet, member, b->now_ms))
+		srv_peer_send(b->s, member->record.peer_address, b->message);
+}
+
+void srv_peer_send_live(struct srv *s, Peer__Message *message, int64_t now_ms)
+{
+	struct broadcast b = {s, message, now_ms};
+
+	gossip_foreach(s->fleet, send_to_member, &b);
+}
+
 static void encode_member(Peer__Member *out, const struct gossip_record *r)
 {
 	peer__member__init(out);
@@ -139,6 +161,7 @@
 	if (n == 0)
 		return;
 	srv_quarantine_round(s, targets[prng_below(&s->prng, n)], now_ms);
+	srv_poison_round(s, targets[prng_below(&s->prng, n)], now_ms);
 	srv_gate_round(s, targets[prng_below(&s->prng, n)], now_ms);
 }
 
@@ -190,6 +213,7 @@
 		/* a joining node learns the membership and the evidence at once */
 		send_beat(s, from, now_ms);
 		srv_quarantine_send_all(s, from, now_ms);
+		srv_poison_send_all(s, from, now_ms);
 		srv_gate_send_all(s, from, now_ms);
 	} else if (is_answer_due(s, from)) {
 		send_beat(s, from, now_ms);
@@ -215,6 +239,11 @@
 	case PEER__MESSAGE__KIND_PROMPT_EVIDENCE:
 		srv_quarantine_message(s, message->from_vm, message->prompt_evidence);
 		break;
+	case PEER__MESSAGE__KIND_RUN_EVIDENCE:
+	case PEER__MESSAGE__KIND_RUN_ASK:
+	case PEER__MESSAGE__KIND_RUN_REPLY:
+		srv_poison_message(s, message);
+		break;
 	case PEER__MESSAGE__KIND_UPSTREAM_NOTICES:
 	case PEER__MESSAGE__KIND_PERMIT_ASK:
 	case PEER__MESSAGE__KIND_PERMIT_REPLY:
--- a/packages/serve/srv_quarantine.c
+++ b/packages/serve/srv_quarantine.c
@@ -5,6 +5,8 @@
  */
 #include "srv_quarantine.h"
 
+#include "srv_gate.h"
+
 #include "base/clock.h"
 #include "base/log.h"
 
@@ -17,7 +19,6 @@
 #define MESSAGE_GOODS_MAX 64
 /* Crash reports that a node sends a second; the repeated messages bring what is left out. */
 #define REPORTS_PER_S 20
-#define MS_PER_S 1000
 
 /* A message under construction, for one node or, if to is NULL, for all live ones. */
 struct message {
@@ -44,19 +45,6 @@
 	return m;
 }
 
-static void send_to_member(void *arg, const struct gossip_member *member)
-{
-	struct message *m = arg;
-	Peer__Message wire = PEER__MESSAGE__INIT;
-
-	if (strcmp(member->record.peer_address, m->s->set->peer_address) == 0 ||
-	    !gossip_is_alive(m->s->fleet, member, m->now_ms))
-		return;
-	wire.kind_case = PEER__MESSAGE__KIND_PROMPT_EVIDENCE;
-	wire.prompt_evidence = &m->evidence;
-	srv_peer_send(m->s, member->record.peer_address, &wire);
-}
-
 static void free_parts(struct message *m)
 {
 	for (size_t i = 0; i < m->evidence.n_crashes; i++) {
@@ -72,13 +60,12 @@
 
 	if (m->evidence.n_crashes + m->evidence.n_goods == 0)
 		return;
-	if (m->to) {
-		wire.kind_case = PEER__MESSAGE__KIND_PROMPT_EVIDENCE;
-		wire.prompt_evidence = &m->evidence;
+	wire.kind_case = PEER__MESSAGE__KIND_PROMPT_EVIDENCE;
+	wire.prompt_evidence = &m->evidence;
+	if (m->to)
 		srv_peer_send(m->s, m->to, &wire);
-	} else {
-		gossip_foreach(m->s->fleet, send_to_member, m);
-	}
+	else
+		srv_peer_send_live(m->s, &wire, m->now_ms);
 	free_parts(m);
 	m->evidence.n_crashes = 0;
 	m->evidence.n_goods = 0;
@@ -178,16 +165,6 @@
 	message_send(m);
 }
 
-/* Limits the reports to REPORTS_PER_S. */
-static bool may_report(struct srv *s, int64_t now_ms)
-{
-	if (now_ms - s->reports_since_ms >= MS_PER_S) {
-		s->reports_since_ms = now_ms;
-		s->n_reports = 0;
-	}
-	return s->n_reports++ < REPORTS_PER_S;
-}
-
 void srv_quarantine_note_crash(struct srv *s, const struct adapter_request *meta,
 			       const struct srv_upstream *u, int64_t begun_ms)
 {
@@ -196,7 +173,9 @@
 	uint32_t n = shared_parts(meta, parts);
 	int64_t now_ms = clock_now_ms();
 	struct quarantine_crash crash = {
-		.upstream = srv_upstream_run_hash(s, u), .at_ms = now_ms, .parts = report};
+		.upstream = srv_upstream_run_hash(u->id, srv_gate_run_of(s, u->id).born_ms),
+		.at_ms = now_ms,
+		.parts = report};
 	struct message *m;
 	char *parts_text;
 	char *crash_text;
@@ -214,7 +193,7 @@
 	g_free(parts_text);
 	g_free(crash_text);
 	srv_quarantine_tick(s, now_ms);
-	if (crash.n_parts == 0 || !may_report(s, now_ms))
+	if (crash.n_parts == 0 || !srv_rate_take(&s->crash_reports, REPORTS_PER_S, now_ms))
 		return;
 	srv_count(s, SRV_CRASH_REPORTS);
 	m = message_new(s, NULL, now_ms);
@@ -222,11 +201,10 @@
 	message_send(m);
 }
 
-/* True if this node makes the fleet's trials of the part. */
-static bool may_try(void *arg, uint64_t part)
+bool srv_quarantine_may_try(void *arg, uint64_t id)
 {
 	struct srv *s = arg;
-	char *task = srv_hex_ids(&part, 1);
+	char *task = srv_hex_ids(&id, 1);
 	struct gossip_share share = gossip_compute_share(s->fleet, task, clock_now_ms());
 
 	g_free(task);
@@ -241,7 +219,8 @@
 
 	*verdict = (struct quarantine_verdict){.state = QUARANTINE_CLEAR};
 	if (n > 0 && srv_has_policy(s, POLICY_QUARANTINE))
-		quarantine_check(s->quarantine, parts, n, may_try, s, clock_now_ms(), verdict);
+		quarantine_check(s->quarantine, parts, n, srv_quarantine_may_try, s, clock_now_ms(),
+				 verdict);
 }
 
 void srv_quarantine_log_refusal(const struct adapter_request *meta,
--- a/packages/serve/srv_quarantine.h
+++ b/packages/serve/srv_quarantine.h
@@ -27,6 +27,9 @@
 void srv_quarantine_round(struct srv *s, const char *to, int64_t now_ms);
 void srv_quarantine_message(struct srv *s, const char *from, const Peer__PromptEvidence *in);
 
+/* Returns whether this node, a struct srv, makes the fleet's trials of the part or request. */
+bool srv_quarantine_may_try(void *arg, uint64_t id);
+
 /* Logs the parts that went into quarantine or left it. */
 void srv_quarantine_tick(struct srv *s, int64_t now_ms);
 
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -4,7 +4,7 @@
  * is answered as not run (503) only in that case.
  */
 #include "srv_gate.h"
-#include "srv_req_int.h"
+#include "srv_poison.h"
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -335,6 +335,7 @@
 {
 	struct srv *s = r->s;
 	struct quarantine_verdict verdict;
+	struct poison_verdict poison;
 
 	if (!s->view->doc || !s->view->complete) {
 		srv_req_refuse(r, NO_CONFIG_RETRY_MS, "no configuration received yet");
@@ -360,6 +361,11 @@
 	set_deadlines(r);
 	r->rank = r->account && r->account->rank >= 0 ? r->account->rank : r->route->rank;
 	r->regions = intersect_regions(r->route->regions, r->account ? r->account->regions : NULL);
+	srv_poison_check(r, &poison);
+	if (poison.state == POISON_REFUSED) {
+		srv_poison_end(r, &poison);
+		return;
+	}
 	if (srv_reach_is_isolated(s)) {
 		srv_relay_start(r);
 		return;
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -107,6 +107,8 @@
 	struct srv_relay *relay;     /* NULL: not relayed to another node */
 	int64_t last_event;	     /* id of the last event sent to the caller; -1: none */
 	char *permit_for;	     /* upstream for which a permit was asked for; NULL: none */
+	int64_t run_asked_ms;	     /* when a run was asked for; 0: none is being asked for */
+	uint32_t granted_runs;	     /* of it, while it is suspected of crashing upstreams */
 	int64_t send_at_ms;	     /* when to try again to send it; INT64_MAX: it doesn't wait */
 	int64_t held_ms;	     /* when all upstreams first held it back; 0: never */
 	struct srv_pick_report pick; /* of the last choice of an upstream */
@@ -190,6 +192,9 @@
 /* Returns whether the request may be the cause of a crash: it is run once only. */
 bool srv_req_is_doubted(const struct srv_req *r);
 
+/* Returns the number of attempts that an upstream has run or may yet run. */
+uint32_t srv_req_count_runs(const struct srv_req *r);
+
 /* Returns the number of attempts in progress. */
 uint32_t srv_req_count_active(const struct srv_req *r);
 
--- a/packages/serve/srv_silence.c
+++ b/packages/serve/srv_silence.c
@@ -2,7 +2,7 @@
  * Requests whose upstream is silent: hedges, and streams that go on at another upstream. A silent
  * upstream may be in good order, so nothing is given up before another one has the request.
  */
-#include "srv_req_int.h"
+#include "srv_poison.h"
 
 #include "base/clock.h"
 
@@ -126,7 +126,7 @@
 	struct srv_attempt *attempt = srv_req_last_active(r);
 
 	if (srv_req_no_send_reason(r, now_ms) || srv_req_is_doubted(r) ||
-	    (r->response_started && !srv_origin_may_go_on(r, now_ms)))
+	    srv_poison_is_suspected(r) || (r->response_started && !srv_origin_may_go_on(r, now_ms)))
 		restart_silence_timeout(attempt, now_ms);
 	else if (srv_attempt_is_missing_inputs(&r->attempts[r->n_attempts - 1]))
 		replace_inputs(attempt, now_ms);
--- a/packages/serve/srv_upstream.c
+++ b/packages/serve/srv_upstream.c
@@ -104,12 +104,9 @@
 	u->failure_rate_ms = now_ms;
 }
 
-uint64_t srv_upstream_run_hash(const struct srv *s, const struct srv_upstream *u)
+uint64_t srv_upstream_run_hash(const char *id, int64_t born_ms)
 {
-	const struct view_upstream *entry = g_hash_table_lookup(s->view->upstreams, u->id);
-	uint64_t born = entry ? (uint64_t)entry->doc->born_ms : 0;
-
-	return XXH64(u->id, strlen(u->id), born);
+	return XXH64(id, strlen(id), (uint64_t)born_ms);
 }
 
 void srv_upstream_note_success(struct srv_upstream *u, int64_t now_ms)
--- a/tests/proc_poison.c
+++ b/tests/proc_poison.c
@@ -111,7 +111,7 @@
 			bad_at_ms = now_ms + test->bad_every_ms;
 			load_run(&bad, test->bad_burst * BURST_EVERY_MS);
 		}
-		clock_sleep_ms(MIN(bad_at_ms, end_ms) - clock_now_ms());
+		clock_sleep_ms(MAX(MIN(bad_at_ms, end_ms) - clock_now_ms(), 0));
 	}
 	g_thread_join(thread);
 }
