--- a/tests/proc_advice.c
+++ b/tests/proc_advice.c
@@ -214,6 +214,63 @@
 }
 END_TEST
 
+#define REST_MS 2000
+#define REST_TEXT "2"
+#define BUSY_EVERY_MS 5
+#define AT_ONCE_MS 100 /* in which nine of ten refusals come */
+
+/*
+ * Guards against requests that reach upstreams at rest under a heavy load, as many are in progress
+ * when they ask for it, and against refusals that name a time at which they still rest.
+ */
+START_TEST(rest_of_a_whole_service)
+{
+	static const char *const upstreams[] = {"plain-1", "plain-2"};
+	const struct stub_advice advice = {.retry_after = REST_TEXT};
+	uint32_t n_nodes = 3;
+	uint32_t n_refused = 0;
+	uint32_t n_slow = 0;
+	int64_t from_ms;
+	int64_t end_ms;
+
+	start(n_nodes, "/safe/x", NO_BODY);
+	load.every_ms = BUSY_EVERY_MS;
+	for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++) {
+		stub_set_advice(c->stub, upstreams[i], &advice);
+		stub_set_fault(c->stub, upstreams[i], STUB_FAULT_SHED);
+	}
+	from_ms = clock_now_ms();
+	load_run(&load, REST_MS - SLACK_MS);
+	end_ms = clock_now_ms();
+	for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++)
+		stub_set_fault(c->stub, upstreams[i], STUB_FAULT_NONE);
+	load_run(&load, 2 * SLACK_MS);
+	load_join(&load);
+	for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++) {
+		uint32_t n = stub_count_arrivals(c->stub, upstreams[i], from_ms + SLACK_MS, end_ms);
+		ck_assert_msg(n <= EXTRA_MAX * n_nodes, "%u requests arrive at %s at rest", n,
+			      upstreams[i]);
+	}
+	for (guint i = 0; i < load.calls->len; i++) {
+		const struct load_call *call = g_ptr_array_index(load.calls, i);
+		if (call->sent_ms < from_ms + SLACK_MS || call->sent_ms >= end_ms)
+			continue;
+		ck_assert_msg(call->status == 503 &&
+				      call->retry_after_s * CLOCK_MS_PER_S <= REST_MS &&
+				      call->sent_ms + call->retry_after_s * CLOCK_MS_PER_S >=
+					      from_ms + REST_MS - AT_ONCE_MS,
+			      "%s ended %d, sent at %d ms, retry after %f s", call->attempt,
+			      call->status, (int)(call->sent_ms - from_ms), call->retry_after_s);
+		n_refused++;
+		n_slow += call->took_ms > AT_ONCE_MS;
+	}
+	ck_assert_msg(n_refused > 0 && n_slow * 10 <= n_refused, "%u of %u refusals are slow",
+		      n_slow, n_refused);
+	ck_assert_uint_gt(load_count(&load, 200, end_ms + SLACK_MS, INT64_MAX), 0);
+	finish();
+}
+END_TEST
+
 #define HEDGES_MAX 20 /* of one request in its route's 1.5 s, each after a tenth of a second */
 
 static uint32_t count_lines(const char *text)
@@ -265,6 +322,7 @@
 	add_cases(tcase, leaving_gets_nothing, G_N_ELEMENTS(leaving));
 	add_cases(tcase, new_start_gets_requests, 1);
 	add_cases(tcase, backoff_is_kept, G_N_ELEMENTS(backoffs));
+	add_cases(tcase, rest_of_a_whole_service, 1);
 	add_cases(tcase, hedge_finds_no_upstream, 1);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
