--- a/packages/decide/poison.c
+++ b/packages/decide/poison.c
@@ -117,13 +117,16 @@
 /* Drops the oldest record that isn't refused; if there is none, the oldest. */
 static void drop_oldest(struct poison *p)
 {
+	struct record *oldest = g_queue_peek_head(&p->order);
+
 	for (const GList *at = p->order.head; at; at = at->next) {
 		if (judge(p, at->data).verdict.state != POISON_REFUSED) {
-			drop_record(p, at->data);
-			return;
+			oldest = at->data;
+			break;
 		}
 	}
-	drop_record(p, p->order.head->data);
+	if (oldest)
+		drop_record(p, oldest);
 }
 
 static struct record *need_record(struct poison *p, uint64_t request, int64_t now_ms)
