--- a/tests/fuzz_input.c
+++ b/tests/fuzz_input.c
@@ -1,10 +1,12 @@
 /*
  * Fuzz target for the parsers of untrusted input: configuration documents, VM lists, tickets and
- * messages from other nodes. The first byte selects the parser. For any input, a parser has to
- * return either a value or a typed error, without a leak.
+ * messages from other nodes, and the client that reads upstreams' answers. The first byte selects
+ * the parser. For any input, a parser has to return either a value or a typed error, without a
+ * leak.
  */
 #include "base/err.h"
 #include "decide/ticket.h"
+#include "fuzz_client.h"
 #include "model/cfg.h"
 #include "model/vmlist.h"
 #include "peer/peer.pb-c.h"
@@ -64,7 +66,8 @@
 
 typedef void (*parse_fn)(const char *data, size_t len);
 
-static const parse_fn parsers[] = {parse_document, parse_list, parse_ticket, parse_message};
+static const parse_fn parsers[] = {parse_document, parse_list, parse_ticket, parse_message,
+				   fuzz_client};
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
