--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # A front for CMake. `make demo` and `make check` install what they lack and do everything.
-.PHONY: all deps build demo experiment plots check format lint proto clean storm soak
+.PHONY: all deps build demo experiment plots check format lint proto clean storm soak upgrade
 
 SEED ?= 1
 
@@ -51,3 +51,8 @@
 MINUTES ?= 1
 storm: build
 	@STORM_SEED=$(SEED) STORM_SECONDS=$$(( $(MINUTES) * 60 )) build/tests/proc_storm
+
+# Process tests with every second node of an earlier build: make upgrade FROM=commit
+FROM ?= 232f2d6
+upgrade: build
+	@tools/upgrade.sh $(FROM)
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -98,11 +98,19 @@
 	return path;
 }
 
+/* Every second node is of an earlier build if the environment names its program. */
+static const char *program_of(uint32_t i)
+{
+	const char *earlier = g_getenv("CS_EARLIER_NODE");
+
+	return earlier && i % 2 == 1 ? earlier : CS_NODE_PROGRAM;
+}
+
 void cluster_start_node(struct cluster *c, uint32_t i)
 {
 	char *path = write_settings(c, i);
 	char *log = g_strdup_printf("%s/node-%u.log", c->dir, i);
-	char *argv[] = {(char *)CS_NODE_PROGRAM, path, NULL};
+	char *argv[] = {(char *)program_of(i), path, NULL};
 	posix_spawn_file_actions_t actions;
 
 	posix_spawn_file_actions_init(&actions);
