--- a/packages/decide/poison.c
+++ b/packages/decide/poison.c
@@ -161,7 +161,7 @@
 	return false;
 }
 
-/* Without the second of them, later ones stay steps. */
+/* Drops the second end of a full record: the first gives its age, and all later ones stay steps. */
 static void make_room(struct record *r)
 {
 	struct poison_end second;
--- a/tools/upgrade.sh
+++ b/tools/upgrade.sh
@@ -7,7 +7,7 @@
 shift
 tests=("$@")
 [ ${#tests[@]} -gt 0 ] || tests=(proc_limits proc_advice proc_quarantine proc_drain proc_regions proc_adapter)
-source=build-earlier/$commit
+source=target/earlier/$commit
 if [ ! -x "$source/build/currantscaled" ]; then
 	mkdir -p "$source"
 	git archive "$commit" | tar -x -C "$source"
