Count the end of a run once its upstream refuses connections

Callers got 503 or 502 for requests whose upstreams only break connections: each broken connection counted as the end of an upstream, so a request that met two living ones was suspected and, as its run's end was no news, not granted for 2 s. Evidence: run_broken with one digest, then run_not_granted, in the log of proc_adapter. Ruled out: the load, as it fails alone.

An end now counts once a new connection to that upstream is refused; one probe serves all runs that broke there, 0.7 s at most. Silence is no evidence.

--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -271,6 +271,7 @@
 	srv_regions_configure(s->regions, set);
 	s->quarantine = quarantine_new();
 	s->poison = poison_new();
+	s->poison_probes = srv_poison_probes_new();
 	s->gate = srv_gate_new(s);
 	g_queue_init(&s->permit_waiters);
 	s->returns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -332,6 +333,7 @@
 	g_hash_table_destroy(s->resumptions);
 	chain_sched_free(s->chains);
 	quarantine_free(s->quarantine);
+	g_hash_table_destroy(s->poison_probes);
 	poison_free(s->poison);
 	gate_free(s->gate);
 	g_hash_table_destroy(s->returns);
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -153,6 +153,7 @@
 	struct srv_rate crash_reports;
 	struct poison *poison;
 	int64_t poison_ticked_ms;
+	GHashTable *poison_probes; /* hash of an upstream's run -> struct poison_probe, owned */
 	struct srv_rate run_reports;
 	struct peer *peer;
 	uv_poll_t peer_poll;
--- a/packages/serve/srv_poison.c
+++ b/packages/serve/srv_poison.c
@@ -32,17 +32,17 @@
 	return r->digest;
 }
 
-static void log_end(struct srv_attempt *attempt, uint64_t upstream, bool is_new)
+static void log_end(struct srv_attempt *attempt, uint64_t upstream)
 {
 	struct srv_req *r = attempt->req;
 	char *digest = srv_hex_ids(&r->digest, 1);
 	char *crash = srv_hex_ids(&upstream, 1);
 
-	log_info("run_broken", "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:b, s:b}", "request",
+	log_info("run_broken", "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:b}", "request",
 		 r->meta.attempt, "digest", digest, "upstream", attempt->upstream->id, "address",
 		 attempt->upstream->address, "crash_id", crash, "target", r->http->target,
 		 "after_ms", (json_int_t)(clock_now_ms() - attempt->sent_ms), "has_head",
-		 attempt->begun_ms > 0, "counts", is_new);
+		 attempt->begun_ms > 0);
 	g_free(digest);
 	g_free(crash);
 }
@@ -64,12 +64,9 @@
 		.sent_ms = attempt->sent_ms,
 		.at_ms = now_ms,
 	};
-	bool is_new = poison_merge_end(s->poison, &end, now_ms);
 
-	log_end(attempt, end.upstream, is_new);
-	srv_poison_log_changes(s, now_ms);
-	if (is_new)
-		srv_poison_tell_end(s, &end, now_ms);
+	log_end(attempt, end.upstream);
+	srv_poison_confirm(s, attempt->upstream, &end);
 }
 
 void srv_poison_note_good(struct srv_attempt *attempt)
--- a/packages/serve/srv_poison.h
+++ b/packages/serve/srv_poison.h
@@ -44,6 +44,13 @@
 void srv_poison_message(struct srv *s, const Peer__Message *message);
 void srv_poison_tick(struct srv *s, int64_t now_ms);
 
+/*
+ * srv_poison_probe.c: counts the end of a run, and tells the other nodes, once a connection to its
+ * upstream is refused. The table is freed after the loop has closed its handles.
+ */
+GHashTable *srv_poison_probes_new(void);
+void srv_poison_confirm(struct srv *s, const struct srv_upstream *u, const struct poison_end *end);
+
 /* srv_poison_msg.c: tells all live nodes of new evidence. */
 void srv_poison_tell_end(struct srv *s, const struct poison_end *end, int64_t now_ms);
 void srv_poison_tell_good(struct srv *s, const struct poison_good *good, int64_t now_ms);
--- a/tests/proc_poison.c
+++ b/tests/proc_poison.c
@@ -258,12 +258,47 @@
 	sent = load_count(&sound, -1, after_ms, INT64_MAX);
 	served = load_count(&sound, 200, after_ms, INT64_MAX);
 	printf("%u crashes; %u of %u requests served afterwards\n", count_crashes(), served, sent);
+	for (guint i = 0; i < sound.calls->len; i++) {
+		const struct load_call *call = g_ptr_array_index(sound.calls, i);
+		if (call->sent_ms >= after_ms && call->status != 200)
+			printf("%s at node %u ended %d after %d ms: %s\n", call->attempt,
+			       call->node, call->status, (int)call->took_ms,
+			       call->body ? call->body : "");
+	}
 	ck_assert_uint_eq(count_crashes(), 3 * G_N_ELEMENTS(upstreams));
 	ck_assert_uint_eq(served, sent);
 	finish();
 }
 END_TEST
 
+#define BROKEN_MS 1500
+
+/* Guards against a request that is refused though its upstreams only break its connections. */
+START_TEST(living_upstreams_are_no_evidence)
+{
+	static const char *const upstreams[] = {"plain-1", "plain-2", "plain-3", "plain-4",
+						"plain-5"};
+	int64_t from_ms;
+
+	c = cluster_new_prepared(NODES, add_upstreams);
+	load_init(&sound, c, "/once/x", NO_BODY, SOUND_EVERY_MS);
+	load_init(&bad, c, "/once/bad", NO_BODY, BURST_EVERY_MS);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(upstreams); i++)
+		stub_set_fault(c->stub, upstreams[i], STUB_FAULT_CLOSE);
+	load_run(&sound, BROKEN_MS);
+	load_join(&sound);
+	ck_assert_uint_eq(load_count(&sound, 502, 0, INT64_MAX), sound.calls->len);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(upstreams); i++)
+		stub_set_fault(c->stub, upstreams[i], STUB_FAULT_NONE);
+	from_ms = clock_now_ms();
+	load_run(&sound, BROKEN_MS);
+	load_join(&sound);
+	ck_assert_uint_eq(load_count(&sound, 200, from_ms, INT64_MAX),
+			  load_count(&sound, -1, from_ms, INT64_MAX));
+	finish();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("poison");
@@ -276,6 +311,7 @@
 	run_tests_add_cases(tcase, crashing_request_is_refused, G_N_ELEMENTS(cases));
 	run_tests_add_cases(tcase, restarted_node_refuses, 1);
 	run_tests_add_cases(tcase, sound_request_is_served, 1);
+	run_tests_add_cases(tcase, living_upstreams_are_no_evidence, 1);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
