End permits for room that were never spent

Found by reading the change: an ask that was denied for want of room renewed the permits that its node had been granted before and never spent, so a node that goes on asking keeps them, and callers of a crowded upstream would be refused for room that nobody uses. unit_brittle/unspent_permits_end failed before (0 granted of 2), passes.

Beside it, also by reading: a probe of a broken run that is pending as the node exits would have closed its handles a second time; it does nothing now. unit_brittle 53 of 53.

--- a/packages/decide/gate_room.c
+++ b/packages/decide/gate_room.c
@@ -112,8 +112,11 @@
 
 void gate_note_grant(struct gate_record *r, const char *node, uint32_t n, int64_t now_ms)
 {
-	struct gate_node_use *use = need_use(r, node, now_ms);
+	struct gate_node_use *use;
 
+	if (n == 0)
+		return; /* permits that were granted before end as they would */
+	use = need_use(r, node, now_ms);
 	use->n_granted = n + (now_ms < use->granted_until_ms ? use->n_granted : 0);
 	use->granted_until_ms = now_ms + GATE_PERMIT_MS;
 }
--- a/packages/serve/srv_poison_probe.c
+++ b/packages/serve/srv_poison_probe.c
@@ -75,7 +75,9 @@
 
 static void on_connected(uv_connect_t *connect, int status)
 {
-	decide(connect->data, status == UV_ECONNREFUSED);
+	/* its handle is being closed: it was decided, or the node exits */
+	if (status != UV_ECANCELED)
+		decide(connect->data, status == UV_ECONNREFUSED);
 }
 
 static void on_timeout(uv_timer_t *timer)
--- a/tests/unit_brittle.c
+++ b/tests/unit_brittle.c
@@ -585,6 +585,35 @@
 }
 END_TEST
 
+static uint32_t ask_owner(struct gate *g, struct gate_run run, uint32_t want, int64_t now_ms)
+{
+	struct gate_ask ask = {.want = want, .asked_ms = now_ms};
+	struct gate_reply reply;
+
+	ck_assert(gate_get_notice(g, run, &ask.notice));
+	gate_handle_ask(g, &ask, "asker", now_ms, &reply);
+	return reply.n_granted;
+}
+
+/* Guards against permits that were never spent and take room for as long as their node asks. */
+START_TEST(unspent_permits_end)
+{
+	const struct gate_run run = {"u-0", 100};
+	struct fleet f;
+	struct gate *g;
+	int64_t now_ms;
+
+	fleet_init(&f, &cases[0], 1);
+	g = f.nodes[(uint32_t)g_str_hash(run.id) % cases[0].n_nodes].gate;
+	now_ms = f.now_ms;
+	gate_note_use(g, run, "other", cases[0].room - 2, now_ms);
+	ck_assert_uint_eq(ask_owner(g, run, 3, now_ms), 2);
+	ck_assert_uint_eq(ask_owner(g, run, 1, now_ms + GATE_PERMIT_MS - 100), 0);
+	ck_assert_uint_eq(ask_owner(g, run, 3, now_ms + GATE_PERMIT_MS + 100), 2);
+	fleet_clear(&f);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("unit_brittle");
@@ -597,6 +626,7 @@
 	tcase_add_loop_test(tcase, bursts_crash_without_the_gate, 0, G_N_ELEMENTS(cases));
 	tcase_add_loop_test(tcase, costs_nothing_while_there_is_room, 0, G_N_ELEMENTS(cases));
 	tcase_add_loop_test(tcase, latest_answer_holds, 0, G_N_ELEMENTS(words));
+	tcase_add_test(tcase, unspent_permits_end);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
