Count bytes by purpose and distance, and log the load of each node

Nothing said which nodes own chains, whether their loops lag, or what the bytes are.

Change: srv_traffic counts sent bytes by purpose and distance (metrics), the histograms loop_lag and chain_ack say how late ticks and confirmations of chains are, and each node logs a line "load" every 5 s.

--- a/packages/peer/include/peer/peer.h
+++ b/packages/peer/include/peer/peer.h
@@ -44,7 +44,8 @@
 /*
  * Sends to the node vm at address (host:port). Sets the fields from_vm, from_incarnation, to_vm and
  * sent_wall_ms. The caller sets kind, to_incarnation and ttl_ms, and keeps ownership of message.
+ * Returns the size of the message in bytes.
  */
-void peer_send(struct peer *p, const char *vm, const char *address, Peer__Message *message);
+size_t peer_send(struct peer *p, const char *vm, const char *address, Peer__Message *message);
 
 #endif
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -340,21 +340,23 @@
 	return p->address;
 }
 
-void peer_send(struct peer *p, const char *vm, const char *address, Peer__Message *message)
+size_t peer_send(struct peer *p, const char *vm, const char *address, Peer__Message *message)
 {
 	zmq_msg_t payload;
+	size_t bytes;
 
 	if (address[0] == '\0')
-		return;
+		return 0;
 	message->from_vm = p->vm;
 	message->from_incarnation = p->incarnation;
 	message->to_vm = (char *)vm;
 	message->sent_wall_ms = clock_wall_ms();
-	zmq_msg_init_size(&payload, peer__message__get_packed_size(message));
+	bytes = peer__message__get_packed_size(message);
+	zmq_msg_init_size(&payload, bytes);
 	peer__message__pack(message, zmq_msg_data(&payload));
 	if (p->threadless) {
 		send_payload(p, address, &payload);
-		return;
+		return bytes;
 	}
 	pthread_mutex_lock(&p->push_lock);
 	/* must not block: the peer thread, which empties this queue, sends too */
@@ -363,4 +365,5 @@
 	else
 		zmq_msg_send(&payload, p->push, 0);
 	pthread_mutex_unlock(&p->push_lock);
+	return bytes;
 }
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -150,6 +150,7 @@
 		log_warn("clock_gap", "{s:I}", "gap_ms", (json_int_t)gap_ms);
 		gossip_skip_gap(s->fleet, gap_ms);
 	}
+	srv_load_note_tick(s, MAX(gap_ms - SRV_TICK_MS, 0), now_ms);
 	srv_origin_note_tick(s, now_ms);
 	s->last_tick_ms = now_ms;
 	srv_feed_tick(s->feed, now_ms);
--- a/packages/serve/srv_chain_client.c
+++ b/packages/serve/srv_chain_client.c
@@ -262,6 +262,8 @@
 		return false;
 	if (!moved && strcmp(address, request->owner) != 0)
 		return true; /* from a former owner */
+	if (!request->is_acked)
+		srv_histogram_observe(&s->chain_ack, clock_now_ms() - request->sent_ms);
 	g_strlcpy(request->owner, address, sizeof(request->owner));
 	request->owner_incarnation = owner ? owner->record.incarnation : 0;
 	request->is_acked = true;
--- a/packages/serve/srv_endpoints.c
+++ b/packages/serve/srv_endpoints.c
@@ -202,6 +202,9 @@
 				       s->counters[i]);
 	write_histogram(out, "first_byte", &s->first_byte);
 	write_histogram(out, "chain", &s->chain_time);
+	write_histogram(out, "chain_ack", &s->chain_ack);
+	write_histogram(out, "loop_lag", &s->loop_lag);
+	srv_traffic_write(&s->traffic, out);
 	counter_write_text(out);
 	hdr_add(&headers, "Content-Type", "text/plain; version=0.0.4");
 	http_server_respond(request, 200, &headers, out->str, out->len);
--- a/packages/serve/srv_gate.c
+++ b/packages/serve/srv_gate.c
@@ -263,6 +263,14 @@
 		 service, "retry_after_ms", (json_int_t)retry_ms, "upstreams", upstreams);
 }
 
+/* Returns "" if the upstream is no longer published. */
+static const char *data_centre_of(const struct srv *s, const char *id)
+{
+	const struct view_upstream *u = g_hash_table_lookup(s->view->upstreams, id);
+
+	return u ? u->doc->data_centre : "";
+}
+
 struct http_client_call *srv_gate_call(struct srv *s, struct srv_upstream *u, bool is_urgent,
 				       const struct http_client_request *request,
 				       const struct http_client_ops *ops, void *arg)
@@ -281,6 +289,8 @@
 	}
 	if (verdict.per_s >= 0)
 		srv_count(s, SRV_LIMITED_SENDS);
+	srv_traffic_note_request(s, data_centre_of(s, u->id),
+				 strlen(request->target) + request->len);
 	return http_client_start(u->origin, request, ops, arg);
 }
 
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -15,6 +15,7 @@
 #include "http/http_server.h"
 #include "peer/peer.h"
 #include "serve/srv.h"
+#include "srv_traffic.h"
 
 #include <jansson.h>
 
@@ -123,6 +124,15 @@
 	uint32_t n;
 };
 
+/* What the node has done since the last "load" line in its log. */
+struct srv_load {
+	int64_t logged_ms;
+	int64_t cpu_ms;	    /* processor time used at logged_ms */
+	int64_t lag_max_ms; /* by which ticks were late */
+	int64_t lag_sum_ms;
+	int64_t ticks;
+};
+
 struct gate;
 struct poison;
 struct quarantine;
@@ -193,8 +203,12 @@
 	uint64_t requests_at_close; /* SRV_REQUESTS when the listener was closed */
 	bool stopped;
 	uint64_t counters[SRV_COUNTERS_N];
+	struct srv_traffic traffic;
+	struct srv_load load;
 	struct srv_histogram first_byte;
 	struct srv_histogram chain_time;
+	struct srv_histogram chain_ack; /* from submitting a chain until its owner confirms it */
+	struct srv_histogram loop_lag;	/* by which ticks are late */
 };
 
 static inline bool srv_has_policy(const struct srv *s, enum policy policy)
@@ -215,6 +229,9 @@
 /* Returns the ids as hexadecimal text, separated by commas. Free with g_free(). */
 char *srv_hex_ids(const uint64_t *ids, uint32_t n);
 
+/* srv_load.c: notes by how much a tick was late, and logs the load at intervals. */
+void srv_load_note_tick(struct srv *s, int64_t late_ms, int64_t now_ms);
+
 /* srv_feed.c */
 struct srv_feed *srv_feed_new(struct srv *s);
 void srv_feed_free(struct srv_feed *feed);
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -18,7 +18,8 @@
 void srv_peer_send(struct srv *s, const char *peer_address, Peer__Message *message)
 {
 	message->ttl_ms = MESSAGE_TTL_MS;
-	peer_send(s->peer, peer_address, peer_address, message);
+	srv_traffic_note_message(s, peer_address, message->kind_case,
+				 peer_send(s->peer, peer_address, peer_address, message));
 }
 
 struct broadcast {
