Tell heartbeats apart from records, and mostly within the region

Cause: a message had 24 records of 70 bytes. So nodes take the owner of a region for silent, send chains to the next one, and several owners schedule the same upstreams. Receivers were drawn from all regions: two thirds of the bytes crossed.

Ruled out: the owner's lag (ticks at most 2 ms late), lost messages (a calm network).

Change: messages have up to 192 short heartbeats with their age and state, 6 records when nothing changes, 24 when something does or the receiver doesn't read heartbeats; unknown members are asked for. Silence counts from when a heartbeat was made. A node that is about to lose a region asks the next owner for a heartbeat, isolated or not.

--- a/packages/decide/gossip.c
+++ b/packages/decide/gossip.c
@@ -6,7 +6,13 @@
 struct gossip {
 	struct gossip_member self;
 	GHashTable *members; /* peer address -> struct gossip_member, without the node itself */
+	/*
+	 * gossip_member.key -> the same members; NULL for a key that two members have had, whose
+	 * heartbeats then come with their records alone
+	 */
+	GHashTable *by_key;
 	uint64_t rounds;
+	int64_t changed_ms; /* when a member last changed */
 };
 
 struct gossip *gossip_new(const struct gossip_record *self, int64_t now_ms)
@@ -16,6 +22,8 @@
 	f->self.record = *self;
 	f->self.heard_ms = now_ms;
 	f->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	f->by_key = g_hash_table_new(NULL, NULL);
+	f->changed_ms = now_ms;
 	return f;
 }
 
@@ -23,6 +31,7 @@
 {
 	if (!f)
 		return;
+	g_hash_table_destroy(f->by_key);
 	g_hash_table_destroy(f->members);
 	g_free(f);
 }
@@ -45,6 +54,52 @@
 	return a->beat > b->beat;
 }
 
+static uint32_t key_of(const struct gossip_record *r)
+{
+	return (uint32_t)XXH64(r->peer_address, strlen(r->peer_address), r->incarnation);
+}
+
+static void remove_key(struct gossip *f, const struct gossip_member *m)
+{
+	if (g_hash_table_lookup(f->by_key, GUINT_TO_POINTER(m->key)) == m)
+		g_hash_table_remove(f->by_key, GUINT_TO_POINTER(m->key));
+}
+
+/* Replaces the member's record, and its key with it. */
+static void put_record(struct gossip *f, struct gossip_member *m, const struct gossip_record *r)
+{
+	uint32_t key = key_of(r);
+	bool is_known = g_hash_table_contains(f->by_key, GUINT_TO_POINTER(key));
+
+	m->record = *r;
+	if (is_known && m->key == key)
+		return;
+	remove_key(f, m);
+	m->key = key;
+	g_hash_table_insert(f->by_key, GUINT_TO_POINTER(key), is_known ? NULL : m);
+}
+
+static void note_change(struct gossip *f, struct gossip_member *m, int64_t now_ms)
+{
+	m->news_ms = now_ms;
+	f->changed_ms = now_ms;
+}
+
+static bool add_member(struct gossip *f, const struct gossip_record *r, int64_t now_ms)
+{
+	struct gossip_member *m;
+
+	if (g_hash_table_size(f->members) >= GOSSIP_MEMBERS_MAX)
+		return false;
+	m = g_new0(struct gossip_member, 1);
+	put_record(f, m, r);
+	m->heard_ms = now_ms - r->age_ms;
+	m->learned_ms = now_ms;
+	note_change(f, m, now_ms);
+	g_hash_table_insert(f->members, m->record.peer_address, m);
+	return true;
+}
+
 static bool merge_record(struct gossip *f, const struct gossip_record *r, int64_t now_ms)
 {
 	struct gossip_member *m;
@@ -59,23 +114,17 @@
 		return false;
 	}
 	m = g_hash_table_lookup(f->members, r->peer_address);
-	if (!m) {
-		if (g_hash_table_size(f->members) >= GOSSIP_MEMBERS_MAX)
-			return false;
-		m = g_new0(struct gossip_member, 1);
-		m->record = *r;
-		m->heard_ms = now_ms;
-		g_hash_table_insert(f->members, m->record.peer_address, m);
-		return true;
-	}
+	if (!m)
+		return add_member(f, r, now_ms);
 	if (!is_newer(r, &m->record))
 		return false;
 	changed = !gossip_is_alive(f, m, now_ms) || m->record.ready != r->ready ||
 		  m->record.leaving != r->leaving || m->record.incarnation != r->incarnation;
-	if (m->record.isolated != r->isolated)
-		m->news_ms = now_ms;
-	m->record = *r;
-	m->heard_ms = now_ms;
+	if (changed || m->record.isolated != r->isolated)
+		note_change(f, m, now_ms);
+	put_record(f, m, r);
+	m->heard_ms = MAX(m->heard_ms, now_ms - r->age_ms);
+	m->learned_ms = now_ms;
 	return changed;
 }
 
@@ -88,21 +137,95 @@
 	return changed;
 }
 
-static gboolean is_expired(gpointer key, gpointer value, gpointer arg)
+static bool merge_beat(struct gossip *f, const struct gossip_member *m, const struct gossip_beat *b,
+		       int64_t now_ms)
 {
-	const struct gossip_member *m = value;
-	const int64_t *now_ms = arg;
+	struct gossip_record r;
 
-	return *now_ms - m->heard_ms >
+	if (b->beat <= m->record.beat)
+		return false;
+	r = m->record;
+	r.beat = b->beat;
+	r.age_ms = b->age_ms;
+	r.ready = b->ready;
+	r.leaving = b->leaving;
+	r.isolated = b->isolated;
+	return merge_record(f, &r, now_ms);
+}
+
+bool gossip_merge_beats(struct gossip *f, const struct gossip_beat *beats, uint32_t n,
+			struct gossip_unknown *unknown, int64_t now_ms)
+{
+	bool changed = false;
+
+	unknown->n = 0;
+	for (uint32_t i = 0; i < n; i++) {
+		gpointer key = GUINT_TO_POINTER(beats[i].member);
+		const struct gossip_member *m = g_hash_table_lookup(f->by_key, key);
+		if (m)
+			changed = merge_beat(f, m, &beats[i], now_ms) || changed;
+		else if (beats[i].member != key_of(&f->self.record) &&
+			 !g_hash_table_contains(f->by_key, key) && unknown->n < GOSSIP_RECORDS_MAX)
+			unknown->members[unknown->n++] = beats[i].member;
+	}
+	return changed;
+}
+
+static uint32_t age_ms(const struct gossip_member *m, int64_t now_ms)
+{
+	return (uint32_t)MAX(now_ms - m->heard_ms, 0);
+}
+
+static struct gossip_record record_to_send(const struct gossip_member *m, int64_t now_ms)
+{
+	struct gossip_record r = m->record;
+
+	r.age_ms = age_ms(m, now_ms);
+	return r;
+}
+
+uint32_t gossip_find_records(const struct gossip *f, const uint32_t *keys, uint32_t n,
+			     struct gossip_record *records, int64_t now_ms)
+{
+	uint32_t n_found = 0;
+
+	records[n_found++] = f->self.record;
+	for (uint32_t i = 0; i < n && n_found < GOSSIP_RECORDS_MAX; i++) {
+		const struct gossip_member *m =
+			g_hash_table_lookup(f->by_key, GUINT_TO_POINTER(keys[i]));
+		if (m)
+			records[n_found++] = record_to_send(m, now_ms);
+	}
+	return n_found;
+}
+
+static bool is_expired(const struct gossip_member *m, int64_t now_ms)
+{
+	return now_ms - m->heard_ms >
 	       (m->record.leaving ? GOSSIP_FORGET_LEAVING_MS : GOSSIP_FORGET_MS);
 }
 
+static void forget_expired(struct gossip *f, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, f->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct gossip_member *m = value;
+		if (!is_expired(m, now_ms))
+			continue;
+		remove_key(f, m);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
 void gossip_begin_round(struct gossip *f, int64_t now_ms)
 {
 	f->self.record.beat++;
 	f->self.heard_ms = now_ms;
 	f->rounds++;
-	g_hash_table_foreach_remove(f->members, is_expired, &now_ms);
+	forget_expired(f, now_ms);
 }
 
 bool gossip_is_alive(const struct gossip *f, const struct gossip_member *m, int64_t now_ms)
@@ -138,32 +261,81 @@
 	return list;
 }
 
-static bool is_news(const struct gossip_member *m, int64_t now_ms)
+/* Returns when the member changed, if that is news; 0: it isn't. */
+static int64_t news_ms(const struct gossip_member *m, int64_t now_ms)
 {
-	return m->news_ms > 0 && now_ms - m->news_ms < GOSSIP_NEWS_MS;
+	return now_ms - m->news_ms < GOSSIP_NEWS_MS ? m->news_ms : 0;
 }
 
-/* Adds the records of the members that are news, or of those that aren't. */
-static uint32_t add_records(const GPtrArray *list, bool news, struct gossip_record *records,
-			    uint32_t n, uint32_t capacity, int64_t now_ms)
+/* Orders members that are news before others, the latest first. */
+static gint compare_news(gconstpointer left, gconstpointer right, gpointer arg)
 {
-	for (guint i = 0; i < list->len && n < capacity; i++) {
-		const struct gossip_member *m = list->pdata[i];
-		if (is_news(m, now_ms) == news)
-			records[n++] = m->record;
-	}
-	return n;
+	int64_t now_ms = *(const int64_t *)arg;
+	int64_t a = news_ms(*(const struct gossip_member *const *)left, now_ms);
+	int64_t b = news_ms(*(const struct gossip_member *const *)right, now_ms);
+
+	return (a < b) - (a > b);
 }
 
-uint32_t gossip_fill_records(struct gossip *f, struct gossip_record *records, uint32_t capacity,
-			     struct prng *prng, int64_t now_ms)
+/* Returns how many records a message to the receiver has at most. */
+static uint32_t max_records(const struct gossip *f, const char *receiver, int64_t now_ms)
+{
+	const struct gossip_member *m = g_hash_table_lookup(f->members, receiver);
+
+	if (!m || !m->record.reads_beats || now_ms - f->changed_ms < GOSSIP_SETTLED_MS ||
+	    g_hash_table_size(f->members) < GOSSIP_RECORDS_MAX)
+		return GOSSIP_RECORDS_MAX;
+	return GOSSIP_RECORDS_SETTLED;
+}
+
+uint32_t gossip_fill_records(struct gossip *f, const char *receiver, struct gossip_record *records,
+			     uint32_t capacity, struct prng *prng, int64_t now_ms)
 {
 	GPtrArray *list = list_shuffled(f, true, prng, now_ms);
 	uint32_t n = 0;
 
+	capacity = MIN(capacity, max_records(f, receiver, now_ms));
+	if (now_ms - f->changed_ms < GOSSIP_NEWS_MS)
+		g_ptr_array_sort_with_data(list, compare_news, &now_ms);
 	records[n++] = f->self.record;
-	n = add_records(list, true, records, n, capacity, now_ms);
-	n = add_records(list, false, records, n, capacity, now_ms);
+	for (guint i = 0; i < list->len && n < capacity; i++)
+		records[n++] = record_to_send(list->pdata[i], now_ms);
+	g_ptr_array_unref(list);
+	return n;
+}
+
+/* Orders members by when their heartbeats arrived, the latest first: others may not know them yet.
+ */
+static gint compare_learned(gconstpointer left, gconstpointer right)
+{
+	const struct gossip_member *a = *(const struct gossip_member *const *)left;
+	const struct gossip_member *b = *(const struct gossip_member *const *)right;
+
+	return (a->learned_ms < b->learned_ms) - (a->learned_ms > b->learned_ms);
+}
+
+uint32_t gossip_fill_beats(struct gossip *f, struct gossip_beat *beats, uint32_t capacity,
+			   struct prng *prng, int64_t now_ms)
+{
+	GPtrArray *list;
+	uint32_t n = 0;
+
+	if (g_hash_table_size(f->members) < GOSSIP_RECORDS_MAX)
+		return 0;
+	list = list_shuffled(f, true, prng, now_ms);
+	if (list->len > capacity)
+		g_ptr_array_sort(list, compare_learned);
+	for (; n < list->len && n < capacity; n++) {
+		const struct gossip_member *m = list->pdata[n];
+		beats[n] = (struct gossip_beat){
+			.member = m->key,
+			.beat = m->record.beat,
+			.age_ms = age_ms(m, now_ms),
+			.ready = m->record.ready,
+			.leaving = m->record.leaving,
+			.isolated = m->record.isolated,
+		};
+	}
 	g_ptr_array_unref(list);
 	return n;
 }
@@ -181,19 +353,60 @@
 	return n + 1;
 }
 
+static bool is_in_region(const struct gossip *f, const struct gossip_member *m)
+{
+	return strcmp(m->record.region, f->self.record.region) == 0;
+}
+
+/* Adds up to most members of the list that are in this node's region, or those that aren't. */
+static uint32_t add_members(const struct gossip *f, const GPtrArray *list, bool in_region,
+			    uint32_t most, char (*targets)[GOSSIP_NAME_BYTES], uint32_t n)
+{
+	for (guint i = 0; i < list->len && most > 0; i++) {
+		const struct gossip_member *m = list->pdata[i];
+		if (is_in_region(f, m) != in_region)
+			continue;
+		n = add_target(f, targets, n, m->record.peer_address);
+		most--;
+	}
+	return n;
+}
+
+/* Adds the round's live members, most of them from this node's region if it has enough. */
+static uint32_t add_live(const struct gossip *f, const GPtrArray *alive, struct prng *prng,
+			 char (*targets)[GOSSIP_NAME_BYTES], uint32_t n, uint32_t capacity)
+{
+	uint32_t most = MIN(GOSSIP_FANOUT, capacity - n);
+	uint32_t n_near = 0;
+	uint32_t n_far;
+
+	for (guint i = 0; i < alive->len; i++)
+		n_near += is_in_region(f, alive->pdata[i]);
+	if (n_near < GOSSIP_REGION_MEMBERS_MIN) {
+		for (guint i = 0; i < alive->len && i < most; i++)
+			n = add_target(
+				f, targets, n,
+				((struct gossip_member *)alive->pdata[i])->record.peer_address);
+		return n;
+	}
+	n_far = most > 0 && n_near < alive->len && prng_below(prng, GOSSIP_BRIDGE_ROUNDS) == 0;
+	n = add_members(f, alive, true, most - n_far, targets, n);
+	return add_members(f, alive, false, n_far, targets, n);
+}
+
 uint32_t gossip_pick_targets(struct gossip *f, const char *const *seeds, uint32_t n_seeds,
 			     struct prng *prng, char (*targets)[GOSSIP_NAME_BYTES],
 			     uint32_t capacity, int64_t now_ms)
 {
 	GPtrArray *alive = list_shuffled(f, true, prng, now_ms);
+	uint32_t seed_rounds =
+		alive->len < GOSSIP_LARGE_FLEET ? GOSSIP_SEED_ROUNDS : GOSSIP_LARGE_SEED_ROUNDS;
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; f->rounds <= GOSSIP_JOIN_ROUNDS && i < n_seeds && n < capacity; i++)
 		n = add_target(f, targets, n, seeds[i]);
-	for (guint i = 0; i < alive->len && i < GOSSIP_FANOUT && n < capacity; i++)
-		n = add_target(f, targets, n,
-			       ((struct gossip_member *)alive->pdata[i])->record.peer_address);
-	if (f->rounds % GOSSIP_SEED_ROUNDS == 0 || alive->len < GOSSIP_FANOUT) {
+	n = add_live(f, alive, prng, targets, n, capacity);
+	if (f->rounds % seed_rounds == 0 || alive->len < GOSSIP_FANOUT) {
 		/* A silent member may be reachable again after a partition. */
 		GPtrArray *all = list_shuffled(f, false, prng, now_ms);
 		if (all->len > 0 && n < capacity)
--- a/packages/decide/include/decide/gossip.h
+++ b/packages/decide/include/decide/gossip.h
@@ -25,6 +25,15 @@
  * stays small in a fleet of 410 nodes.
  */
 #define GOSSIP_RECORDS_MAX 24
+/* Number of records in a message while the fleet doesn't change; heartbeats say the rest. */
+#define GOSSIP_RECORDS_SETTLED 6
+/* The fleet is settled when no member has changed for this long. */
+#define GOSSIP_SETTLED_MS 5000
+/*
+ * Maximum number of heartbeats in a message. They take about as many bytes as GOSSIP_RECORDS_MAX
+ * records; of 410 members none then looks silent that isn't.
+ */
+#define GOSSIP_BEATS_MAX 192
 /*
  * Added to GOSSIP_TIMEOUT_MS for each known member, because heartbeats arrive less often in a large
  * fleet.
@@ -51,12 +60,22 @@
  * the nodes' quotas; a crashed member loses its quota after this time.
  */
 #define GOSSIP_RECENT_MS 30000
+/*
+ * With at least this many other live members in the node's region, the members that receive a
+ * round's message are from there, but for one in every GOSSIP_BRIDGE_ROUNDS rounds on average:
+ * traffic between regions is slow and priced, and the nodes of a region together send enough.
+ */
+#define GOSSIP_REGION_MEMBERS_MIN 8
+#define GOSSIP_BRIDGE_ROUNDS 4
 /*
  * Every GOSSIP_SEED_ROUNDS rounds, and in each round while fewer than GOSSIP_FANOUT members are
  * alive, a random seed and a random member, alive or silent, receive the message too. This reunites
- * the parts of a fleet after a partition.
+ * the parts of a fleet after a partition. Of GOSSIP_LARGE_FLEET nodes some do so in each round even
+ * if each does so less often.
  */
 #define GOSSIP_SEED_ROUNDS 4
+#define GOSSIP_LARGE_FLEET 32
+#define GOSSIP_LARGE_SEED_ROUNDS 16
 /*
  * Number of rounds after the start in which all seeds receive the message, because connections are
  * still being set up.
@@ -68,8 +87,8 @@
 #define GOSSIP_JOIN_INTERVAL_MS 100
 #define GOSSIP_MEMBERS_MAX 4096
 /*
- * For this long, messages have the records of members that have become isolated, or no longer are,
- * before those of others. A random choice alone brings them to a fleet of 410 nodes in many rounds.
+ * For this long, messages have the records of members that are new or have changed before those of
+ * others. A random choice alone brings them to a fleet of 410 nodes in many rounds.
  */
 #define GOSSIP_NEWS_MS 2000
 /* With fewer nodes of the callers' region to list, those of all regions are listed. */
@@ -87,14 +106,28 @@
 	bool ready;	      /* the member serves callers */
 	bool leaving;	      /* the member is about to stop */
 	bool isolated;	      /* the member reaches no upstream */
+	bool reads_beats;     /* the member understands struct gossip_beat */
+	uint32_t age_ms;      /* of the heartbeat, when the record was sent */
+};
+
+/* The heartbeat of a member whose record the receiver knows, with what may change meanwhile. */
+struct gossip_beat {
+	uint32_t member; /* hash of its peer address and incarnation */
+	uint64_t beat;
+	uint32_t age_ms; /* when it was sent */
+	bool ready;
+	bool leaving;
+	bool isolated;
 };
 
 struct gossip_member {
 	struct gossip_record record;
-	int64_t heard_ms; /* when the heartbeat counter last rose or the member sent a message */
+	int64_t heard_ms;     /* when the member made its last heartbeat or sent its last message */
+	int64_t learned_ms;   /* when this node last received a newer heartbeat of the member */
 	int64_t suspected_ms; /* when the member last failed to answer; 0: never, or it sent a
 				 message since */
-	int64_t news_ms;      /* when record.isolated last changed; 0: never */
+	int64_t news_ms;      /* when the member was found or its state last changed; 0: never */
+	uint32_t key;	      /* gossip_beat.member */
 };
 
 struct gossip;
@@ -113,15 +146,43 @@
 bool gossip_merge(struct gossip *f, const struct gossip_record *records, uint32_t n,
 		  int64_t now_ms);
 
+/* Heartbeats of members that this node doesn't know, to be asked for at the sender. */
+struct gossip_unknown {
+	uint32_t members[GOSSIP_RECORDS_MAX]; /* gossip_beat.member */
+	uint32_t n;
+};
+
+/*
+ * Merges received heartbeats and writes the first unknown members. Returns whether a member was
+ * silent or has changed, as gossip_merge() does.
+ */
+bool gossip_merge_beats(struct gossip *f, const struct gossip_beat *beats, uint32_t n,
+			struct gossip_unknown *unknown, int64_t now_ms);
+
+/*
+ * Writes this node's record and those of the members with the keys, up to GOSSIP_RECORDS_MAX.
+ * Returns the number written.
+ */
+uint32_t gossip_find_records(const struct gossip *f, const uint32_t *keys, uint32_t n,
+			     struct gossip_record *records, int64_t now_ms);
+
 /* Begins a round: increments this node's heartbeat counter and forgets expired members. */
 void gossip_begin_round(struct gossip *f, int64_t now_ms);
 
 /*
  * Writes up to capacity records, at least one: this node's first, then those of random live
- * members. Returns the number written.
+ * members, fewer while the fleet is settled and the receiver reads heartbeats. Returns the number
+ * written.
+ */
+uint32_t gossip_fill_records(struct gossip *f, const char *receiver, struct gossip_record *records,
+			     uint32_t capacity, struct prng *prng, int64_t now_ms);
+
+/*
+ * Writes heartbeats of up to capacity random live members; none in a fleet that fits into the
+ * records of one message. Returns the number written.
  */
-uint32_t gossip_fill_records(struct gossip *f, struct gossip_record *records, uint32_t capacity,
-			     struct prng *prng, int64_t now_ms);
+uint32_t gossip_fill_beats(struct gossip *f, struct gossip_beat *beats, uint32_t capacity,
+			   struct prng *prng, int64_t now_ms);
 
 /*
  * Picks up to capacity peer addresses that receive this round's message. Returns the number
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -583,10 +583,18 @@
    * reaches no upstream
    */
   protobuf_c_boolean isolated;
+  /*
+   * understands Beat.beats
+   */
+  protobuf_c_boolean reads_beats;
+  /*
+   * of the heartbeat
+   */
+  uint32_t age_ms;
 };
 #define PEER__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__member__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -613,10 +621,33 @@
   Peer__Member **members;
   size_t n_troubles;
   Peer__Trouble **troubles;
+  /*
+   * Heartbeats of members whose records the receiver may know; all lists have the same length.
+   */
+  /*
+   * hashes of peer address and incarnation
+   */
+  size_t n_beat_members;
+  uint32_t *beat_members;
+  /*
+   * heartbeat counter * 8 + isolated * 4 + leaving * 2 + ready
+   */
+  size_t n_beats;
+  uint64_t *beats;
+  /*
+   * of the heartbeats, in ms
+   */
+  size_t n_beat_ages;
+  uint32_t *beat_ages;
+  /*
+   * Members whose records the sender lacks. The receiver answers with these records alone.
+   */
+  size_t n_wanted;
+  uint32_t *wanted;
 };
 #define PEER__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__beat__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Peer__ChainStage
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -4401,7 +4401,7 @@
   (ProtobufCMessageInit) peer__account_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__member__field_descriptors[9] =
+static const ProtobufCFieldDescriptor peer__member__field_descriptors[11] =
 {
   {
     "peer_address",
@@ -4511,8 +4511,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_beats",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, reads_beats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__member__field_indices_by_name[] = {
+  10,   /* field[10] = age_ms */
   5,   /* field[5] = beat */
   1,   /* field[1] = caller_address */
   2,   /* field[2] = data_centre */
@@ -4520,13 +4545,14 @@
   8,   /* field[8] = isolated */
   7,   /* field[7] = leaving */
   0,   /* field[0] = peer_address */
+  9,   /* field[9] = reads_beats */
   6,   /* field[6] = ready */
   3,   /* field[3] = region */
 };
 static const ProtobufCIntRange peer__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer__member__descriptor =
 {
@@ -4536,7 +4562,7 @@
   "Peer__Member",
   "peer",
   sizeof(Peer__Member),
-  9,
+  11,
   peer__member__field_descriptors,
   peer__member__field_indices_by_name,
   1,  peer__member__number_ranges,
@@ -4594,7 +4620,7 @@
   (ProtobufCMessageInit) peer__trouble__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__beat__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__beat__field_descriptors[6] =
 {
   {
     "members",
@@ -4620,15 +4646,67 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "beat_members",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Peer__Beat, n_beat_members),
+    offsetof(Peer__Beat, beat_members),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beats",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Peer__Beat, n_beats),
+    offsetof(Peer__Beat, beats),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Peer__Beat, n_wanted),
+    offsetof(Peer__Beat, wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beat_ages",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Peer__Beat, n_beat_ages),
+    offsetof(Peer__Beat, beat_ages),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__beat__field_indices_by_name[] = {
+  5,   /* field[5] = beat_ages */
+  2,   /* field[2] = beat_members */
+  3,   /* field[3] = beats */
   0,   /* field[0] = members */
   1,   /* field[1] = troubles */
+  4,   /* field[4] = wanted */
 };
 static const ProtobufCIntRange peer__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__beat__descriptor =
 {
@@ -4638,7 +4716,7 @@
   "Peer__Beat",
   "peer",
   sizeof(Peer__Beat),
-  2,
+  6,
   peer__beat__field_descriptors,
   peer__beat__field_indices_by_name,
   1,  peer__beat__number_ranges,
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -227,6 +227,7 @@
 	g_strlcpy(self->data_centre, s->set->data_centre, sizeof(self->data_centre));
 	g_strlcpy(self->region, s->set->region, sizeof(self->region));
 	self->incarnation = (uint64_t)clock_wall_ms();
+	self->reads_beats = true;
 }
 
 static bool start_caller_listener(struct srv *s, GError **error)
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -261,8 +261,8 @@
 /* Sends this node's changed state to some nodes at once, which pass it on. */
 void srv_peer_announce(struct srv *s, int64_t now_ms);
 
-/* Sends a heartbeat to a node, which answers it with its own if this node is isolated. */
-void srv_peer_ask(struct srv *s, const char *peer_address, int64_t now_ms);
+/* Sends a heartbeat to a member, which answers it with its own. */
+void srv_peer_ask(struct srv *s, const struct gossip_member *m, int64_t now_ms);
 
 /* srv_chain.c: chains owned by this node. srv_chain_client.c: chains requested by this node. */
 GHashTable *srv_chain_requests_new(void);
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -13,6 +13,11 @@
 #define TROUBLES_MAX 8
 #define TARGETS_MAX 8
 #define SEEDS_MAX 8
+/* A heartbeat on the wire: its counter above the bits of the member's state. */
+#define BEAT_READY 1U
+#define BEAT_LEAVING 2U
+#define BEAT_ISOLATED 4U
+#define BEAT_STATE_BITS 3
 #define ANNOUNCE_TARGETS_MAX 16 /* these pass it on to the rest of a large fleet */
 
 void srv_peer_send(struct srv *s, const char *peer_address, Peer__Message *message)
@@ -56,6 +61,8 @@
 	out->ready = r->ready;
 	out->leaving = r->leaving;
 	out->isolated = r->isolated;
+	out->reads_beats = r->reads_beats;
+	out->age_ms = r->age_ms;
 }
 
 static void decode_member(struct gossip_record *r, const Peer__Member *in)
@@ -70,6 +77,26 @@
 	r->ready = in->ready;
 	r->leaving = in->leaving;
 	r->isolated = in->isolated;
+	r->reads_beats = in->reads_beats;
+	r->age_ms = in->age_ms;
+}
+
+static uint64_t encode_beat(const struct gossip_beat *b)
+{
+	return b->beat << BEAT_STATE_BITS | (b->ready ? BEAT_READY : 0) |
+	       (b->leaving ? BEAT_LEAVING : 0) | (b->isolated ? BEAT_ISOLATED : 0);
+}
+
+static struct gossip_beat decode_beat(uint32_t member, uint64_t beat, uint32_t age_ms)
+{
+	return (struct gossip_beat){
+		.member = member,
+		.beat = beat >> BEAT_STATE_BITS,
+		.age_ms = age_ms,
+		.ready = beat & BEAT_READY,
+		.leaving = beat & BEAT_LEAVING,
+		.isolated = beat & BEAT_ISOLATED,
+	};
 }
 
 /*
@@ -114,30 +141,76 @@
 	return n;
 }
 
+/* Fills in the beat's records and sends it. */
+static void send_records(struct srv *s, const char *destination, Peer__Beat *beat,
+			 const struct gossip_record *records, uint32_t n)
+{
+	Peer__Member members[GOSSIP_RECORDS_MAX];
+	Peer__Member *list[GOSSIP_RECORDS_MAX];
+	Peer__Message message = PEER__MESSAGE__INIT;
+
+	for (uint32_t i = 0; i < n; i++) {
+		encode_member(&members[i], &records[i]);
+		list[i] = &members[i];
+	}
+	beat->members = list;
+	beat->n_members = n;
+	message.kind_case = PEER__MESSAGE__KIND_BEAT;
+	message.beat = beat;
+	srv_peer_send(s, destination, &message);
+}
+
 static void send_beat(struct srv *s, const char *destination, int64_t now_ms)
 {
 	struct gossip_record records[GOSSIP_RECORDS_MAX];
-	Peer__Member members[GOSSIP_RECORDS_MAX];
-	Peer__Member *member_list[GOSSIP_RECORDS_MAX];
+	struct gossip_beat beats[GOSSIP_BEATS_MAX];
+	uint32_t beat_members[GOSSIP_BEATS_MAX];
+	uint64_t beat_states[GOSSIP_BEATS_MAX];
+	uint32_t beat_ages[GOSSIP_BEATS_MAX];
 	Peer__Trouble troubles[TROUBLES_MAX];
 	Peer__Trouble *trouble_list[TROUBLES_MAX];
-	Peer__Message message = PEER__MESSAGE__INIT;
 	Peer__Beat beat = PEER__BEAT__INIT;
 
-	beat.n_members =
-		gossip_fill_records(s->fleet, records, GOSSIP_RECORDS_MAX, &s->prng, now_ms);
-	for (size_t i = 0; i < beat.n_members; i++) {
-		encode_member(&members[i], &records[i]);
-		member_list[i] = &members[i];
+	beat.n_beats = gossip_fill_beats(s->fleet, beats, GOSSIP_BEATS_MAX, &s->prng, now_ms);
+	for (size_t i = 0; i < beat.n_beats; i++) {
+		beat_members[i] = beats[i].member;
+		beat_states[i] = encode_beat(&beats[i]);
+		beat_ages[i] = beats[i].age_ms;
 	}
-	beat.members = member_list;
+	beat.n_beat_members = beat.n_beats;
+	beat.beat_members = beat_members;
+	beat.beats = beat_states;
+	beat.n_beat_ages = beat.n_beats;
+	beat.beat_ages = beat_ages;
 	beat.n_troubles = encode_troubles(s, troubles, now_ms);
 	for (size_t i = 0; i < beat.n_troubles; i++)
 		trouble_list[i] = &troubles[i];
 	beat.troubles = trouble_list;
-	message.kind_case = PEER__MESSAGE__KIND_BEAT;
-	message.beat = &beat;
-	srv_peer_send(s, destination, &message);
+	send_records(s, destination, &beat, records,
+		     gossip_fill_records(s->fleet, destination, records, GOSSIP_RECORDS_MAX,
+					 &s->prng, now_ms));
+}
+
+/* Asks a node for its own record and for those of other members. */
+static void ask_records(struct srv *s, const char *destination, struct gossip_unknown *wanted)
+{
+	struct gossip_record self[GOSSIP_RECORDS_MAX];
+	Peer__Beat beat = PEER__BEAT__INIT;
+
+	beat.wanted = wanted->members;
+	beat.n_wanted = wanted->n;
+	send_records(s, destination, &beat, self,
+		     gossip_find_records(s->fleet, NULL, 0, self, clock_now_ms()));
+}
+
+static void answer_records(struct srv *s, const char *destination, const Peer__Beat *asked)
+{
+	struct gossip_record records[GOSSIP_RECORDS_MAX];
+	Peer__Beat beat = PEER__BEAT__INIT;
+
+	send_records(s, destination, &beat, records,
+		     gossip_find_records(s->fleet, asked->wanted, (uint32_t)asked->n_wanted,
+					 records, clock_now_ms()));
 }
 
 static void on_round(uv_timer_t *timer)
@@ -177,10 +250,12 @@
 		send_beat(s, targets[i], now_ms);
 }
 
-void srv_peer_ask(struct srv *s, const char *peer_address, int64_t now_ms)
+void srv_peer_ask(struct srv *s, const struct gossip_member *m, int64_t now_ms)
 {
+	struct gossip_unknown wanted = {.members = {m->key}, .n = 1};
+
 	gossip_begin_round(s->fleet, now_ms);
-	send_beat(s, peer_address, now_ms);
+	ask_records(s, m->record.peer_address, &wanted);
 }
 
 /*
@@ -204,12 +279,27 @@
 static void handle_beat(struct srv *s, const char *from, const Peer__Beat *beat)
 {
 	struct gossip_record records[GOSSIP_RECORDS_MAX];
+	struct gossip_beat beats[GOSSIP_BEATS_MAX];
+	struct gossip_unknown unknown;
+	size_t n_beats;
 	int64_t now_ms = clock_now_ms();
 	uint32_t n = 0;
+	bool changed;
 
 	for (size_t i = 0; i < beat->n_members && n < GOSSIP_RECORDS_MAX; i++)
 		decode_member(&records[n++], beat->members[i]);
-	if (gossip_merge(s->fleet, records, n, now_ms)) {
+	changed = gossip_merge(s->fleet, records, n, now_ms);
+	n_beats = MIN(MIN(beat->n_beats, beat->n_beat_members), beat->n_beat_ages);
+	n_beats = MIN(n_beats, GOSSIP_BEATS_MAX);
+	for (size_t i = 0; i < n_beats; i++)
+		beats[i] = decode_beat(beat->beat_members[i], beat->beats[i], beat->beat_ages[i]);
+	changed =
+		gossip_merge_beats(s->fleet, beats, (uint32_t)n_beats, &unknown, now_ms) || changed;
+	if (unknown.n > 0)
+		ask_records(s, from, &unknown);
+	if (beat->n_wanted > 0)
+		answer_records(s, from, beat);
+	if (changed) {
 		log_membership(s, from, now_ms);
 		/* a joining node learns the membership and the evidence at once */
 		send_beat(s, from, now_ms);
--- a/packages/serve/srv_region.c
+++ b/packages/serve/srv_region.c
@@ -71,21 +71,32 @@
 }
 
 /*
- * An isolated node asks the region's next owner for a heartbeat, as the newest may be seconds old
- * in a large fleet, and passes over an owner that doesn't answer.
+ * Asks the region's next owner for a heartbeat, as the newest may be seconds old in a large fleet,
+ * and passes over an owner that doesn't answer.
  */
-static void ask_owner(struct srv *s, struct srv_region *region, const struct gossip_record *owner,
+static void ask_owner(struct srv *s, struct srv_region *region, const struct gossip_member *owner,
 		      int64_t now_ms)
 {
 	if (region->asked_ms == 0) {
 		region->asked_ms = now_ms;
-		srv_peer_ask(s, owner->peer_address, now_ms);
+		srv_peer_ask(s, owner, now_ms);
 	} else if (now_ms - region->asked_ms > ASKED_OWNER_MS) {
 		region->asked_ms = 0;
-		gossip_suspect(s->fleet, owner->peer_address, now_ms);
+		gossip_suspect(s->fleet, owner->record.peer_address, now_ms);
 	}
 }
 
+/*
+ * A node that is about to lose a region to an owner without a recent heartbeat asks for one. Builds
+ * that don't read heartbeats answer isolated nodes alone, to which no other node may be known.
+ */
+static bool should_ask_owner(const struct srv *s, const struct gossip_member *owner, int64_t now_ms)
+{
+	if (now_ms - owner->heard_ms < HEARTBEAT_AGE_MAX_MS)
+		return false;
+	return srv_reach_is_isolated(s) ? !owner->record.isolated : owner->record.reads_beats;
+}
+
 /* Updates whether the node owns the region; returns whether that changed. */
 static bool update_region(struct srv *s, struct srv_region *region, int64_t now_ms)
 {
@@ -93,9 +104,8 @@
 	bool is_self = strcmp(owner->record.peer_address, s->set->peer_address) == 0;
 	bool was_owned = region->is_owned;
 
-	if (!is_self && was_owned && srv_reach_is_isolated(s) && !owner->record.isolated &&
-	    now_ms - owner->heard_ms >= HEARTBEAT_AGE_MAX_MS)
-		ask_owner(s, region, &owner->record, now_ms);
+	if (!is_self && was_owned && should_ask_owner(s, owner, now_ms))
+		ask_owner(s, region, owner, now_ms);
 	else
 		region->asked_ms = 0;
 	/* an owner without a recent heartbeat may be dead, and would lose chains handed to it */
--- a/tests/bench_adapted.c
+++ b/tests/bench_adapted.c
@@ -73,7 +73,7 @@
 	for (int i = 0; i < ROUNDS; i++) {
 		gossip_begin_round(f, 1000);
 		n_targets += gossip_pick_targets(f, NULL, 0, &prng, targets, 8, 1000);
-		n = gossip_fill_records(f, out, GOSSIP_RECORDS_MAX, &prng, 1000);
+		n = gossip_fill_records(f, "", out, GOSSIP_RECORDS_MAX, &prng, 1000);
 	}
 	printf("gossip, %u nodes: %.1f us a round, %zu bytes a message, %.2f messages a round\n",
 	       nodes, elapsed_us(began_us, ROUNDS), packed_bytes(out, n),
--- a/tests/prop_fleet.cc
+++ b/tests/prop_fleet.cc
@@ -88,8 +88,8 @@
 		gossip_begin_round(w.nodes[i], w.now);
 		uint32_t n =
 			gossip_pick_targets(w.nodes[i], seeds, 3, &w.random, targets, 8, w.now);
-		uint32_t n_records = gossip_fill_records(w.nodes[i], records, GOSSIP_RECORDS_MAX,
-							 &w.random, w.now);
+		uint32_t n_records = gossip_fill_records(w.nodes[i], "", records,
+							 GOSSIP_RECORDS_MAX, &w.random, w.now);
 		for (uint32_t k = 0; k < n; k++) {
 			int to = std::atoi(targets[k] + strlen("10.0.0."));
 			if (!w.up[to] || w.partitioned[i] != w.partitioned[to] ||
--- a/tests/prop_stream_origin.cc
+++ b/tests/prop_stream_origin.cc
@@ -382,8 +382,8 @@
 	void send_beat(size_t from)
 	{
 		gossip_record records[GOSSIP_RECORDS_MAX];
-		uint32_t n = gossip_fill_records(nodes_[from].fleet, records, GOSSIP_RECORDS_MAX,
-						 &rnd_, now_);
+		uint32_t n = gossip_fill_records(nodes_[from].fleet, "", records,
+						 GOSSIP_RECORDS_MAX, &rnd_, now_);
 
 		for (size_t to = 0; to < nodes_.size(); to++) {
 			if (to != from && arrives(from, to))
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -65,8 +65,8 @@
 			continue;
 		gossip_begin_round(nodes[i], now_ms);
 		n = gossip_pick_targets(nodes[i], seeds, 2, &prng, targets, 8, now_ms);
-		n_records =
-			gossip_fill_records(nodes[i], records, GOSSIP_RECORDS_MAX, &prng, now_ms);
+		n_records = gossip_fill_records(nodes[i], "", records, GOSSIP_RECORDS_MAX, &prng,
+						now_ms);
 		for (uint32_t k = 0; k < n; k++) {
 			int to = atoi(targets[k] + strlen("10.0.0."));
 			if ((dead & (1U << to)) ||
@@ -516,10 +516,17 @@
 {
 	struct gossip_record records[GOSSIP_RECORDS_MAX];
 	uint32_t n_records =
-		gossip_fill_records(large[from], records, GOSSIP_RECORDS_MAX, &prng, now_ms);
+		gossip_fill_records(large[from], "", records, GOSSIP_RECORDS_MAX, &prng, now_ms);
 
-	for (uint32_t i = 0; i < n; i++)
-		gossip_merge(large[index_of(targets[i])], records, n_records, now_ms);
+	struct gossip_beat beats[GOSSIP_BEATS_MAX];
+	struct gossip_unknown unknown;
+	uint32_t n_beats = gossip_fill_beats(large[from], beats, GOSSIP_BEATS_MAX, &prng, now_ms);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct gossip *to = large[index_of(targets[i])];
+		gossip_merge(to, records, n_records, now_ms);
+		gossip_merge_beats(to, beats, n_beats, &unknown, now_ms);
+	}
 }
 
 static int count_informed(const char *address)
