Prefer owners of chains with a larger share of a core

What callers would see: an owner schedules the chains of a region, a third of 540 a second.

Evidence: the model of a region's owner (events that take 3 ms of the owner's time: upstreams busy 0.87, all in aim; 4.5 ms: 0.40 busy, 0.1 to 0.5 in aim, 0.34 refused) falls over at the load that a VM of 0.12 cores can't carry. Its first rows in unit_fleet fail without the change (the longest-running node is chosen).

Change: the settings' share of a core (optional, cpu_share) goes with the record; among ready nodes of the region the largest owns, then the longest- running. A node that isn't ready still never takes over.

--- a/packages/decide/gossip.c
+++ b/packages/decide/gossip.c
@@ -563,8 +563,8 @@
 
 /*
  * Returns whether a is preferred to b as owner of a region: ready members first, then those that
- * reach upstreams, then those in the region, then the longest-running. Right after a start of the
- * whole fleet no member is ready.
+ * reach upstreams, then those in the region, then those with the largest share of a core, then the
+ * longest-running. Right after a start of the whole fleet no member is ready.
  */
 static bool precedes(const char *region, const struct gossip_member *a,
 		     const struct gossip_member *b)
@@ -578,6 +578,8 @@
 		return b->record.isolated;
 	if (a_is_there != b_is_there)
 		return a_is_there;
+	if (a->record.cpu_millis != b->record.cpu_millis)
+		return a->record.cpu_millis > b->record.cpu_millis;
 	if (a->record.incarnation != b->record.incarnation)
 		return a->record.incarnation < b->record.incarnation;
 	return strcmp(a->record.peer_address, b->record.peer_address) < 0;
--- a/packages/decide/include/decide/gossip.h
+++ b/packages/decide/include/decide/gossip.h
@@ -106,6 +106,7 @@
 	bool ready;	      /* the member serves callers */
 	bool leaving;	      /* the member is about to stop */
 	bool isolated;	      /* the member reaches no upstream */
+	uint32_t cpu_millis;  /* thousandths of a core that the member may use; 0: unknown */
 	bool reads_beats;     /* the member understands struct gossip_beat */
 	uint32_t age_ms;      /* of the heartbeat, when the record was sent */
 };
@@ -231,12 +232,12 @@
 			     uint32_t capacity, int64_t now_ms);
 
 /*
- * Returns the member that owns the tasks done once for a region: the longest-running one there that
- * is alive, ready, not isolated, not leaving and not suspect; if there is none, the longest-running
- * one of the fleet; if all are isolated, as if none was. The member with the address except is left
- * out (NULL: none is). While no member is ready, the longest-running one that isn't ready owns the
- * tasks. A starting node never takes over from a ready one. Returns this node if no member
- * qualifies.
+ * Returns the member that owns the tasks done once for a region: of those there that are alive,
+ * ready, not isolated, not leaving and not suspect the one with the largest share of a core, and of
+ * equal ones the longest-running; if there is none, that of the fleet; if all are isolated, as if
+ * none was. The member with the address except is left out (NULL: none is). While no member is
+ * ready, one that isn't ready owns the tasks; a starting node never takes over from a ready one.
+ * Returns this node if no member qualifies.
  */
 const struct gossip_member *gossip_owner(const struct gossip *f, const char *region,
 					 const char *except, int64_t now_ms);
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -587,6 +587,10 @@
    * understands Beat.beats
    */
   protobuf_c_boolean reads_beats;
+  /*
+   * thousandths of a core that it may use; 0: unknown
+   */
+  uint32_t cpu_millis;
   /*
    * of the heartbeat
    */
@@ -594,7 +598,7 @@
 };
 #define PEER__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__member__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -4401,7 +4401,7 @@
   (ProtobufCMessageInit) peer__account_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__member__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer__member__field_descriptors[12] =
 {
   {
     "peer_address",
@@ -4535,11 +4535,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_millis",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__member__field_indices_by_name[] = {
   10,   /* field[10] = age_ms */
   5,   /* field[5] = beat */
   1,   /* field[1] = caller_address */
+  11,   /* field[11] = cpu_millis */
   2,   /* field[2] = data_centre */
   4,   /* field[4] = incarnation */
   8,   /* field[8] = isolated */
@@ -4552,7 +4565,7 @@
 static const ProtobufCIntRange peer__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor peer__member__descriptor =
 {
@@ -4562,7 +4575,7 @@
   "Peer__Member",
   "peer",
   sizeof(Peer__Member),
-  11,
+  12,
   peer__member__field_descriptors,
   peer__member__field_indices_by_name,
   1,  peer__member__number_ranges,
--- a/packages/serve/include/serve/srvconf.h
+++ b/packages/serve/include/serve/srvconf.h
@@ -45,6 +45,7 @@
 	uint32_t n_switched_off;
 	uint32_t policies_off; /* the same as bits, see policy_is_on() */
 	char *heartbeat_ms;    /* interval between heartbeats of upstreams to the source */
+	char *cpu_share;       /* cores that the node may use; 0: unknown */
 };
 
 /* True if the file has the "adapter" key, which marks the settings of a node with an adapter. */
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -16,6 +16,7 @@
 /* A longer pause between two ticks means that the process was suspended. */
 #define CLOCK_GAP_MS 1000
 #define MS_PER_S 1000.0
+#define MILLIS_PER_CORE 1000.0
 #define SETTINGS_CHECK_TICKS 10
 
 bool srv_rate_take(struct srv_rate *rate, uint32_t per_s, int64_t now_ms)
@@ -228,6 +229,7 @@
 	g_strlcpy(self->region, s->set->region, sizeof(self->region));
 	self->incarnation = (uint64_t)clock_wall_ms();
 	self->reads_beats = true;
+	self->cpu_millis = (uint32_t)(srvconf_number(s->set->cpu_share) * MILLIS_PER_CORE);
 }
 
 static bool start_caller_listener(struct srv *s, GError **error)
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -61,6 +61,7 @@
 	out->ready = r->ready;
 	out->leaving = r->leaving;
 	out->isolated = r->isolated;
+	out->cpu_millis = r->cpu_millis;
 	out->reads_beats = r->reads_beats;
 	out->age_ms = r->age_ms;
 }
@@ -77,6 +78,7 @@
 	r->ready = in->ready;
 	r->leaving = in->leaving;
 	r->isolated = in->isolated;
+	r->cpu_millis = in->cpu_millis;
 	r->reads_beats = in->reads_beats;
 	r->age_ms = in->age_ms;
 }
--- a/packages/serve/srvconf.c
+++ b/packages/serve/srvconf.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define HEARTBEAT_MS "1200" /* of a platform whose settings don't name it */
+#define CPU_SHARE "0"
 #define LOG_LINES_PER_S 400 /* 40 KB/s, which takes about 1% of a quarter of a core */
 
 #define SRVCONF_STR(member, is_required)                                                           \
@@ -66,6 +67,7 @@
 	SRVCONF_STR(cold_factor, true),
 	SRVCONF_STR(cold_slack, true),
 	SRVCONF_STR(heartbeat_ms, false),
+	SRVCONF_STR(cpu_share, false),
 	{.key = "switched_off",
 	 .type = SCHEMA_STR_LIST,
 	 .off = offsetof(struct srvconf, switched_off),
@@ -109,6 +111,7 @@
 		{"retry_ratio", set->retry_ratio},   {"retry_window_s", set->retry_window_s},
 		{"retry_slack", set->retry_slack},   {"cold_factor", set->cold_factor},
 		{"cold_slack", set->cold_slack},     {"heartbeat_ms", set->heartbeat_ms},
+		{"cpu_share", set->cpu_share},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(decimals); i++) {
@@ -148,6 +151,8 @@
 	g_ptr_array_unref(faults);
 	if (good && !set->heartbeat_ms)
 		set->heartbeat_ms = g_strdup(HEARTBEAT_MS);
+	if (good && !set->cpu_share)
+		set->cpu_share = g_strdup(CPU_SHARE);
 	if (good && check_numbers(set, path, error) && read_policies(set, path, error))
 		return set;
 	srvconf_free(set);
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -297,6 +297,7 @@
 		bool ready;
 		bool leaving;
 		bool isolated;
+		uint32_t cpu_millis;
 	} members[4];
 	const char *region;
 	int owner; /* index of the member */
@@ -337,6 +338,22 @@
 	 {{"r", 1, true, false, true}, {"r", 2, false, false}},
 	 "r",
 	 0},
+	{"the largest share of a core, though others run longer",
+	 {{"r", 1, true, false, false, 120},
+	  {"r", 3, true, false, false, 500},
+	  {"q", 2, true, false, false, 900}},
+	 "r",
+	 1},
+	{"equal shares of a core: the longest-running",
+	 {{"r", 4, true, false, false, 500},
+	  {"r", 3, true, false, false, 500},
+	  {"r", 1, true, false, false, 120}},
+	 "r",
+	 1},
+	{"a large one that isn't ready doesn't take over",
+	 {{"r", 1, true, false, false, 120}, {"r", 2, false, false, false, 500}},
+	 "r",
+	 0},
 	{"no member is ready: the longest-running of the region",
 	 {{"r", 5, false, false}, {"q", 2, false, false}, {"r", 3, false, false}},
 	 "r",
@@ -359,6 +376,7 @@
 			records[n].ready = owners[i].members[n].ready;
 			records[n].leaving = owners[i].members[n].leaving;
 			records[n].isolated = owners[i].members[n].isolated;
+			records[n].cpu_millis = owners[i].members[n].cpu_millis;
 		}
 		f = gossip_new(&records[0], T0);
 		gossip_set_self(f, records[0].ready, records[0].leaving);
--- a/tests/unit_settings.c
+++ b/tests/unit_settings.c
@@ -23,6 +23,8 @@
 } cases[] = {
 	{"required keys alone", "", NULL, 0, 1200},
 	{"heartbeat", "heartbeat_ms: \"500\"\n", NULL, 0, 500},
+	{"share of a core", "cpu_share: \"0.12\"\n", NULL, 0, 1200},
+	{"share of another type", "cpu_share: \"some\"\n", "cpu_share", 0, 0},
 	{"heartbeat of another type", "heartbeat_ms: \"soon\"\n", "heartbeat_ms", 0, 0},
 	{"nothing switched off", "switched_off: []\n", NULL, 0, 1200},
 	{"two switched off", "switched_off: [\"hedges\", \"handoff\"]\n", NULL,
