Break ties between upstreams by session

Cause: a cost of up to 4 ms that depends on the engine's id alone decides among engines that cost the same, "alike on all nodes". For small sessions (a few hundred tokens of their own) leaving the session's engine costs less than another data centre does, so the choice is among the engines near the results, and there the tie decides. With 7 nodes each sees a seventh of the load and its own requests in progress count; of 295 each sees 2.7 a second, and all of a data centre send to the same engine.

Change: the tie is broken by session and id. A session that isn't served by its first engine so has the same second one at all nodes of a data centre.

--- a/packages/decide/lb.c
+++ b/packages/decide/lb.c
@@ -25,7 +25,10 @@
  * that many sessions share.
  */
 #define LB_PREFIX_WEIGHT 0.3
-/* Scale of a cost that depends only on the candidate's id and so breaks ties alike on all nodes. */
+/*
+ * Scale of a cost that breaks ties alike on all nodes, by session: one that isn't served by its
+ * first engine has the same second one everywhere, and all sessions together spread.
+ */
 #define LB_TIE_BREAK_MS 4.0
 /* Overloaded candidates up to this share of all leave their load to the others. */
 #define LB_SPILL_SHARE_MAX 0.34
@@ -83,7 +86,7 @@
 		ms += LB_PREFIX_WEIGHT * r->prefix_ms * unit_hash(r->prefix, c->id);
 	if (r->session && !is_preferred)
 		ms += LB_SESSION_WEIGHT * r->session_ms;
-	return ms + LB_TIE_BREAK_MS * unit_hash(0, c->id);
+	return ms + LB_TIE_BREAK_MS * unit_hash(r->session, c->id);
 }
 
 int lb_pick(const struct lb_request *request, const struct lb_candidate *candidates, uint32_t n)
