Greet owners before the first chain needs them

Cause: connections between nodes are opened by the first message. When traffic begins, 294 nodes connect to each owner at once and the owner back to them; ZeroMQ's listener holds 100 that wait.

Change: a node exchanges a message with each new owner of each region (owner_linked in the log, regions in status), again after 2 s without an answer; the listener holds 512. proc_regions/owners_are_greeted fails without it.

--- a/packages/decide/gossip.c
+++ b/packages/decide/gossip.c
@@ -441,6 +441,7 @@
 	if (!m)
 		return;
 	m->heard_ms = now_ms;
+	m->contact_ms = now_ms;
 	m->suspected_ms = 0;
 }
 
--- a/packages/decide/include/decide/gossip.h
+++ b/packages/decide/include/decide/gossip.h
@@ -124,6 +124,7 @@
 struct gossip_member {
 	struct gossip_record record;
 	int64_t heard_ms;     /* when the member made its last heartbeat or sent its last message */
+	int64_t contact_ms;   /* when this node last received a message from it; 0: never */
 	int64_t learned_ms;   /* when this node last received a newer heartbeat of the member */
 	int64_t suspected_ms; /* when the member last failed to answer; 0: never, or it sent a
 				 message since */
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -25,6 +25,8 @@
 #define PEER_CONNECT_TIMEOUT_MS 150
 #define PEER_IDLE_LINK_MS 180000 /* a link without a send for so long may be closed */
 #define PEER_LINKS_MAX 512	 /* to open one more, the least recently used is closed */
+/* Connections that wait to be accepted: all nodes of a large fleet may connect to one at once. */
+#define PEER_BACKLOG 512
 #define PEER_ADDRESS_BYTES 64
 #define PEER_MESSAGE_BYTES_MAX (16 * 1024 * 1024)
 
@@ -250,6 +252,7 @@
 
 	p->router = zmq_socket(p->context, ZMQ_ROUTER);
 	set_common_options(p->router);
+	set_int(p->router, ZMQ_BACKLOG, PEER_BACKLOG);
 	int64_t max_bytes = PEER_MESSAGE_BYTES_MAX;
 	zmq_setsockopt(p->router, ZMQ_MAXMSGSIZE, &max_bytes, sizeof(max_bytes));
 	g_snprintf(endpoint, sizeof(endpoint), "%s%s", scheme, listen);
--- a/packages/serve/srv_endpoints.c
+++ b/packages/serve/srv_endpoints.c
@@ -116,17 +116,18 @@
 	int64_t now_ms = clock_now_ms();
 	struct view_revision revision = srv_feed_revision(s->feed);
 
-	return json_pack("{s:s, s:b, s:b, s:I, s:I, s:I, s:I, s:i, s:i, s:s, s:i, s:i, s:o}", "vm",
-			 s->set->vm, "ready", (int)s->is_ready, "stopping", s->stop_began_ms > 0,
-			 "version", (json_int_t)(s->view->doc ? s->view->doc->version : 0), "epoch",
-			 (json_int_t)revision.epoch, "revision", (json_int_t)revision.number,
-			 "view_age_ms", (json_int_t)srv_feed_age_ms(s->feed, now_ms), "alive",
-			 (int)gossip_count_alive(s->fleet, now_ms), "upstreams",
-			 (int)g_hash_table_size(s->view->upstreams), "owner",
-			 srv_region_owner(s, s->set->region, NULL, now_ms)->record.peer_address,
-			 "chains", (int)chain_count_jobs(s->chains), "requests",
-			 s->front ? (int)http_server_busy_connections(s->front) : 0, "reach",
-			 srv_reach_json(s, now_ms));
+	return json_pack(
+		"{s:s, s:b, s:b, s:I, s:I, s:I, s:I, s:i, s:i, s:s, s:o, s:i, s:i, s:o}", "vm",
+		s->set->vm, "ready", (int)s->is_ready, "stopping", s->stop_began_ms > 0, "version",
+		(json_int_t)(s->view->doc ? s->view->doc->version : 0), "epoch",
+		(json_int_t)revision.epoch, "revision", (json_int_t)revision.number, "view_age_ms",
+		(json_int_t)srv_feed_age_ms(s->feed, now_ms), "alive",
+		(int)gossip_count_alive(s->fleet, now_ms), "upstreams",
+		(int)g_hash_table_size(s->view->upstreams), "owner",
+		srv_region_owner(s, s->set->region, NULL, now_ms)->record.peer_address, "regions",
+		srv_regions_json(s, now_ms), "chains", (int)chain_count_jobs(s->chains), "requests",
+		s->front ? (int)http_server_busy_connections(s->front) : 0, "reach",
+		srv_reach_json(s, now_ms));
 }
 
 static json_t *dump_json(struct srv *s)
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -276,6 +276,10 @@
 	bool is_owned;
 	int64_t other_since_ms; /* since when another owner is available; 0: none is */
 	int64_t asked_ms;	/* when that owner was asked for a heartbeat; 0: it wasn't */
+	char greeted[GOSSIP_NAME_BYTES]; /* peer address of the owner that was greeted last */
+	uint64_t greeted_incarnation;
+	int64_t greeted_ms;
+	bool is_linked; /* the greeted owner has answered */
 };
 
 /* srv_region.c: which regions this node owns. */
@@ -297,6 +301,9 @@
 /* Gains and loses regions; hands chains off once another node has owned theirs for a while. */
 void srv_regions_update(struct srv *s, int64_t now_ms);
 
+/* Returns the owners of the regions, for status and dump. */
+json_t *srv_regions_json(const struct srv *s, int64_t now_ms);
+
 /* Tells the owners of other regions how much work waits in this node's pools. */
 void srv_region_send_load(struct srv *s, int64_t now_ms);
 void srv_region_handle_load(struct srv *s, const Peer__RegionLoad *load);
--- a/packages/serve/srv_region.c
+++ b/packages/serve/srv_region.c
@@ -13,6 +13,8 @@
 #define HEARTBEAT_AGE_MAX_MS 900
 /* A region is lost once another node has been its owner for this long. */
 #define HANDOFF_DELAY_MS 300
+/* An owner that was greeted and hasn't answered for this long is greeted again. */
+#define GREET_AGAIN_MS 2000
 /* An owner that was asked for a heartbeat and hasn't sent one for this long is suspect. */
 #define ASKED_OWNER_MS 600
 
@@ -97,6 +99,39 @@
 	return srv_reach_is_isolated(s) ? !owner->record.isolated : owner->record.reads_beats;
 }
 
+static bool is_greeted(const struct srv_region *region, const struct gossip_record *owner)
+{
+	return region->greeted_incarnation == owner->incarnation &&
+	       strcmp(region->greeted, owner->peer_address) == 0;
+}
+
+/*
+ * Exchanges a message with each new owner, so that the connections in both directions exist before
+ * the first chain needs them: after a start of hundreds of nodes, opening them would take longer
+ * than a chain waits for its owner.
+ */
+static void greet_owner(struct srv *s, struct srv_region *region, const struct gossip_member *owner,
+			int64_t now_ms)
+{
+	const struct gossip_record *r = &owner->record;
+
+	if (is_greeted(region, r) && !region->is_linked &&
+	    owner->contact_ms >= region->greeted_ms) {
+		region->is_linked = true;
+		log_info("owner_linked", "{s:s, s:s, s:I}", "region", region->name, "owner",
+			 r->peer_address, "took_ms",
+			 (json_int_t)(owner->contact_ms - region->greeted_ms));
+	}
+	if (is_greeted(region, r) &&
+	    (region->is_linked || now_ms - region->greeted_ms < GREET_AGAIN_MS))
+		return;
+	g_strlcpy(region->greeted, r->peer_address, sizeof(region->greeted));
+	region->greeted_incarnation = r->incarnation;
+	region->greeted_ms = now_ms;
+	region->is_linked = false;
+	srv_peer_ask(s, owner, now_ms);
+}
+
 /* Updates whether the node owns the region; returns whether that changed. */
 static bool update_region(struct srv *s, struct srv_region *region, int64_t now_ms)
 {
@@ -104,6 +139,8 @@
 	bool is_self = strcmp(owner->record.peer_address, s->set->peer_address) == 0;
 	bool was_owned = region->is_owned;
 
+	if (!is_self && owner->record.ready && owner->record.reads_beats)
+		greet_owner(s, region, owner, now_ms);
 	if (!is_self && was_owned && should_ask_owner(s, owner, now_ms))
 		ask_owner(s, region, owner, now_ms);
 	else
@@ -173,6 +210,21 @@
 	set_regions(s);
 }
 
+json_t *srv_regions_json(const struct srv *s, int64_t now_ms)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < s->regions->len; i++) {
+		const struct srv_region *region = g_ptr_array_index(s->regions, i);
+		const struct gossip_member *owner = srv_region_owner(s, region->name, NULL, now_ms);
+		json_array_append_new(
+			list, json_pack("{s:s, s:s, s:b, s:b}", "region", region->name, "owner",
+					owner->record.peer_address, "owned_here",
+					(int)region->is_owned, "linked", (int)region->is_linked));
+	}
+	return list;
+}
+
 /* Sends a message once to each other node that owns a region. */
 static void send_to_owners(struct srv *s, Peer__Message *message, int64_t now_ms)
 {
--- a/tests/proc_regions.c
+++ b/tests/proc_regions.c
@@ -38,6 +38,8 @@
 	uint32_t owner = NODES;
 
 	ck_assert_int_eq(status, 200);
+	ck_assert_ptr_nonnull(strstr(text, "\"regions\""));
+	*strstr(text, "\"regions\"") = '\0'; /* names the owners of all regions */
 	for (uint32_t i = 0; i < c->n_nodes; i++) {
 		if (strstr(text, c->nodes[i].peer))
 			owner = i;
@@ -58,6 +60,30 @@
 }
 END_TEST
 
+/* Before the first chain, each node has exchanged messages with the owners of all regions. */
+START_TEST(owners_are_greeted)
+{
+	for (uint32_t i = 0; i < NODES; i++) {
+		int status;
+		char *text;
+		int linked = 0;
+		int owned = 0;
+		for (int tries = 0; tries < 20 && linked + owned < 2; tries++) {
+			clock_sleep_ms(100);
+			text = cluster_get(c->nodes[i].admin, "/status", &status);
+			ck_assert_int_eq(status, 200);
+			linked = g_strstr_len(text, -1, "\"linked\": true") != NULL;
+			linked += linked &&
+				  strstr(strstr(text, "\"linked\": true") + 1, "\"linked\": true");
+			owned = strstr(text, "\"owned_here\": true") != NULL;
+			g_free(text);
+		}
+		ck_assert_msg(linked + owned == 2, "node %u: %d linked, %d owned", i, linked,
+			      owned);
+	}
+}
+END_TEST
+
 /* Sends chains from the given nodes in turn while act is called, and expects all to complete. */
 static void send_during(const uint32_t *nodes, uint32_t n_nodes, void (*act)(int step))
 {
@@ -165,7 +191,7 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		each_region_has_an_owner, owners_end,	   settings_read,
+		each_region_has_an_owner, owners_are_greeted, owners_end, settings_read,
 		region_without_nodes,	  all_start_again,
 	};
 	Suite *suite = suite_create("proc_regions");
