Let a few nodes of each region read the source for the others

Cause: a full read of ten pages and one watch after the other, at each node. Ruled out as mends: longer watches (streams go on only while the view is at most 3 s old, and a silent connection has to be noticed), stale reads (what their revision means isn't said).

Change: in regions of twelve ready nodes or more three read, by rendezvous hash, and tell the others what each answer said, also that it said nothing. Whoever hears nothing for 1.6 s, misses something, or is told of a configuration or a new epoch reads by itself as before. Decisions are in decide/follow and gossip_is_reader(); regions of fewer nodes are unchanged.

--- a/packages/decide/gossip.c
+++ b/packages/decide/gossip.c
@@ -646,6 +646,53 @@
 	return share;
 }
 
+static bool may_read(const struct gossip *f, const struct gossip_member *m, int64_t now_ms)
+{
+	const struct gossip_record *r = &m->record;
+
+	/* older builds read for themselves, and tell nothing */
+	return r->reads_beats && r->ready && !r->leaving && !r->isolated && is_in_region(f, m) &&
+	       gossip_is_alive(f, m, now_ms);
+}
+
+/* Counts the region's nodes that may read the source, and those of them that precede this one. */
+static uint32_t count_readers(const struct gossip *f, uint32_t *n_before, int64_t now_ms)
+{
+	static const char task[] = "source";
+	uint64_t own = weight(task, &f->self);
+	uint32_t n = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	*n_before = 0;
+	g_hash_table_iter_init(&iter, f->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!may_read(f, value, now_ms))
+			continue;
+		n++;
+		*n_before += weight(task, value) > own;
+	}
+	return n + may_read(f, &f->self, now_ms);
+}
+
+bool gossip_is_reader(const struct gossip *f, int64_t now_ms)
+{
+	uint32_t n_before;
+	uint32_t n = count_readers(f, &n_before, now_ms);
+
+	return !may_read(f, &f->self, now_ms) || n < GOSSIP_FOLLOWED_REGION_MIN ||
+	       n_before < GOSSIP_READERS;
+}
+
+bool gossip_is_followed(const struct gossip *f, int64_t now_ms)
+{
+	uint32_t n_before;
+	uint32_t n = count_readers(f, &n_before, now_ms);
+
+	return may_read(f, &f->self, now_ms) && n >= GOSSIP_FOLLOWED_REGION_MIN &&
+	       n_before < GOSSIP_READERS;
+}
+
 struct ranked {
 	const struct gossip_member *member;
 	uint64_t weight;
--- a/packages/decide/include/decide/gossip.h
+++ b/packages/decide/include/decide/gossip.h
@@ -250,6 +250,23 @@
 const struct gossip_member *gossip_task_owner(const struct gossip *f, const char *task,
 					      int64_t now_ms);
 
+/*
+ * Number of nodes of a region that read the source and tell the others there, and the number of
+ * nodes from which on they do: in smaller regions each node reads for itself.
+ */
+#define GOSSIP_READERS 3
+#define GOSSIP_FOLLOWED_REGION_MIN 12
+
+/*
+ * Returns whether this node reads the source for itself and for the region's other nodes, which
+ * follow what the readers tell: by rendezvous hash, the first of those that are alive, ready, not
+ * leaving and not isolated. Nodes that aren't ready, or that leave, read for themselves.
+ */
+bool gossip_is_reader(const struct gossip *f, int64_t now_ms);
+
+/* Returns whether this node is a reader, and other nodes follow it. */
+bool gossip_is_followed(const struct gossip *f, int64_t now_ms);
+
 /*
  * This node's position among the members that share a fleet-wide limit. Nodes have to agree on the
  * shares even while they disagree about who is alive: a silent member may be behind a partition and
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -49,6 +49,9 @@
 typedef struct Peer__PublishedAsk Peer__PublishedAsk;
 typedef struct Peer__PublishedUpstream Peer__PublishedUpstream;
 typedef struct Peer__PublishedReply Peer__PublishedReply;
+typedef struct Peer__PublishedRemoval Peer__PublishedRemoval;
+typedef struct Peer__PublishedOutage Peer__PublishedOutage;
+typedef struct Peer__PublishedNews Peer__PublishedNews;
 typedef struct Peer__ChainReply Peer__ChainReply;
 typedef struct Peer__ChainEnd Peer__ChainEnd;
 typedef struct Peer__PoolLoad Peer__PoolLoad;
@@ -826,6 +829,63 @@
     , {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
+struct  Peer__PublishedRemoval
+{
+  ProtobufCMessage base;
+  char *upstream;
+  int64_t revision;
+};
+#define PEER__PUBLISHED_REMOVAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__published_removal__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * A data centre that was taken out of service, or returned to it.
+ */
+struct  Peer__PublishedOutage
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  protobuf_c_boolean out;
+  int64_t revision;
+};
+#define PEER__PUBLISHED_OUTAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__published_outage__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * What a reader of the source has been told since it sent its last watch, for nodes that follow.
+ */
+struct  Peer__PublishedNews
+{
+  ProtobufCMessage base;
+  int64_t epoch;
+  /*
+   * revision that a node must have reached to apply this
+   */
+  int64_t since;
+  /*
+   * that it has reached then
+   */
+  int64_t revision;
+  size_t n_upstreams;
+  Peer__PublishedUpstream **upstreams;
+  size_t n_removed;
+  Peer__PublishedRemoval **removed;
+  size_t n_outages;
+  Peer__PublishedOutage **outages;
+  /*
+   * there is more, such as a configuration: followers read it themselves
+   */
+  protobuf_c_boolean read_on;
+};
+#define PEER__PUBLISHED_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__published_news__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
 struct  Peer__ChainReply
 {
   ProtobufCMessage base;
@@ -1301,7 +1361,8 @@
   PEER__MESSAGE__KIND_RUN_EVIDENCE = 66,
   PEER__MESSAGE__KIND_RUN_ASK = 67,
   PEER__MESSAGE__KIND_RUN_REPLY = 68,
-  PEER__MESSAGE__KIND_UPSTREAM_USE = 69
+  PEER__MESSAGE__KIND_UPSTREAM_USE = 69,
+  PEER__MESSAGE__KIND_PUBLISHED_NEWS = 70
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MESSAGE__KIND__CASE)
 } Peer__Message__KindCase;
 
@@ -1359,6 +1420,7 @@
     Peer__RunAsk *run_ask;
     Peer__RunReply *run_reply;
     Peer__UpstreamUse *upstream_use;
+    Peer__PublishedNews *published_news;
   };
 };
 #define PEER__MESSAGE__INIT \
@@ -2012,6 +2074,63 @@
 void   peer__published_reply__free_unpacked
                      (Peer__PublishedReply *message,
                       ProtobufCAllocator *allocator);
+/* Peer__PublishedRemoval methods */
+void   peer__published_removal__init
+                     (Peer__PublishedRemoval         *message);
+size_t peer__published_removal__get_packed_size
+                     (const Peer__PublishedRemoval   *message);
+size_t peer__published_removal__pack
+                     (const Peer__PublishedRemoval   *message,
+                      uint8_t             *out);
+size_t peer__published_removal__pack_to_buffer
+                     (const Peer__PublishedRemoval   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PublishedRemoval *
+       peer__published_removal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__published_removal__free_unpacked
+                     (Peer__PublishedRemoval *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__PublishedOutage methods */
+void   peer__published_outage__init
+                     (Peer__PublishedOutage         *message);
+size_t peer__published_outage__get_packed_size
+                     (const Peer__PublishedOutage   *message);
+size_t peer__published_outage__pack
+                     (const Peer__PublishedOutage   *message,
+                      uint8_t             *out);
+size_t peer__published_outage__pack_to_buffer
+                     (const Peer__PublishedOutage   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PublishedOutage *
+       peer__published_outage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__published_outage__free_unpacked
+                     (Peer__PublishedOutage *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__PublishedNews methods */
+void   peer__published_news__init
+                     (Peer__PublishedNews         *message);
+size_t peer__published_news__get_packed_size
+                     (const Peer__PublishedNews   *message);
+size_t peer__published_news__pack
+                     (const Peer__PublishedNews   *message,
+                      uint8_t             *out);
+size_t peer__published_news__pack_to_buffer
+                     (const Peer__PublishedNews   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PublishedNews *
+       peer__published_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__published_news__free_unpacked
+                     (Peer__PublishedNews *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__ChainReply methods */
 void   peer__chain_reply__init
                      (Peer__ChainReply         *message);
@@ -2572,6 +2691,15 @@
 typedef void (*Peer__PublishedReply_Closure)
                  (const Peer__PublishedReply *message,
                   void *closure_data);
+typedef void (*Peer__PublishedRemoval_Closure)
+                 (const Peer__PublishedRemoval *message,
+                  void *closure_data);
+typedef void (*Peer__PublishedOutage_Closure)
+                 (const Peer__PublishedOutage *message,
+                  void *closure_data);
+typedef void (*Peer__PublishedNews_Closure)
+                 (const Peer__PublishedNews *message,
+                  void *closure_data);
 typedef void (*Peer__ChainReply_Closure)
                  (const Peer__ChainReply *message,
                   void *closure_data);
@@ -2685,6 +2813,9 @@
 extern const ProtobufCMessageDescriptor peer__published_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__published_upstream__descriptor;
 extern const ProtobufCMessageDescriptor peer__published_reply__descriptor;
+extern const ProtobufCMessageDescriptor peer__published_removal__descriptor;
+extern const ProtobufCMessageDescriptor peer__published_outage__descriptor;
+extern const ProtobufCMessageDescriptor peer__published_news__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__chain_end__descriptor;
 extern const ProtobufCMessageDescriptor peer__pool_load__descriptor;
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -1537,6 +1537,141 @@
   assert(message->base.descriptor == &peer__published_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__published_removal__init
+                     (Peer__PublishedRemoval         *message)
+{
+  static const Peer__PublishedRemoval init_value = PEER__PUBLISHED_REMOVAL__INIT;
+  *message = init_value;
+}
+size_t peer__published_removal__get_packed_size
+                     (const Peer__PublishedRemoval *message)
+{
+  assert(message->base.descriptor == &peer__published_removal__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__published_removal__pack
+                     (const Peer__PublishedRemoval *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__published_removal__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__published_removal__pack_to_buffer
+                     (const Peer__PublishedRemoval *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__published_removal__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PublishedRemoval *
+       peer__published_removal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PublishedRemoval *)
+     protobuf_c_message_unpack (&peer__published_removal__descriptor,
+                                allocator, len, data);
+}
+void   peer__published_removal__free_unpacked
+                     (Peer__PublishedRemoval *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__published_removal__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__published_outage__init
+                     (Peer__PublishedOutage         *message)
+{
+  static const Peer__PublishedOutage init_value = PEER__PUBLISHED_OUTAGE__INIT;
+  *message = init_value;
+}
+size_t peer__published_outage__get_packed_size
+                     (const Peer__PublishedOutage *message)
+{
+  assert(message->base.descriptor == &peer__published_outage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__published_outage__pack
+                     (const Peer__PublishedOutage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__published_outage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__published_outage__pack_to_buffer
+                     (const Peer__PublishedOutage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__published_outage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PublishedOutage *
+       peer__published_outage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PublishedOutage *)
+     protobuf_c_message_unpack (&peer__published_outage__descriptor,
+                                allocator, len, data);
+}
+void   peer__published_outage__free_unpacked
+                     (Peer__PublishedOutage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__published_outage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__published_news__init
+                     (Peer__PublishedNews         *message)
+{
+  static const Peer__PublishedNews init_value = PEER__PUBLISHED_NEWS__INIT;
+  *message = init_value;
+}
+size_t peer__published_news__get_packed_size
+                     (const Peer__PublishedNews *message)
+{
+  assert(message->base.descriptor == &peer__published_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__published_news__pack
+                     (const Peer__PublishedNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__published_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__published_news__pack_to_buffer
+                     (const Peer__PublishedNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__published_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PublishedNews *
+       peer__published_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PublishedNews *)
+     protobuf_c_message_unpack (&peer__published_news__descriptor,
+                                allocator, len, data);
+}
+void   peer__published_news__free_unpacked
+                     (Peer__PublishedNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__published_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__chain_reply__init
                      (Peer__ChainReply         *message)
 {
@@ -5449,6 +5584,237 @@
   (ProtobufCMessageInit) peer__published_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__published_removal__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedRemoval, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedRemoval, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__published_removal__field_indices_by_name[] = {
+  1,   /* field[1] = revision */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange peer__published_removal__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__published_removal__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PublishedRemoval",
+  "PublishedRemoval",
+  "Peer__PublishedRemoval",
+  "peer",
+  sizeof(Peer__PublishedRemoval),
+  2,
+  peer__published_removal__field_descriptors,
+  peer__published_removal__field_indices_by_name,
+  1,  peer__published_removal__number_ranges,
+  (ProtobufCMessageInit) peer__published_removal__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__published_outage__field_descriptors[3] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedOutage, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "out",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedOutage, out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedOutage, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__published_outage__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = out */
+  2,   /* field[2] = revision */
+};
+static const ProtobufCIntRange peer__published_outage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__published_outage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PublishedOutage",
+  "PublishedOutage",
+  "Peer__PublishedOutage",
+  "peer",
+  sizeof(Peer__PublishedOutage),
+  3,
+  peer__published_outage__field_descriptors,
+  peer__published_outage__field_indices_by_name,
+  1,  peer__published_outage__number_ranges,
+  (ProtobufCMessageInit) peer__published_outage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__published_news__field_descriptors[7] =
+{
+  {
+    "epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedNews, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedNews, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedNews, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__PublishedNews, n_upstreams),
+    offsetof(Peer__PublishedNews, upstreams),
+    &peer__published_upstream__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__PublishedNews, n_removed),
+    offsetof(Peer__PublishedNews, removed),
+    &peer__published_removal__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outages",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__PublishedNews, n_outages),
+    offsetof(Peer__PublishedNews, outages),
+    &peer__published_outage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_on",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PublishedNews, read_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__published_news__field_indices_by_name[] = {
+  0,   /* field[0] = epoch */
+  5,   /* field[5] = outages */
+  6,   /* field[6] = read_on */
+  4,   /* field[4] = removed */
+  2,   /* field[2] = revision */
+  1,   /* field[1] = since */
+  3,   /* field[3] = upstreams */
+};
+static const ProtobufCIntRange peer__published_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor peer__published_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PublishedNews",
+  "PublishedNews",
+  "Peer__PublishedNews",
+  "peer",
+  sizeof(Peer__PublishedNews),
+  7,
+  peer__published_news__field_descriptors,
+  peer__published_news__field_indices_by_name,
+  1,  peer__published_news__number_ranges,
+  (ProtobufCMessageInit) peer__published_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__chain_reply__field_descriptors[6] =
 {
   {
@@ -7103,7 +7469,7 @@
   (ProtobufCMessageInit) peer__run_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__message__field_descriptors[43] =
+static const ProtobufCFieldDescriptor peer__message__field_descriptors[44] =
 {
   {
     "from_vm",
@@ -7621,6 +7987,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "published_news",
+    70,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Message, kind_case),
+    offsetof(Peer__Message, published_news),
+    &peer__published_news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__message__field_indices_by_name[] = {
   23,   /* field[23] = beat */
@@ -7648,6 +8026,7 @@
   38,   /* field[38] = permit_reply */
   32,   /* field[32] = prompt_evidence */
   29,   /* field[29] = published_ask */
+  43,   /* field[43] = published_news */
   30,   /* field[30] = published_reply */
   31,   /* field[31] = region_load */
   11,   /* field[11] = release */
@@ -7674,7 +8053,7 @@
   { 30, 14 },
   { 40, 18 },
   { 50, 23 },
-  { 0, 43 }
+  { 0, 44 }
 };
 const ProtobufCMessageDescriptor peer__message__descriptor =
 {
@@ -7684,7 +8063,7 @@
   "Peer__Message",
   "peer",
   sizeof(Peer__Message),
-  43,
+  44,
   peer__message__field_descriptors,
   peer__message__field_indices_by_name,
   5,  peer__message__number_ranges,
--- a/packages/serve/srv_feed.c
+++ b/packages/serve/srv_feed.c
@@ -48,8 +48,9 @@
 	int64_t due_ms;
 	int64_t sent_ms;
 	int64_t read_began_ms;	 /* when the first page of the full read was requested */
-	int64_t last_success_ms; /* when the last call succeeded; 0: none has */
-	int64_t last_read_ms;	 /* when the last full read was completed; 0: none was */
+	int64_t last_success_ms; /* when the last call or news succeeded; 0: none has */
+	struct follow follow;
+	int64_t last_read_ms; /* when the last full read was completed; 0: none was */
 	uint32_t fails;
 	int status;
 	struct hdr_list headers;
@@ -242,28 +243,45 @@
 	return true;
 }
 
-static int64_t watch_pause_ms(const struct srv *s, int64_t now_ms)
+/*
+ * Readers that others follow pause for the shortest time, and not at all after a watch without
+ * changes: so few of them cost little, and what they say has to be heard often.
+ */
+static int64_t watch_pause_ms(const struct srv_feed *feed, bool has_changes, int64_t now_ms)
 {
-	int64_t ms = (int64_t)WATCH_PAUSE_MS_PER_NODE * gossip_count_alive(s->fleet, now_ms);
+	const struct gossip *fleet = feed->s->fleet;
+	int64_t ms = (int64_t)WATCH_PAUSE_MS_PER_NODE * gossip_count_alive(fleet, now_ms);
 
+	if (gossip_is_followed(fleet, now_ms))
+		return has_changes ? WATCH_PAUSE_MIN_MS : 0;
 	return CLAMP(ms, WATCH_PAUSE_MIN_MS, WATCH_PAUSE_MAX_MS);
 }
 
-static void handle_reply(struct srv_feed *feed, struct adapter_feed_reply *reply)
+static void note_success(struct srv_feed *feed, int64_t revision, int64_t now_ms)
 {
 	struct srv *s = feed->s;
-	int64_t now_ms = clock_now_ms();
-	bool changed = false;
 
-	if (!accept_epoch(feed, reply, now_ms))
-		return;
 	if (feed->fails > 0)
 		log_info("source_back", "{s:s, s:i, s:I, s:I}", "address", s->set->source_address,
 			 "fails", (int)feed->fails, "epoch", (json_int_t)s->view->epoch, "revision",
-			 (json_int_t)reply->revision);
+			 (json_int_t)revision);
 	feed->fails = 0;
 	feed->last_success_ms = now_ms;
 	view_set_source_down(s->view, false, now_ms);
+}
+
+static void handle_reply(struct srv_feed *feed, struct adapter_feed_reply *reply)
+{
+	struct srv *s = feed->s;
+	int64_t now_ms = clock_now_ms();
+	bool changed = false;
+
+	if (!accept_epoch(feed, reply, now_ms))
+		return;
+	note_success(feed, reply->revision, now_ms);
+	if (feed->state == FEED_WATCHING && gossip_is_followed(s->fleet, now_ms))
+		srv_follow_tell(s, srv_feed_revision(feed), MAX(feed->revision, reply->revision),
+				reply->changes, now_ms);
 	for (guint i = 0; i < reply->changes->len; i++)
 		changed = apply_change(s, &g_array_index(reply->changes, struct adapter_change, i),
 				       now_ms) ||
@@ -275,12 +293,43 @@
 		feed->revision = MAX(feed->revision, reply->revision);
 		srv_origin_note_read(s, feed->sent_ms, true, now_ms);
 		note_known(feed);
-		pause_until(feed, now_ms + watch_pause_ms(s, now_ms));
+		pause_until(feed, now_ms + watch_pause_ms(feed, reply->changes->len > 0, now_ms));
 	}
 	if (changed && feed->has_full_read)
 		srv_chain_view_changed(s);
 }
 
+bool srv_feed_follow(struct srv_feed *feed, const struct follow_news *news, const GArray *changes)
+{
+	struct srv *s = feed->s;
+	int64_t now_ms = clock_now_ms();
+	bool changed = false;
+
+	if (!feed->has_full_read)
+		return true; /* its own full read will be newer */
+	switch (follow_judge(&feed->follow, news, srv_feed_revision(feed), now_ms)) {
+	case FOLLOW_KNOWN:
+		return true;
+	case FOLLOW_MISSED:
+		return false;
+	case FOLLOW_APPLY:
+		break;
+	}
+	for (guint i = 0; i < changes->len; i++)
+		changed = apply_change(s, &g_array_index(changes, struct adapter_change, i),
+				       now_ms) ||
+			  changed;
+	if (news->is_complete) {
+		feed->revision = news->revision;
+		note_success(feed, news->revision, now_ms);
+		srv_origin_note_read(s, now_ms, true, now_ms);
+		note_known(feed);
+	}
+	if (changed)
+		srv_chain_view_changed(s);
+	return true;
+}
+
 static bool on_head(void *arg, const struct http_client_head *head)
 {
 	struct srv_feed *feed = arg;
@@ -389,7 +438,8 @@
 		feed->state == FEED_WATCHING ? WATCH_MS + ANSWER_TIMEOUT_MS : ANSWER_TIMEOUT_MS;
 
 	if (feed->state == FEED_PAUSED) {
-		if (now_ms >= feed->due_ms)
+		if (now_ms >= feed->due_ms &&
+		    !follow_is_led(&feed->follow, gossip_is_reader(feed->s->fleet, now_ms), now_ms))
 			send_call(feed, now_ms);
 		return;
 	}
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -5,6 +5,7 @@
 #include "base/prng.h"
 #include "decide/budget.h"
 #include "decide/chain.h"
+#include "decide/follow.h"
 #include "decide/gossip.h"
 #include "decide/lb.h"
 #include "decide/policy.h"
@@ -61,6 +62,12 @@
 	X(SRV_PROBES, "upstream_probes_total",                                                     \
 	  "connections opened only to see whether upstreams can be reached")                       \
 	X(SRV_SOURCE_CALLS, "source_calls_total", "calls to the source of configuration")          \
+	X(SRV_NEWS_SENT, "source_news_sent_total",                                                 \
+	  "messages to other nodes about what the source has said")                                \
+	X(SRV_NEWS_FOLLOWED, "source_news_followed_total",                                         \
+	  "messages of other nodes about what the source has said, applied here")                  \
+	X(SRV_NEWS_MISSED, "source_news_missed_total",                                             \
+	  "such messages that couldn't be applied, so that this node read the source")             \
 	X(SRV_SOURCE_FAILURES, "source_failed_total",                                              \
 	  "source calls that were refused, lost or malformed")                                     \
 	X(SRV_LOOKUPS, "lookups_total", "address lookups answered")                                \
@@ -246,6 +253,23 @@
 /* True if the last call to the source failed, or none has succeeded yet. */
 bool srv_feed_is_unavailable(const struct srv_feed *feed);
 
+/*
+ * Applies news of the source that another node has read; changes are struct adapter_change in the
+ * order of their revisions. Returns false if the node has to read the source itself.
+ */
+bool srv_feed_follow(struct srv_feed *feed, const struct follow_news *news, const GArray *changes);
+
+/* srv_follow.c: tells the region's other nodes what the source has said, or follows what is told.
+ */
+void srv_follow_tell(struct srv *s, struct view_revision since, int64_t revision,
+		     const GArray *changes, int64_t now_ms);
+void srv_follow_message(struct srv *s, const char *from, const Peer__PublishedNews *wire);
+
+/* Entries of upstreams on the wire. The encoded one borrows from doc; free the decoded one. */
+void srv_snapshot_encode(Peer__PublishedUpstream *out, const struct pub_upstream *doc,
+			 int64_t cold_left_ms, struct view_revision revision);
+struct pub_upstream *srv_snapshot_decode(const Peer__PublishedUpstream *in);
+
 /* srv_snapshot.c: copies the published view from another node while the source is unavailable. */
 void srv_snapshot_tick(struct srv *s, int64_t now_ms);
 void srv_snapshot_message(struct srv *s, const Peer__Message *message);
--- a/packages/serve/srv_peer.c
+++ b/packages/serve/srv_peer.c
@@ -329,6 +329,9 @@
 	case PEER__MESSAGE__KIND_PUBLISHED_REPLY:
 		srv_snapshot_message(s, message);
 		break;
+	case PEER__MESSAGE__KIND_PUBLISHED_NEWS:
+		srv_follow_message(s, message->from_vm, message->published_news);
+		break;
 	case PEER__MESSAGE__KIND_PROMPT_EVIDENCE:
 		srv_quarantine_message(s, message->from_vm, message->prompt_evidence);
 		break;
--- a/packages/serve/srv_snapshot.c
+++ b/packages/serve/srv_snapshot.c
@@ -68,22 +68,39 @@
 	srv_peer_send(s, search.found->record.peer_address, &message);
 }
 
-static void encode_upstream(Peer__PublishedUpstream *out, const struct view_upstream *u,
-			    int64_t now_ms)
+void srv_snapshot_encode(Peer__PublishedUpstream *out, const struct pub_upstream *doc,
+			 int64_t cold_left_ms, struct view_revision revision)
 {
 	peer__published_upstream__init(out);
-	out->id = u->doc->id;
-	out->service = u->doc->service;
-	out->address = u->doc->address;
-	out->data_centre = u->doc->data_centre;
-	out->version = u->doc->version;
-	out->leaving = u->doc->leaving;
-	out->cold_left_ms = MAX(u->cold_until_ms - now_ms, 0);
-	out->slots = u->doc->slots;
-	out->born_ms = u->doc->born_ms;
-	out->sequence = u->doc->sequence;
-	out->epoch = u->revision.epoch;
-	out->revision = u->revision.number;
+	out->id = doc->id;
+	out->service = doc->service;
+	out->address = doc->address;
+	out->data_centre = doc->data_centre;
+	out->version = doc->version;
+	out->leaving = doc->leaving;
+	out->cold_left_ms = cold_left_ms;
+	out->slots = doc->slots;
+	out->born_ms = doc->born_ms;
+	out->sequence = doc->sequence;
+	out->epoch = revision.epoch;
+	out->revision = revision.number;
+}
+
+struct pub_upstream *srv_snapshot_decode(const Peer__PublishedUpstream *in)
+{
+	struct pub_upstream *doc = g_new0(struct pub_upstream, 1);
+
+	doc->id = g_strdup(in->id);
+	doc->service = g_strdup(in->service);
+	doc->address = g_strdup(in->address);
+	doc->data_centre = g_strdup(in->data_centre);
+	doc->version = g_strdup(in->version);
+	doc->leaving = in->leaving;
+	doc->cold_left_ms = in->cold_left_ms;
+	doc->slots = in->slots;
+	doc->born_ms = in->born_ms;
+	doc->sequence = in->sequence;
+	return doc;
 }
 
 static void send_snapshot(struct srv *s, const char *requester)
@@ -104,7 +121,8 @@
 		const struct view_upstream *u = value;
 		if (u->doubted_until_ms > 0)
 			continue;
-		encode_upstream(&ups[reply.n_upstreams], u, now_ms);
+		srv_snapshot_encode(&ups[reply.n_upstreams], u->doc,
+				    MAX(u->cold_until_ms - now_ms, 0), u->revision);
 		list[reply.n_upstreams] = &ups[reply.n_upstreams];
 		reply.n_upstreams++;
 	}
@@ -126,20 +144,9 @@
 
 static void apply_upstream(struct srv *s, const Peer__PublishedUpstream *in, int64_t now_ms)
 {
-	struct pub_upstream *doc = g_new0(struct pub_upstream, 1);
 	const struct view_revision revision = {.epoch = in->epoch, .number = in->revision};
 
-	doc->id = g_strdup(in->id);
-	doc->service = g_strdup(in->service);
-	doc->address = g_strdup(in->address);
-	doc->data_centre = g_strdup(in->data_centre);
-	doc->version = g_strdup(in->version);
-	doc->leaving = in->leaving;
-	doc->cold_left_ms = in->cold_left_ms;
-	doc->slots = in->slots;
-	doc->born_ms = in->born_ms;
-	doc->sequence = in->sequence;
-	srv_origin_put_upstream(s, doc, revision, now_ms);
+	srv_origin_put_upstream(s, srv_snapshot_decode(in), revision, now_ms);
 }
 
 static gint compare_ids(gconstpointer a, gconstpointer b)
--- a/packages/serve/srv_traffic.c
+++ b/packages/serve/srv_traffic.c
@@ -21,6 +21,7 @@
 		return SRV_MEMBERSHIP;
 	case PEER__MESSAGE__KIND_PUBLISHED_ASK:
 	case PEER__MESSAGE__KIND_PUBLISHED_REPLY:
+	case PEER__MESSAGE__KIND_PUBLISHED_NEWS:
 		return SRV_VIEW_COPIES;
 	case PEER__MESSAGE__KIND_PROMPT_EVIDENCE:
 	case PEER__MESSAGE__KIND_RUN_EVIDENCE:
