Count news of the source as older than they arrive

News now count as 700 ms old. A request for records is read up to the number of records that an answer can have, however many it names, and the first line "load" covers the time since the start.

--- a/packages/decide/gossip.c
+++ b/packages/decide/gossip.c
@@ -190,7 +190,7 @@
 	uint32_t n_found = 0;
 
 	records[n_found++] = f->self.record;
-	for (uint32_t i = 0; i < n && n_found < GOSSIP_RECORDS_MAX; i++) {
+	for (uint32_t i = 0; i < n && i < GOSSIP_RECORDS_MAX && n_found < GOSSIP_RECORDS_MAX; i++) {
 		const struct gossip_member *m =
 			g_hash_table_lookup(f->by_key, GUINT_TO_POINTER(keys[i]));
 		if (m)
--- a/packages/serve/srv.c
+++ b/packages/serve/srv.c
@@ -265,6 +265,7 @@
 	s->prng.state = prng_os_seed();
 	s->next_chain = prng_os_seed() & ~0xffffffULL;
 	s->started_ms = clock_now_ms();
+	s->load.logged_ms = s->started_ms;
 	s->last_tick_ms = s->started_ms;
 	uv_loop_init(&s->loop);
 	fill_self(s, &self);
--- a/packages/serve/srv_feed.c
+++ b/packages/serve/srv_feed.c
@@ -322,7 +322,7 @@
 	if (news->is_complete) {
 		feed->revision = news->revision;
 		note_success(feed, news->revision, now_ms);
-		srv_origin_note_read(s, now_ms, true, now_ms);
+		srv_origin_note_news(s, now_ms);
 		note_known(feed);
 	}
 	if (changed)
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -491,6 +491,9 @@
  */
 void srv_origin_note_read(struct srv *s, int64_t sent_ms, bool has_history, int64_t now_ms);
 
+/* The same for news that a reader of the source has just told. */
+void srv_origin_note_news(struct srv *s, int64_t now_ms);
+
 /* The same for the view of another node, which heard from the source age_ms ago. */
 void srv_origin_note_snapshot(struct srv *s, int64_t age_ms, int64_t now_ms);
 
--- a/packages/serve/srv_origin.c
+++ b/packages/serve/srv_origin.c
@@ -12,6 +12,7 @@
 #define RECORDS_PER_MESSAGE 500
 /* An answer of the source says what held at most this long before it arrived. */
 #define ANSWER_DELAY_MS 500
+#define NEWS_DELAY_MS 200 /* on the way from a reader of the source to a node that follows */
 /* A longer time since the last tick means that the process was paused and its view may be old. */
 #define PAUSE_MS 400
 #define UPSTREAMS_INTERVAL_MS 1000 /* between two notes of the versions in the view */
@@ -161,6 +162,12 @@
 	stream_origin_note_view(s->origins, MAX(sent_ms, now_ms - ANSWER_DELAY_MS), has_history);
 }
 
+void srv_origin_note_news(struct srv *s, int64_t now_ms)
+{
+	stream_origin_note_upstreams(s->origins, s->view, now_ms);
+	stream_origin_note_view(s->origins, now_ms - ANSWER_DELAY_MS - NEWS_DELAY_MS, true);
+}
+
 void srv_origin_note_snapshot(struct srv *s, int64_t age_ms, int64_t now_ms)
 {
 	stream_origin_note_upstreams(s->origins, s->view, now_ms);
