--- a/tests/bench_adapted.c
+++ b/tests/bench_adapted.c
@@ -18,8 +18,12 @@
 	return (double)(clock_now_us() - began_us) / n;
 }
 
-static size_t packed_bytes(const struct gossip_record *records, uint32_t n)
+static size_t packed_bytes(const struct gossip_record *records, uint32_t n,
+			   const struct gossip_beat *beats, uint32_t n_beats)
 {
+	uint32_t beat_members[GOSSIP_BEATS_MAX];
+	uint64_t beat_states[GOSSIP_BEATS_MAX];
+	uint32_t beat_ages[GOSSIP_BEATS_MAX];
 	Peer__Member members[GOSSIP_RECORDS_MAX];
 	Peer__Member *list[GOSSIP_RECORDS_MAX];
 	Peer__Beat beat = PEER__BEAT__INIT;
@@ -33,17 +37,32 @@
 		members[i].incarnation = records[i].incarnation;
 		members[i].beat = records[i].beat;
 		members[i].ready = true;
+		members[i].reads_beats = true;
+		members[i].cpu_millis = records[i].cpu_millis;
+		members[i].age_ms = 1000;
 		list[i] = &members[i];
 	}
+	for (uint32_t i = 0; i < n_beats; i++) {
+		beat_members[i] = beats[i].member;
+		beat_states[i] = beats[i].beat << 3 | beats[i].ready;
+		beat_ages[i] = 1000;
+	}
 	beat.members = list;
 	beat.n_members = n;
+	beat.beat_members = beat_members;
+	beat.beats = beat_states;
+	beat.beat_ages = beat_ages;
+	beat.n_beat_members = beat.n_beats = beat.n_beat_ages = n_beats;
 	return peer__beat__get_packed_size(&beat);
 }
 
 static struct gossip_record record(uint32_t i)
 {
-	struct gossip_record r = {
-		.incarnation = 1791053166295 + i, .beat = 1000 + i, .ready = true};
+	struct gossip_record r = {.incarnation = 1791053166295 + i,
+				  .beat = 1000 + i,
+				  .ready = true,
+				  .reads_beats = true,
+				  .cpu_millis = 120};
 
 	g_snprintf(r.peer_address, sizeof(r.peer_address), "10.%u.%u.%u:7120", i / 200, i % 7,
 		   i % 200);
@@ -61,22 +80,29 @@
 	struct gossip_record out[GOSSIP_RECORDS_MAX];
 	char targets[8][GOSSIP_NAME_BYTES];
 	struct prng prng = {1};
+	struct gossip_beat beats[GOSSIP_BEATS_MAX];
+	const int64_t now_ms = 1000 + GOSSIP_SETTLED_MS; /* nothing has changed lately */
+	char receiver[GOSSIP_NAME_BYTES] = "";
 	uint32_t n = 0;
+	uint32_t n_beats = 0;
 	uint32_t n_targets = 0;
 	int64_t began_us;
 
 	for (uint32_t i = 1; i < nodes; i++) {
 		struct gossip_record r = record(i);
-		gossip_merge(f, &r, 1, 1000);
+		for (int64_t at_ms = 1000; at_ms <= now_ms; at_ms += 1000, r.beat++)
+			gossip_merge(f, &r, 1, at_ms);
+		g_strlcpy(receiver, r.peer_address, sizeof(receiver));
 	}
 	began_us = clock_now_us();
 	for (int i = 0; i < ROUNDS; i++) {
-		gossip_begin_round(f, 1000);
-		n_targets += gossip_pick_targets(f, NULL, 0, &prng, targets, 8, 1000);
-		n = gossip_fill_records(f, "", out, GOSSIP_RECORDS_MAX, &prng, 1000);
+		gossip_begin_round(f, now_ms);
+		n_targets += gossip_pick_targets(f, NULL, 0, &prng, targets, 8, now_ms);
+		n = gossip_fill_records(f, receiver, out, GOSSIP_RECORDS_MAX, &prng, now_ms);
+		n_beats = gossip_fill_beats(f, beats, GOSSIP_BEATS_MAX, &prng, now_ms);
 	}
 	printf("gossip, %u nodes: %.1f us a round, %zu bytes a message, %.2f messages a round\n",
-	       nodes, elapsed_us(began_us, ROUNDS), packed_bytes(out, n),
+	       nodes, elapsed_us(began_us, ROUNDS), packed_bytes(out, n, beats, n_beats),
 	       (double)n_targets / ROUNDS);
 	gossip_free(f);
 }
