Split gossip into members, messages and duties

What is known of members stays there, what a round's messages say and who gets them is in gossip_send.c, who owns tasks, shares limits and reads the source in gossip_duty.c. Functions are moved, not changed; unit_fleet, prop_fleet, unit_gossip_regions and unit_follow pass as before.

--- /dev/null
+++ b/packages/decide/gossip_internal.h
@@ -0,0 +1,26 @@
+/* Types and functions shared by the files of gossip. */
+#ifndef DECIDE_GOSSIP_INTERNAL_H
+#define DECIDE_GOSSIP_INTERNAL_H
+
+#include "decide/gossip.h"
+
+#include <string.h>
+
+struct gossip {
+	struct gossip_member self;
+	GHashTable *members; /* peer address -> struct gossip_member, without the node itself */
+	/*
+	 * gossip_member.key -> the same members; NULL for a key that two members have had, whose
+	 * heartbeats then come with their records alone
+	 */
+	GHashTable *by_key;
+	uint64_t rounds;
+	int64_t changed_ms; /* when a member last changed */
+};
+
+static inline bool gossip_is_in_region(const struct gossip *f, const struct gossip_member *m)
+{
+	return strcmp(m->record.region, f->self.record.region) == 0;
+}
+
+#endif
