Frame each answer that is passed on

Cause: an answer without a length was passed on without one, and the kernel of a killed process closes its connections in order. The relay had the same fault between nodes and marked such answers; now nodes always send a length or chunks, and the mark is only removed.

Ruled out: that such answers have to stay unframed because one cut short by its upstream looked whole.

Tests: proc_adapter/unframed and killed_node_cuts_streams and proc_relay/node_ends_unframed:1 fail on the code before. unframed had asserted the fault itself (neither length nor chunks); it now asks for framing and the whole body. node_ends_unframed had asked for a reset of an unframed answer, for one of the two nodes; it now asks that the answer be visibly cut, for both. The test client counts an unframed answer that ends in order as whole.

--- a/packages/emul/stub_engine.c
+++ b/packages/emul/stub_engine.c
@@ -115,9 +115,10 @@
 		run->next_event = last ? (uint32_t)strtoul(last, NULL, 10) + 1 : 0;
 		put_signature(&headers, e, attempt_of(run->request));
 		hdr_add(&headers, "Content-Type", "text/event-stream");
-		length_bytes = e->fault == STUB_FAULT_NO_LENGTH_CUT
-				       ? HTTP_SERVER_UNTIL_CLOSE
-				       : stub_crash_note_answer(e, run->request);
+		length_bytes =
+			e->fault == STUB_FAULT_NO_LENGTH || e->fault == STUB_FAULT_NO_LENGTH_CUT
+				? HTTP_SERVER_UNTIL_CLOSE
+				: stub_crash_note_answer(e, run->request);
 		run->until_close = length_bytes == HTTP_SERVER_UNTIL_CLOSE;
 		http_server_begin(run->request, 200, &headers, length_bytes);
 		hdr_clear(&headers);
--- a/packages/http/http_client.c
+++ b/packages/http/http_client.c
@@ -222,7 +222,6 @@
 	c->head.status = p->status_code;
 	c->head.length_bytes =
 		(p->flags & F_CONTENTLENGTH) ? (int64_t)p->content_length : (int64_t)-1;
-	c->head.until_close = c->head.length_bytes < 0 && !(p->flags & F_CHUNKED);
 	c->keep_ms = keep_alive_ms(&c->head.headers);
 	if (p->status_code < 200) {
 		c->skipping = true;
--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -23,7 +23,6 @@
 	int status;
 	struct hdr_list headers;
 	int64_t length_bytes; /* of the body, from Content-Length; -1: there is no such field */
-	bool until_close; /* no length and no chunks: the body ends when the connection closes */
 };
 
 struct http_client_ops {
--- a/packages/http/include/http/http_server.h
+++ b/packages/http/include/http/http_server.h
@@ -101,9 +101,8 @@
 
 #define HTTP_SERVER_LENGTH_UNKNOWN (-1)
 /*
- * The response has neither a length nor chunks and ends when the connection closes. For upstream
- * answers of that form: if they were chunked here, one that was cut short at the upstream by an
- * orderly close would look complete to the caller.
+ * The response has neither a length nor chunks and ends when the connection closes. Its peer can't
+ * tell its end from that of a process that was killed: for stand-ins of upstreams alone.
  */
 #define HTTP_SERVER_UNTIL_CLOSE (-2)
 
--- a/packages/serve/include/serve/adapter.h
+++ b/packages/serve/include/serve/adapter.h
@@ -67,9 +67,7 @@
 	const char *attempt; /* attempt id that the answer echoes, borrowed; NULL: none */
 	bool not_run;	     /* the upstream guarantees that the request did not and will not run */
 	bool is_signed;	     /* has the signature that upstreams add when they ran the request */
-	/* another node relays an answer that came with neither a length nor chunks */
-	bool was_until_close;
-	bool has_load; /* the answer reports the load: running, waiting and slots are set */
+	bool has_load;	     /* the answer reports the load: running, waiting and slots are set */
 	int32_t running;
 	int32_t waiting;
 	int32_t slots;
@@ -199,8 +197,6 @@
 	/* Copies the end-to-end header fields of a caller's request for another node. */
 	void (*relay)(const struct hdr_list *in, const struct adapter_relay *relay,
 		      struct hdr_list *out);
-	/* Marks an answer for a node that relays it; see was_until_close. */
-	void (*mark_until_close)(struct hdr_list *out);
 };
 
 struct adapter_ops {
--- a/packages/serve/srv_answer.c
+++ b/packages/serve/srv_answer.c
@@ -44,7 +44,7 @@
 	g_byte_array_set_size(r->body, 0);
 	r->s->adapter->upstream->filter_response(&head->headers, &r->head);
 	r->status = head->status;
-	r->length_bytes = srv_relay_frame(r, head, &r->head);
+	r->length_bytes = head->length_bytes;
 	r->buffered = attempt;
 }
 
@@ -269,12 +269,7 @@
 
 static void send_buffered(struct srv_req *r)
 {
-	int64_t length_bytes = r->length_bytes == HTTP_SERVER_UNTIL_CLOSE ? HTTP_SERVER_UNTIL_CLOSE
-									  : (int64_t)r->body->len;
-
-	http_server_begin(r->http, r->status, &r->head, length_bytes);
-	http_server_write(r->http, r->body->data, r->body->len);
-	http_server_finish(r->http);
+	http_server_respond(r->http, r->status, &r->head, r->body->data, r->body->len);
 }
 
 void srv_attempt_handle_end(struct srv_attempt *attempt)
--- a/packages/serve/srv_relay.c
+++ b/packages/serve/srv_relay.c
@@ -199,9 +199,7 @@
 	r->s->adapter->upstream->filter_response(&head->headers, &headers);
 	r->response_started = true;
 	r->first_ms = clock_now_ms();
-	http_server_begin(r->http, head->status, &headers,
-			  head->until_close || answer.was_until_close ? HTTP_SERVER_UNTIL_CLOSE
-								      : head->length_bytes);
+	http_server_begin(r->http, head->status, &headers, head->length_bytes);
 	hdr_clear(&headers);
 	return true;
 }
@@ -370,17 +368,6 @@
 		srv_req_refuse(r, RETRY_MS, reason);
 }
 
-int64_t srv_relay_frame(const struct srv_req *r, const struct http_client_head *head,
-			struct hdr_list *out)
-{
-	if (!head->until_close)
-		return head->length_bytes;
-	if (!r->meta.relayed_by)
-		return HTTP_SERVER_UNTIL_CLOSE;
-	r->s->adapter->caller->mark_until_close(out);
-	return HTTP_SERVER_LENGTH_UNKNOWN;
-}
-
 void srv_relay_drained(struct srv_req *r)
 {
 	if (!r->relay->is_paused || !r->relay->call)
--- a/packages/serve/srv_req_int.h
+++ b/packages/serve/srv_req_int.h
@@ -246,13 +246,6 @@
  */
 bool srv_relay_take_over(struct srv_req *r);
 
-/*
- * Returns the length of an upstream's answer, as for http_server_begin(). An answer without one
- * goes to a node that relays it in chunks, and marked, so that it looks cut there if this node ends
- * before it does.
- */
-int64_t srv_relay_frame(const struct srv_req *r, const struct http_client_head *head,
-			struct hdr_list *out);
 void srv_relay_drained(struct srv_req *r);
 void srv_relay_arm_timer(struct srv_req *r);
 void srv_relay_clear(struct srv_req *r);
--- a/tests/proc_adapter.c
+++ b/tests/proc_adapter.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "raw.h"
+#include "stream.h"
 
 #include <check.h>
 #include <signal.h>
@@ -115,19 +116,66 @@
 }
 END_TEST
 
-/* An answer without a length is passed on without one. */
+/* Returns the number of events; checks that their ids are consecutive. */
+static int count_events(const char *body)
+{
+	int n = 0;
+
+	for (const char *at = body; (at = strstr(at, "id: ")); at++) {
+		ck_assert_int_eq(atoi(at + 4), n);
+		n++;
+	}
+	return n;
+}
+
+/* Sets the fault that all plain and all model engines have. */
+static void set_all_faults(enum stub_fault fault)
+{
+	set_faults(fault, fault);
+	stub_set_fault(c->stub, "model-1", fault);
+	stub_set_fault(c->stub, "model-2", fault);
+}
+
+/* Guards against answers whose end can't be told from that of a node that was killed. */
 START_TEST(unframed)
 {
 	struct cluster_answer answer;
 
-	set_faults(STUB_FAULT_NO_LENGTH, STUB_FAULT_NO_LENGTH);
+	set_all_faults(STUB_FAULT_NO_LENGTH);
 	cluster_send(c, 0, "GET", "/once/x", NULL, &answer);
-	ck_assert(!strstr(answer.text->str, "Content-Length"));
-	ck_assert(!strstr(answer.text->str, "chunked"));
+	ck_assert(answer.whole && strstr(answer.text->str, "Content-Length: "));
+	ck_assert_str_eq(answer.body, "body of attempt-0");
+	cluster_answer_clear(&answer);
+	cluster_send(c, 0, "POST", "/tell/x", "Content-Length: 0\r\n", &answer);
+	ck_assert(answer.whole && strstr(answer.text->str, "Transfer-Encoding: chunked"));
+	ck_assert_int_eq(count_events(answer.body), 6);
 	cluster_answer_clear(&answer);
 }
 END_TEST
 
+/* Guards against a part of an answer that looks complete since its node was killed. */
+START_TEST(killed_node_cuts_streams)
+{
+	static const char *const targets[] = {"/tell/x", "/resume/x"};
+	struct stream streams[G_N_ELEMENTS(targets)];
+
+	set_all_faults(STUB_FAULT_NO_LENGTH);
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++) {
+		stream_init(&streams[i]);
+		stream_open(&streams[i], c, 0, targets[i]);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++)
+		ck_assert(stream_read(&streams[i], 0));
+	cluster_signal(c, 0, SIGKILL);
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++) {
+		stream_finish(&streams[i]);
+		ck_assert_msg(!streams[i].is_whole && streams[i].last < 5, "%s: '%s'", targets[i],
+			      streams[i].text->str);
+		stream_clear(&streams[i]);
+	}
+}
+END_TEST
+
 static const struct {
 	const char *extra;
 	const char *target;
@@ -157,18 +205,6 @@
 }
 END_TEST
 
-/* Returns the number of events; checks that their ids are consecutive. */
-static int count_events(const char *body)
-{
-	int n = 0;
-
-	for (const char *at = body; (at = strstr(at, "id: ")); at++) {
-		ck_assert_int_eq(atoi(at + 4), n);
-		n++;
-	}
-	return n;
-}
-
 /* Ways in which an engine breaks a stream off inside its second event. */
 static const struct {
 	enum stub_fault fault;
@@ -748,6 +784,7 @@
 	const TTest *const tests[] = {
 		answers,
 		unframed,
+		killed_node_cuts_streams,
 		hostile_requests,
 		streams_resume,
 		streams_cut,
--- a/tests/proc_relay.c
+++ b/tests/proc_relay.c
@@ -20,7 +20,6 @@
 #define REFUSED_MS 300 /* longest time until a refusal */
 #define ANSWER_MS 6000
 #define LONG_BODY_BYTES 60000
-#define READ_BYTES 1024
 #define LOAD 60 /* requests while other nodes are killed */
 #define PIECES "X-Currantscale-Pieces: 2,3\r\nX-Currantscale-Piece-Key: k\r\n"
 #define MARK "Currantscale-Relayed-By: node-9\r\n"
@@ -286,47 +285,19 @@
 }
 END_TEST
 
-static GString *read_until(int fd, const char *part)
-{
-	GString *text = g_string_new(NULL);
-	char block[READ_BYTES];
-	ssize_t n = 1;
-
-	while (n > 0 && !strstr(text->str, part)) {
-		n = recv(fd, block, sizeof(block), 0);
-		g_string_append_len(text, block, MAX(n, 0));
-	}
-	return text;
-}
-
-#define UNFRAMED_MAX 6 /* one of these many streams has neither a length nor chunks */
-
-/* The same for a stream with neither a length nor chunks, which a reset alone shows as cut. */
+/* Guards against the same where upstreams give their answers neither a length nor chunks. */
 START_TEST(node_ends_unframed)
 {
-	static const char request[] = "POST /tell/x HTTP/1.1\r\nHost: h.example\r\n"
-				      "X-Currantscale-Attempt-Id: unframed-%d\r\n"
-				      "X-Currantscale-Key: key-1\r\nContent-Length: 0\r\n\r\n";
-	bool was_reset = false;
-	bool is_framed = true;
-	GString *text = NULL;
-
-	stub_set_crash_part(c->stub, 1, 1000); /* in no prompt */
-	for (int i = 0; i < UNFRAMED_MAX && is_framed; i++) {
-		int fd = raw_connect(c->nodes[cut].front);
-		char *head = g_strdup_printf(request, i);
-		raw_write_text(fd, head);
-		text = read_until(fd, "token 1");
-		is_framed = strstr(text->str, "chunked") != NULL;
-		if (!is_framed) {
-			cluster_signal(c, OTHER, SIGKILL);
-			g_string_free(raw_read_to_end(fd, ANSWER_MS, &was_reset), TRUE);
-		}
-		close(fd);
-		g_free(head);
-		g_string_free(text, TRUE);
-	}
-	ck_assert(!is_framed && was_reset);
+	struct stream st;
+
+	set_faults(STUB_FAULT_NO_LENGTH);
+	stream_init(&st);
+	stream_open(&st, c, cut, "/tell/x");
+	ck_assert(stream_read(&st, 1));
+	cluster_signal(c, _i == 0 ? OTHER : cut, SIGKILL);
+	stream_finish(&st);
+	ck_assert_msg(!st.is_whole, "'%s'", st.text->str);
+	stream_clear(&st);
 }
 END_TEST
 
@@ -470,7 +441,7 @@
 	tcase_add_test(three, kept_connection);
 	tcase_add_test(three, runs_at_most_once);
 	tcase_add_loop_test(two, node_ends, 0, G_N_ELEMENTS(ends));
-	tcase_add_test(two, node_ends_unframed);
+	tcase_add_loop_test(two, node_ends_unframed, 0, 2);
 	tcase_add_test(two, other_node_ends_unanswered);
 	tcase_add_test(two, caller_leaves);
 	tcase_add_loop_test(regions, stays_in_its_regions, 0, G_N_ELEMENTS(homes));
--- a/tests/stream.c
+++ b/tests/stream.c
@@ -104,6 +104,20 @@
 		sscanf(signature, "%*s %31s", st->upstream);
 }
 
+/* Returns whether only the end of the connection ends the answer. */
+static bool is_unframed(const struct stream *st)
+{
+	return st->status == 200 && !strstr(st->text->str, "Transfer-Encoding: chunked") &&
+	       !strstr(st->text->str, "Content-Length: ");
+}
+
+static GString *body_of(const struct stream *st)
+{
+	const char *end = strstr(st->text->str, "\r\n\r\n");
+
+	return is_unframed(st) ? g_string_new(end + strlen("\r\n\r\n")) : raw_unchunk(st->text);
+}
+
 /* Counts the complete events that have come since the last call. */
 static void read_events(struct stream *st)
 {
@@ -116,7 +130,7 @@
 	read_head(st);
 	if (st->status != 200)
 		return;
-	body = raw_unchunk(st->text);
+	body = body_of(st);
 	for (at = body->str + st->read_bytes; (end = strstr(at, EVENT_END)); at = end) {
 		count_event(st, at);
 		end += strlen(EVENT_END);
@@ -131,13 +145,14 @@
 {
 	struct pollfd poller = {.fd = st->fd, .events = POLLIN};
 	char block[BLOCK_BYTES];
-	ssize_t n = 0;
+	ssize_t n = -1;
 
 	if (poll(&poller, 1, wait_ms) > 0)
 		n = recv(st->fd, block, sizeof(block), 0);
 	else if (clock_now_ms() - st->heard_ms < SILENCE_MS)
 		return;
 	if (n <= 0) {
+		st->is_whole |= n == 0 && is_unframed(st);
 		st->took_ms = clock_now_ms() - st->sent_ms;
 		stream_close(st);
 		return;
