Ask again after a call to the source that was cut

Cause: a cut watch counted as an outage of the source. Entries that are removed in one are kept for 2 s after it, and the next cut came sooner. Pauses before the next call, doubts of the view and copies from other nodes hung on the same belief.

Change: a call that ends without an answer is repeated at once, without wait; the second outcome tells whether the source is available. While it is lost no call waits. The times stay as they were.

Ruled out: to judge by the length of the outage whether entries can have lapsed; nodes can't know how long leases run.

Test: proc_adapter/watches_cut fails before (27 of 40 requests reach the engine that is gone) and passes now; it also asks that a change be in force in time and that no failure of the source be counted.

--- a/packages/emul/include/emul/stub.h
+++ b/packages/emul/include/emul/stub.h
@@ -165,6 +165,9 @@
 void stub_restart_unpublished(struct stub *s, const char *id, const char *version);
 void stub_set_store_fault(struct stub *s, enum stub_store_fault fault);
 
+/* From now on, the store cuts each watch that has waited for so long; 0: none. */
+void stub_cut_watches(struct stub *s, int64_t after_ms);
+
 /*
  * Returns the store to the state that it had copy_age_ms ago: its revision goes back, and its epoch
  * rises. What was written since then is written again after rewrite_ms.
--- a/packages/emul/stub.c
+++ b/packages/emul/stub.c
@@ -132,6 +132,13 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+void stub_cut_watches(struct stub *s, int64_t after_ms)
+{
+	pthread_mutex_lock(&s->lock);
+	s->cut_after_ms = after_ms;
+	pthread_mutex_unlock(&s->lock);
+}
+
 void stub_set_fault(struct stub *s, const char *id, enum stub_fault fault)
 {
 	pthread_mutex_lock(&s->lock);
--- a/packages/emul/stub_int.h
+++ b/packages/emul/stub_int.h
@@ -14,7 +14,8 @@
 	struct http_server_request *request;
 	struct stub_link *link; /* that it came by; NULL: none */
 	int64_t after;		/* waits for a revision above this one */
-	int64_t until_ms;	/* end of the wait */
+	int64_t began_ms;
+	int64_t until_ms; /* end of the wait */
 };
 
 struct stub_engine {
@@ -68,6 +69,7 @@
 	GHashTable *engines; /* id -> struct stub_engine */
 	GPtrArray *starting; /* engines that the loop has yet to start */
 	enum stub_store_fault store_fault;
+	int64_t cut_after_ms;	    /* of watches that wait; 0: none is cut */
 	int64_t compacted_revision; /* newest revision when STUB_STORE_COMPACTED was last set */
 	uint64_t sequence;
 	uint64_t crash_part; /* 0: none */
--- a/packages/emul/stub_store.c
+++ b/packages/emul/stub_store.c
@@ -228,7 +228,8 @@
 	w->request = request;
 	w->link = link;
 	w->after = after_revision;
-	w->until_ms = clock_now_ms() + (wait ? g_ascii_strtoll(wait, NULL, 10) : 0);
+	w->began_ms = clock_now_ms();
+	w->until_ms = w->began_ms + (wait ? g_ascii_strtoll(wait, NULL, 10) : 0);
 	g_ptr_array_add(s->watches, w);
 }
 
@@ -281,10 +282,15 @@
 		rewrite_lost(s);
 	for (guint i = s->watches->len; i > 0; i--) {
 		struct stub_watch *w = g_ptr_array_index(s->watches, i - 1);
-		if (w->after >= (int64_t)s->log->len && now_ms < w->until_ms)
+		bool is_due = w->after < (int64_t)s->log->len || now_ms >= w->until_ms;
+		bool is_cut = s->cut_after_ms > 0 && now_ms - w->began_ms >= s->cut_after_ms;
+		if (!is_due && !is_cut)
 			continue;
 		g_ptr_array_remove_index_fast(s->watches, i - 1);
-		answer_watch(s, w);
+		if (is_due)
+			answer_watch(s, w);
+		else
+			http_server_abort(w->request);
 		g_free(w);
 	}
 }
--- a/packages/serve/srv_feed.c
+++ b/packages/serve/srv_feed.c
@@ -2,6 +2,10 @@
  * Client of the source of configuration and upstreams: a full read, then one watch after another.
  * The pause between two watches lets one call return many changes. When the source's epoch has
  * risen it was restored from a copy, and everything is read anew.
+ *
+ * A source that answers may cut a call that waits. So a call whose connection ends without an
+ * answer says nothing: the same is asked again at once, and not made to wait. The outcome of that
+ * call tells whether the source is available.
  */
 #include "srv_int.h"
 
@@ -18,7 +22,9 @@
 #define WATCH_PAUSE_MIN_MS 400
 #define WATCH_PAUSE_MAX_MS 1000
 #define WATCH_MS 1000	       /* the source may hold a watch open this long if nothing changes */
-#define ANSWER_TIMEOUT_MS 1000 /* a call that takes longer, not counting WATCH_MS, has failed */
+#define ANSWER_TIMEOUT_MS 1000 /* a call that takes longer, not counting its wait, has failed */
+#define CHECK_WAIT_MS 1	       /* wait of a watch whose answer tells whether the source is there */
+#define CHECK_TIMEOUT_MS 500   /* a working source answers such a call in milliseconds */
 #define CONNECT_TIMEOUT_MS 700
 #define RETRY_MS 300	  /* delay after a failure; doubles with each consecutive failure */
 #define RETRY_MAX_MS 1200 /* bounded because it delays changes, as WATCH_PAUSE_MAX_MS is */
@@ -47,6 +53,8 @@
 	bool epoch_unknown_logged;
 	int64_t due_ms;
 	int64_t sent_ms;
+	int64_t wait_ms;	 /* for which the source may hold the pending call */
+	bool was_cut;		 /* the call before the pending one ended without an answer */
 	int64_t read_began_ms;	 /* when the first page of the full read was requested */
 	int64_t last_success_ms; /* when the last call or news succeeded; 0: none has */
 	struct follow follow;
@@ -154,6 +162,7 @@
 	struct srv *s = feed->s;
 	int64_t now_ms = clock_now_ms();
 
+	feed->was_cut = false;
 	srv_count(s, SRV_SOURCE_FAILURES);
 	if (feed->fails == 0 && feed->last_success_ms > 0)
 		srv_origin_note_source_lost(s, now_ms);
@@ -352,6 +361,20 @@
 
 static void send_call(struct srv_feed *feed, int64_t now_ms);
 
+/* Asks again after a call that was cut. Returns false if the source has to count as lost. */
+static bool ask_again(struct srv_feed *feed)
+{
+	int64_t now_ms = clock_now_ms();
+
+	if (feed->was_cut || feed->fails > 0)
+		return false;
+	feed->was_cut = true;
+	srv_count(feed->s, SRV_SOURCE_CUTS);
+	pause_until(feed, now_ms);
+	send_call(feed, now_ms);
+	return true;
+}
+
 static void on_end(void *arg, enum http_client_result end)
 {
 	struct srv_feed *feed = arg;
@@ -366,10 +389,13 @@
 	struct adapter_feed_reply reply;
 
 	feed->call = NULL;
+	if (end == HTTP_CLIENT_BROKEN && ask_again(feed))
+		return;
 	if (end != HTTP_CLIENT_DONE) {
 		fail(feed, end == HTTP_CLIENT_NOT_SENT ? "no connection" : "connection broken");
 		return;
 	}
+	feed->was_cut = false;
 	switch (feed->s->adapter->feed->read_reply(&answer, &reply)) {
 	case ADAPTER_FEED_OK:
 		handle_reply(feed, &reply);
@@ -405,9 +431,11 @@
 	struct hdr_list headers = {0};
 	char *target;
 
+	feed->wait_ms = 0;
 	if (feed->has_full_read) {
 		feed->state = FEED_WATCHING;
-		target = ops->watch_target(feed->revision, WATCH_MS);
+		feed->wait_ms = feed->was_cut || feed->fails > 0 ? CHECK_WAIT_MS : WATCH_MS;
+		target = ops->watch_target(feed->revision, feed->wait_ms);
 	} else {
 		if (!feed->page_start_key) {
 			view_begin_read(feed->s->view);
@@ -434,8 +462,7 @@
 
 void srv_feed_tick(struct srv_feed *feed, int64_t now_ms)
 {
-	int64_t limit_ms =
-		feed->state == FEED_WATCHING ? WATCH_MS + ANSWER_TIMEOUT_MS : ANSWER_TIMEOUT_MS;
+	int64_t limit_ms = feed->was_cut ? CHECK_TIMEOUT_MS : feed->wait_ms + ANSWER_TIMEOUT_MS;
 
 	if (feed->state == FEED_PAUSED) {
 		if (now_ms >= feed->due_ms &&
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -68,6 +68,8 @@
 	  "messages of other nodes about what the source has said, applied here")                  \
 	X(SRV_NEWS_MISSED, "source_news_missed_total",                                             \
 	  "such messages that couldn't be applied, so that this node read the source")             \
+	X(SRV_SOURCE_CUTS, "source_cuts_total",                                                    \
+	  "calls to the source that ended without an answer and were repeated at once")            \
 	X(SRV_SOURCE_FAILURES, "source_failed_total",                                              \
 	  "source calls that were refused, lost or malformed")                                     \
 	X(SRV_LOOKUPS, "lookups_total", "address lookups answered")                                \
--- a/tests/proc_adapter.c
+++ b/tests/proc_adapter.c
@@ -497,6 +497,42 @@
 }
 END_TEST
 
+#define CUT_AFTER_MS 700 /* shorter than nodes let a watch wait */
+#define CUTS_MS 3000	 /* time for several cuts at each node */
+
+static int64_t source_failures(uint32_t node)
+{
+	static const char name[] = "\ncurrantscale_source_failed_total ";
+	int status;
+	char *text = cluster_get(c->nodes[node].metrics, "/metrics", &status);
+	const char *at = strstr(text, name);
+	int64_t n = at ? g_ascii_strtoll(at + strlen(name), NULL, 10) : -1;
+
+	ck_assert_int_ge(n, 0);
+	g_free(text);
+	return n;
+}
+
+/* Guards against work for upstreams that are gone while the source cuts watches that wait. */
+START_TEST(watches_cut)
+{
+	int64_t failures[3];
+
+	for (uint32_t i = 0; i < c->n_nodes; i++)
+		failures[i] = source_failures(i);
+	stub_cut_watches(c->stub, CUT_AFTER_MS);
+	clock_sleep_ms(CUTS_MS);
+	stub_publish(c->stub, "plain-1", NULL);
+	expect_no_requests("plain-1");
+	cluster_configure(c, 9, "key-1", "key-9");
+	clock_sleep_ms(IN_FORCE_MS);
+	for (uint32_t i = 0; i < c->n_nodes; i++) {
+		ck_assert_int_eq(status_of(i, "/once/x", NULL), 401);
+		ck_assert_int_eq(source_failures(i), failures[i]);
+	}
+}
+END_TEST
+
 /* Unreadable entries are ignored and don't affect the others. */
 START_TEST(broken_entries)
 {
@@ -798,6 +834,7 @@
 		leaving_engine,
 		gone_engine,
 		centre_out,
+		watches_cut,
 		broken_entries,
 		source_away,
 		source_restored,
