Ask for keys also where no client account is left

Cause: the parser didn't tell an empty list of accounts from a configuration without one, and the latter asks for no keys.

Change: the document says whether it has the list. On related paths: elements of key lists that aren't strings became the empty key, which a request can bear; they are left out. A list of another type (accounts, keys, regions, shares, stages) counted as absent and allowed more than it said; such a configuration is refused, and the former one stands.

--- a/packages/model/include/model/pub.h
+++ b/packages/model/include/model/pub.h
@@ -105,6 +105,7 @@
 	uint32_t n_services;
 	struct pub_account *accounts;
 	uint32_t n_accounts;
+	bool needs_key; /* requests need an account's key, even if there are no accounts */
 	struct pub_limits limits;
 	GHashTable *by_key; /* key -> struct pub_account */
 	char *source;	    /* text as published, sent to other nodes; NULL: not kept */
--- a/packages/serve/srv_req.c
+++ b/packages/serve/srv_req.c
@@ -207,7 +207,7 @@
 
 static bool find_account(struct srv_req *r)
 {
-	if (r->doc->n_accounts == 0 || r->route->is_public)
+	if (!r->doc->needs_key || r->route->is_public)
 		return true;
 	r->account = r->meta.key ? pub_find_account(r->doc, r->meta.key) : NULL;
 	return r->account != NULL;
--- a/tests/proc_adapter.c
+++ b/tests/proc_adapter.c
@@ -453,6 +453,30 @@
 }
 END_TEST
 
+static const struct {
+	const char *from; /* part of the configuration */
+	const char *to;
+	int status; /* of a request with a key of the first configuration */
+} accounts[] = {
+	{"[{\"name\":\"big\",\"apiKeys\":[\"key-1\",\"key-2\"],\"priority\":1}]", "[]", 401},
+	{"\"apiKeys\":[\"key-1\",\"key-2\"],", "", 401},
+	{"\"tenants\":", "\"others\":", 200},
+};
+
+/* Guards against serving everybody once the last account or key is taken away. */
+START_TEST(last_key_removed)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(accounts); i++) {
+		cluster_configure(c, 9 + (int)i, accounts[i].from, accounts[i].to);
+		clock_sleep_ms(IN_FORCE_MS);
+		for (uint32_t node = 0; node < c->n_nodes; node++) {
+			ck_assert_int_eq(status_of(node, "/once/x", NULL), accounts[i].status);
+			ck_assert_int_eq(status_of(node, "/public/x", NULL), 200);
+		}
+	}
+}
+END_TEST
+
 static uint32_t arrivals(const char *id)
 {
 	struct stub_stats seen;
@@ -831,6 +855,7 @@
 		owners_lost_in_a_row,
 		stop_under_load,
 		versions,
+		last_key_removed,
 		leaving_engine,
 		gone_engine,
 		centre_out,
--- a/tests/unit_published.c
+++ b/tests/unit_published.c
@@ -46,6 +46,12 @@
 	     PLAIN, ""),
 	 "slash"},
 	{"{\"routes\":[],\"services\":[]}", ""},
+	{"{\"version\":3,\"routes\":[],\"services\":[],\"tenants\":{}}", ""},
+	{"{\"version\":3,\"routes\":[],\"services\":[],\"tenants\":null}", ""},
+	{DOC("", PLAIN, "{\"name\":\"a\",\"apiKeys\":\"k\"}"), ""},
+	{DOC("", PLAIN, "{\"name\":\"a\",\"allowedRegions\":\"x\"}"), ""},
+	{DOC(ROUTE(",\"service\":\"p\",\"allowedRegions\":\"x\""), PLAIN, ""), ""},
+	{DOC(ROUTE(",\"service\":\"p\",\"stages\":{}"), PLAIN, ""), ""},
 	{DOC("{\"name\":3}", PLAIN, ""), ""},
 	{"[]", ""},
 	{"{", ""},
@@ -78,6 +84,38 @@
 }
 END_TEST
 
+static const struct {
+	const char *tenants; /* the rest of the document */
+	const char *key;
+	bool needs_key;
+	bool is_known;
+} key_cases[] = {
+	{"", "k", false, false},
+	{",\"tenants\":[]", "k", true, false},
+	{",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"]}]", "k", true, true},
+	{",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"]}]", "x", true, false},
+	{",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[]}]", "k", true, false},
+	{",\"tenants\":[{\"name\":\"a\"}]", "k", true, false},
+	{",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"\",3,null]}]", "", true, false},
+};
+
+/* Guards against lists without a key that open routes to everybody. */
+START_TEST(keys)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(key_cases); i++) {
+		char *text = g_strdup_printf("{\"version\":3,\"routes\":[],\"services\":[]%s}",
+					     key_cases[i].tenants);
+		struct pub_doc *doc = platform_ops.feed->read_doc(text, strlen(text), NULL);
+		ck_assert_int_eq(doc->needs_key, key_cases[i].needs_key);
+		ck_assert_msg((pub_find_account(doc, key_cases[i].key) != NULL) ==
+				      key_cases[i].is_known,
+			      "case %zu", i);
+		pub_doc_unref(doc);
+		g_free(text);
+	}
+}
+END_TEST
+
 static const struct {
 	const char *host;
 	const char *path;
@@ -289,8 +327,8 @@
 
 int main(void)
 {
-	const TTest *const tests[] = {epochs,	entries,  documents, longest_prefix,
-				      requests, forwards, results};
+	const TTest *const tests[] = {epochs,	      entries,	documents, keys,
+				      longest_prefix, requests, forwards,  results};
 
 	return run_tests("unit_published", tests, G_N_ELEMENTS(tests));
 }
