Know all versions that may have begun a stream, or refuse it

Cause, one belief: a node without a record goes on at the only version that it knows. It took a version for that after 4 s of following the source, though others had left before it started; and with a view of up to 3 s ago, though others had come since.

Change: one rule for both ends. A request that came at t takes up a stream that began in the minute before t, so all versions of that minute have to be known: from its start by a node that has followed the source so long (this one, or an asked one that overlaps it), to its end by an answer of the source to a call sent at t or later. It holds in each order of events and needs no further wait. Old builds' word isn't taken for it (new fields in OriginReply).

Ruled out: the source's history as a proof; its events have no times, and a deletion doesn't name the version.

--- a/packages/decide/include/decide/stream_origin.h
+++ b/packages/decide/include/decide/stream_origin.h
@@ -20,14 +20,9 @@
 #define STREAM_ORIGIN_KEEP_MS 60000
 /* The view is trusted while it is that of the source at most this long ago. */
 #define STREAM_ORIGIN_FRESH_MS 3000
-/*
- * The only version is known after the source was followed without a gap for this long: callers
- * don't wait longer before they resume a stream, and the entry of its upstream was there when it
- * ended.
- */
-#define STREAM_ORIGIN_FOLLOW_MS 4000
-/* How long other nodes are waited for. */
+/* How long other nodes are waited for, and after them the source. */
 #define STREAM_ORIGIN_ASK_MS 150
+#define STREAM_ORIGIN_READ_MS 150
 #define STREAM_ORIGIN_TOLD 2  /* other nodes that keep a record */
 #define STREAM_ORIGIN_ASKED 3 /* other nodes that are asked: one of the above may be new */
 /* News that an upstream has restarted takes less time than this. */
@@ -41,7 +36,7 @@
 	STREAM_ORIGIN_BEGUN, /* the stream began here, or went on here */
 	STREAM_ORIGIN_NOTED, /* another node has told it unasked */
 	STREAM_ORIGIN_REPLY, /* another node answered a question */
-	STREAM_ORIGIN_ONLY,  /* no other version has served for longer than a stream lasts */
+	STREAM_ORIGIN_ONLY,  /* no other version can have begun it */
 };
 
 struct stream_origin_record {
@@ -76,6 +71,12 @@
  */
 void stream_origin_note_view(struct stream_origin *o, int64_t as_of_ms, bool has_history);
 
+/*
+ * Notes that the view has everything that the source held at sent_ms: the answer to a call that was
+ * sent then was applied.
+ */
+void stream_origin_note_read(struct stream_origin *o, int64_t sent_ms);
+
 /*
  * Notes that the view may be out of date until a newer one is noted: the process was paused, or the
  * source has stopped answering.
@@ -153,11 +154,13 @@
 struct stream_resumption {
 	uint64_t stream;     /* 0: the caller doesn't name it */
 	const char *service; /* borrowed */
+	int64_t came_ms;     /* when the request came: the stream began before */
 	int64_t asked_ms;    /* when other nodes were asked; 0: not yet */
+	int64_t read_ms;     /* when the source was; 0: not yet */
 	uint32_t asked;
 	uint32_t answered;
 	bool is_uncertain;   /* an asked node knows that the version is uncertain */
-	bool is_vouched_for; /* an asked node has followed the source for long enough */
+	bool is_vouched_for; /* an asked node has seen every version that may have begun it */
 	bool has_several;    /* asked nodes have seen several versions */
 	const char *version; /* one that asked nodes have seen lately; interned */
 };
@@ -167,12 +170,16 @@
 	const struct stream_origin_record *record; /* NULL: unknown there */
 	char *const *versions;			   /* seen there lately */
 	uint32_t n_versions;
-	bool is_following; /* no version was missed there, see stream_origin_is_following() */
+	int64_t followed_ms; /* for which it has seen every version, up to its view; 0: unknown */
+	int64_t view_age_ms;
 };
 
+/* Returns for how long up to the view every version was seen; 0: the view isn't fresh. */
+int64_t stream_origin_followed_ms(const struct stream_origin *o, int64_t now_ms);
+
 /*
  * Returns whether no version can be missing of those that may have begun a stream that callers
- * still resume.
+ * still resume, except those that have come since the view.
  */
 bool stream_origin_is_following(const struct stream_origin *o, int64_t now_ms);
 
@@ -185,9 +192,10 @@
 				const struct stream_origin_answer *answer, int64_t now_ms);
 
 enum stream_origin_verdict {
-	STREAM_ORIGIN_GO_ON, /* at an upstream of the version */
-	STREAM_ORIGIN_ASK,   /* ask other nodes; without any, set asked_ms alone */
-	STREAM_ORIGIN_WAIT,  /* until all have answered, or STREAM_ORIGIN_ASK_MS have passed */
+	STREAM_ORIGIN_GO_ON,	   /* at an upstream of the version */
+	STREAM_ORIGIN_ASK,	   /* ask other nodes; without any, set asked_ms alone */
+	STREAM_ORIGIN_READ,	   /* read the source and set read_ms */
+	STREAM_ORIGIN_WAIT,	   /* for answers, until stream_origin_wait_until_ms() */
 	STREAM_ORIGIN_UNKNOWN_YET, /* refuse: a node that didn't answer may know it */
 	STREAM_ORIGIN_UNKNOWN,	   /* refuse: asking again doesn't help */
 	STREAM_ORIGIN_NONE_LEFT,   /* refuse: no usable upstream of the version is left */
@@ -201,6 +209,9 @@
 	uint64_t upstream; /* where the stream last ran; 0: unknown */
 };
 
+/* Returns until when answers are waited for. */
+int64_t stream_origin_wait_until_ms(const struct stream_resumption *r);
+
 struct stream_origin_decision stream_origin_decide(const struct stream_origin *o,
 						   const struct stream_resumption *r,
 						   const struct view_state *v, int64_t now_ms);
--- a/packages/decide/stream_origin.c
+++ b/packages/decide/stream_origin.c
@@ -21,6 +21,7 @@
 	GHashTable *untold;	   /* set of struct entry */
 	GHashTable *versions;	   /* service (interned) -> GArray of struct seen_version */
 	int64_t as_of_ms;	   /* of the newest view; 0: there was none */
+	int64_t read_ms;	   /* the view has all that the source held then; 0: none */
 	int64_t valid_from_ms;	   /* an older view may be out of date */
 	int64_t followed_since_ms; /* since when no change at the source was missed */
 };
@@ -129,6 +130,11 @@
 	o->as_of_ms = MAX(o->as_of_ms, as_of_ms);
 }
 
+void stream_origin_note_read(struct stream_origin *o, int64_t sent_ms)
+{
+	o->read_ms = MAX(o->read_ms, sent_ms);
+}
+
 void stream_origin_distrust_view(struct stream_origin *o, int64_t now_ms)
 {
 	o->valid_from_ms = now_ms;
@@ -145,10 +151,15 @@
 	       o->as_of_ms >= o->valid_from_ms;
 }
 
+int64_t stream_origin_followed_ms(const struct stream_origin *o, int64_t now_ms)
+{
+	return stream_origin_is_fresh(o, now_ms) ? o->as_of_ms - o->followed_since_ms : 0;
+}
+
 bool stream_origin_is_following(const struct stream_origin *o, int64_t now_ms)
 {
 	return stream_origin_is_fresh(o, now_ms) &&
-	       now_ms - o->followed_since_ms >= STREAM_ORIGIN_FOLLOW_MS;
+	       now_ms - o->followed_since_ms >= STREAM_ORIGIN_KEEP_MS;
 }
 
 uint32_t stream_origin_list_versions(const struct stream_origin *o, const char *service,
@@ -376,6 +387,19 @@
 	return g_hash_table_size(o->entries);
 }
 
+/*
+ * Returns whether the asked node has seen every version from before this one began to follow the
+ * source, and for as long as a stream and its resumptions last.
+ */
+static bool is_vouched_by(const struct stream_origin *o, const struct stream_origin_answer *answer,
+			  int64_t now_ms)
+{
+	int64_t as_of_ms = now_ms - answer->view_age_ms;
+
+	return answer->followed_ms > 0 && o->as_of_ms > 0 && as_of_ms >= o->followed_since_ms &&
+	       answer->followed_ms + answer->view_age_ms >= STREAM_ORIGIN_KEEP_MS;
+}
+
 void stream_origin_apply_answer(struct stream_origin *o, struct stream_resumption *r,
 				const struct stream_origin_answer *answer, int64_t now_ms)
 {
@@ -384,7 +408,7 @@
 		r->is_uncertain = true;
 	else if (answer->record)
 		stream_origin_learn(o, answer->record, now_ms);
-	r->is_vouched_for = r->is_vouched_for || answer->is_following;
+	r->is_vouched_for = r->is_vouched_for || is_vouched_by(o, answer, now_ms);
 	for (uint32_t i = 0; i < answer->n_versions; i++) {
 		const char *version = g_intern_string(answer->versions[i]);
 		r->has_several = r->has_several || (r->version && r->version != version);
@@ -410,7 +434,8 @@
 
 /*
  * Returns the only version that this node and the asked ones have seen lately; NULL if there may
- * have been another.
+ * have been another before the view of this node. One that came later may have begun the stream
+ * too, unless the view was read since the request came.
  */
 static const char *only_known(const struct stream_origin *o, const struct stream_resumption *r,
 			      int64_t now_ms)
@@ -454,6 +479,12 @@
 	return (struct stream_origin_decision){.verdict = verdict, .age_ms = -1};
 }
 
+int64_t stream_origin_wait_until_ms(const struct stream_resumption *r)
+{
+	return r->read_ms > 0 ? r->read_ms + STREAM_ORIGIN_READ_MS
+			      : r->asked_ms + STREAM_ORIGIN_ASK_MS;
+}
+
 struct stream_origin_decision stream_origin_decide(const struct stream_origin *o,
 						   const struct stream_resumption *r,
 						   const struct view_state *v, int64_t now_ms)
@@ -471,8 +502,14 @@
 	if (r->answered < r->asked && now_ms - r->asked_ms < STREAM_ORIGIN_ASK_MS)
 		return without_version(STREAM_ORIGIN_WAIT);
 	only = only_known(o, r, now_ms);
-	if (only)
+	if (!only)
+		return without_version(r->answered < r->asked ? STREAM_ORIGIN_UNKNOWN_YET
+							      : STREAM_ORIGIN_UNKNOWN);
+	if (o->read_ms >= r->came_ms)
 		return go_on(r, v, only, STREAM_ORIGIN_ONLY, -1);
-	return without_version(r->answered < r->asked ? STREAM_ORIGIN_UNKNOWN_YET
-						      : STREAM_ORIGIN_UNKNOWN);
+	if (r->read_ms == 0)
+		return without_version(STREAM_ORIGIN_READ);
+	return without_version(now_ms - r->read_ms < STREAM_ORIGIN_READ_MS
+				       ? STREAM_ORIGIN_WAIT
+				       : STREAM_ORIGIN_UNKNOWN_YET);
 }
--- a/packages/emul/include/emul/stub.h
+++ b/packages/emul/include/emul/stub.h
@@ -93,6 +93,9 @@
  */
 const char *stub_open_link(struct stub *s, GError **error);
 
+/* From now on, the store leaves calls that come by the link unanswered, or answers new ones. */
+void stub_hang_store(struct stub *s, uint32_t link, bool hangs);
+
 /* How a link treats connections to upstreams; those to the store always work. */
 enum stub_cut {
 	STUB_CUT_NONE,
--- a/packages/emul/stub_int.h
+++ b/packages/emul/stub_int.h
@@ -142,6 +142,7 @@
  * the link's own port. The caller frees it with free().
  */
 char *stub_link_entry(struct stub_link *link, const char *text);
+bool stub_link_store_hangs(const struct stub_link *link);
 
 /* stub.c: runs fn on the loop's thread with the lock held, and waits until it has run. */
 void stub_call(struct stub *s, void (*fn)(struct stub *s, void *arg), void *arg);
--- a/packages/emul/stub_link.c
+++ b/packages/emul/stub_link.c
@@ -35,6 +35,7 @@
 	struct http_server *store;
 	GPtrArray *ports;  /* struct stub_port */
 	enum stub_cut cut; /* last one for all services; new ports begin with it */
+	bool store_hangs;
 };
 
 enum new_connections { NEW_ACCEPTED, NEW_REFUSED, NEW_UNANSWERED };
@@ -243,3 +244,15 @@
 	pthread_mutex_unlock(&s->lock);
 	stub_call(s, cut_link, &call);
 }
+
+void stub_hang_store(struct stub *s, uint32_t i, bool hangs)
+{
+	pthread_mutex_lock(&s->lock);
+	((struct stub_link *)g_ptr_array_index(s->links, i))->store_hangs = hangs;
+	pthread_mutex_unlock(&s->lock);
+}
+
+bool stub_link_store_hangs(const struct stub_link *link)
+{
+	return link && link->store_hangs;
+}
--- a/packages/emul/stub_store.c
+++ b/packages/emul/stub_store.c
@@ -242,7 +242,7 @@
 	pthread_mutex_lock(&s->lock);
 	if (s->store_fault == STUB_STORE_UNAVAILABLE)
 		answer_status(s, request, 503);
-	else if (s->store_fault == STUB_STORE_HANG)
+	else if (s->store_fault == STUB_STORE_HANG || stub_link_store_hangs(link))
 		(void)request; /* left unanswered */
 	else if (g_str_has_prefix(request->target, "/-/kv-range"))
 		answer_range(s, link, request, g_hash_table_lookup(query, "after"));
@@ -284,7 +284,7 @@
 		struct stub_watch *w = g_ptr_array_index(s->watches, i - 1);
 		bool is_due = w->after < (int64_t)s->log->len || now_ms >= w->until_ms;
 		bool is_cut = s->cut_after_ms > 0 && now_ms - w->began_ms >= s->cut_after_ms;
-		if (!is_due && !is_cut)
+		if ((!is_due && !is_cut) || stub_link_store_hangs(w->link))
 			continue;
 		g_ptr_array_remove_index_fast(s->watches, i - 1);
 		if (is_due)
--- a/packages/peer/include/peer/peer.pb-c.h
+++ b/packages/peer/include/peer/peer.pb-c.h
@@ -1099,10 +1099,15 @@
    */
   size_t n_upstreams;
   char **upstreams;
+  /*
+   * for which it has seen every version, up to its view; 0: unknown
+   */
+  uint32_t followed_ms;
+  uint32_t view_age_ms;
 };
 #define PEER__ORIGIN_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__origin_reply__descriptor) \
-    , 0, NULL, 0,NULL, 0, 0,NULL }
+    , 0, NULL, 0,NULL, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/packages/peer/peer.pb-c.c
+++ b/packages/peer/peer.pb-c.c
@@ -6506,7 +6506,7 @@
   (ProtobufCMessageInit) peer__origin_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__origin_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__origin_reply__field_descriptors[7] =
 {
   {
     "stream",
@@ -6568,18 +6568,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "followed_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OriginReply, followed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OriginReply, view_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__origin_reply__field_indices_by_name[] = {
+  5,   /* field[5] = followed_ms */
   3,   /* field[3] = following */
   1,   /* field[1] = origin */
   0,   /* field[0] = stream */
   4,   /* field[4] = upstreams */
   2,   /* field[2] = versions */
+  6,   /* field[6] = view_age_ms */
 };
 static const ProtobufCIntRange peer__origin_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__origin_reply__descriptor =
 {
@@ -6589,7 +6615,7 @@
   "Peer__OriginReply",
   "peer",
   sizeof(Peer__OriginReply),
-  5,
+  7,
   peer__origin_reply__field_descriptors,
   peer__origin_reply__field_indices_by_name,
   1,  peer__origin_reply__number_ranges,
--- a/packages/serve/srv_feed.c
+++ b/packages/serve/srv_feed.c
@@ -53,9 +53,11 @@
 	bool epoch_unknown_logged;
 	int64_t due_ms;
 	int64_t sent_ms;
-	int64_t wait_ms;	 /* for which the source may hold the pending call */
-	bool was_cut;		 /* the call before the pending one ended without an answer */
-	int64_t read_began_ms;	 /* when the first page of the full read was requested */
+	int64_t wait_ms;       /* for which the source may hold the pending call */
+	bool is_check;	       /* the next call isn't made to wait */
+	bool reads_again;      /* as soon as the pending call has ended, which isn't made to wait */
+	bool was_cut;	       /* the call before the pending one ended without an answer */
+	int64_t read_began_ms; /* when the first page of the full read was requested */
 	int64_t last_success_ms; /* when the last call or news succeeded; 0: none has */
 	struct follow follow;
 	int64_t last_read_ms; /* when the last full read was completed; 0: none was */
@@ -306,6 +308,7 @@
 	}
 	if (changed && feed->has_full_read)
 		srv_chain_view_changed(s);
+	srv_origin_decide_waiting(s);
 }
 
 bool srv_feed_follow(struct srv_feed *feed, const struct follow_news *news, const GArray *changes)
@@ -415,6 +418,9 @@
 	adapter_feed_reply_clear(&reply);
 	/* the next page of a full read, or the first watch after it */
 	now_ms = clock_now_ms();
+	if (feed->reads_again && feed->fails == 0)
+		srv_feed_read_now(feed, now_ms);
+	feed->reads_again = false;
 	if (feed->state == FEED_PAUSED && now_ms >= feed->due_ms)
 		send_call(feed, now_ms);
 }
@@ -434,7 +440,9 @@
 	feed->wait_ms = 0;
 	if (feed->has_full_read) {
 		feed->state = FEED_WATCHING;
-		feed->wait_ms = feed->was_cut || feed->fails > 0 ? CHECK_WAIT_MS : WATCH_MS;
+		feed->wait_ms = feed->is_check || feed->was_cut || feed->fails > 0 ? CHECK_WAIT_MS
+										   : WATCH_MS;
+		feed->is_check = false;
 		target = ops->watch_target(feed->revision, feed->wait_ms);
 	} else {
 		if (!feed->page_start_key) {
@@ -460,6 +468,20 @@
 		fail(feed, "no socket");
 }
 
+bool srv_feed_read_now(struct srv_feed *feed, int64_t now_ms)
+{
+	if (!feed->has_full_read || feed->fails > 0)
+		return false;
+	if (feed->state == FEED_WATCHING && feed->wait_ms == CHECK_WAIT_MS) {
+		feed->reads_again = true;
+		return true;
+	}
+	http_client_cancel(feed->call);
+	feed->is_check = true;
+	send_call(feed, now_ms);
+	return feed->fails == 0;
+}
+
 void srv_feed_tick(struct srv_feed *feed, int64_t now_ms)
 {
 	int64_t limit_ms = feed->was_cut ? CHECK_TIMEOUT_MS : feed->wait_ms + ANSWER_TIMEOUT_MS;
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -57,6 +57,8 @@
 	  "resumptions refused as the version that began the stream is unknown")                   \
 	X(SRV_ORIGIN_NONE_LEFT, "resumptions_none_left_total",                                     \
 	  "streams ended as no upstream of their version is left")                                 \
+	X(SRV_ORIGIN_READS, "origin_reads_total",                                                  \
+	  "resumptions for which the source was read, as one version alone was known")             \
 	X(SRV_ORIGIN_NOTES, "origin_notes_total", "origins of streams sent to other nodes")        \
 	X(SRV_ISOLATIONS, "isolations_total", "times that no upstream could be reached")           \
 	X(SRV_PROBES, "upstream_probes_total",                                                     \
@@ -249,6 +251,12 @@
 /* Returns the time since the last successful call to the source; -1: there was none. */
 int64_t srv_feed_age_ms(const struct srv_feed *feed, int64_t now_ms);
 
+/*
+ * Asks the source at once what has changed; srv_origin_note_read() tells when it has answered.
+ * Returns false if the source is unavailable.
+ */
+bool srv_feed_read_now(struct srv_feed *feed, int64_t now_ms);
+
 /* Returns how far the reading of the source got: its epoch and revision. */
 struct view_revision srv_feed_revision(const struct srv_feed *feed);
 
@@ -480,6 +488,9 @@
 void srv_origin_tick(struct srv *s, int64_t now_ms);
 void srv_origin_message(struct srv *s, const Peer__Message *message);
 
+/* Decides anew on the requests that wait for the source, which has answered. */
+void srv_origin_decide_waiting(struct srv *s);
+
 /* Hands all records to other nodes, when this one stops. */
 void srv_origin_hand_over(struct srv *s, int64_t now_ms);
 
--- a/packages/serve/srv_origin.c
+++ b/packages/serve/srv_origin.c
@@ -160,6 +160,9 @@
 {
 	stream_origin_note_upstreams(s->origins, s->view, now_ms);
 	stream_origin_note_view(s->origins, MAX(sent_ms, now_ms - ANSWER_DELAY_MS), has_history);
+	/* the pages of a full read may be of different moments */
+	if (has_history)
+		stream_origin_note_read(s->origins, sent_ms);
 }
 
 void srv_origin_note_news(struct srv *s, int64_t now_ms)
@@ -308,6 +311,14 @@
 	srv_req_refuse(r, retry_ms, "the version that began the stream is unknown");
 }
 
+/* Returns false if the source can't be read. */
+static bool read_source(struct srv_req *r, int64_t now_ms)
+{
+	r->origin.resumption.read_ms = now_ms;
+	srv_count(r->s, SRV_ORIGIN_READS);
+	return srv_feed_read_now(r->s->feed, now_ms);
+}
+
 static void wait_for_answers(struct srv_req *r)
 {
 	r->origin.is_waiting = true;
@@ -327,6 +338,8 @@
 		ask(r, now_ms);
 		d = stream_origin_decide(s->origins, &r->origin.resumption, s->view, now_ms);
 	}
+	if (d.verdict == STREAM_ORIGIN_READ)
+		d.verdict = read_source(r, now_ms) ? STREAM_ORIGIN_WAIT : STREAM_ORIGIN_UNKNOWN_YET;
 	if (d.verdict == STREAM_ORIGIN_WAIT) {
 		wait_for_answers(r);
 		return;
@@ -364,6 +377,7 @@
 	r->origin.resumption = (struct stream_resumption){
 		.stream = r->meta.resumes ? r->origin.stream : 0,
 		.service = r->service_name,
+		.came_ms = clock_now_ms(),
 	};
 	srv_origin_decide(r);
 }
@@ -383,7 +397,7 @@
 
 int64_t srv_origin_wait_until_ms(const struct srv_req *r)
 {
-	return r->origin.is_waiting ? r->origin.resumption.asked_ms + STREAM_ORIGIN_ASK_MS
+	return r->origin.is_waiting ? stream_origin_wait_until_ms(&r->origin.resumption)
 				    : INT64_MAX;
 }
 
@@ -419,7 +433,11 @@
 	reply.versions = (char **)versions;
 	reply.n_versions = stream_origin_list_versions(s->origins, question->service, versions,
 						       STREAM_ORIGIN_VERSIONS_MAX, now_ms);
-	reply.following = !is_paused(s, now_ms) && stream_origin_is_following(s->origins, now_ms);
+	if (!is_paused(s, now_ms)) {
+		reply.following = stream_origin_is_following(s->origins, now_ms);
+		reply.followed_ms = (uint32_t)stream_origin_followed_ms(s->origins, now_ms);
+		reply.view_age_ms = (uint32_t)(now_ms - stream_origin_as_of_ms(s->origins));
+	}
 	reply.upstreams = (char **)upstreams->pdata;
 	reply.n_upstreams = upstreams->len;
 	if (record) {
@@ -447,7 +465,8 @@
 	struct stream_origin_answer answer = {
 		.versions = reply->versions,
 		.n_versions = (uint32_t)reply->n_versions,
-		.is_following = reply->following,
+		.followed_ms = reply->followed_ms,
+		.view_age_ms = reply->view_age_ms,
 	};
 
 	if (reply->origin) {
@@ -459,6 +478,19 @@
 	srv_origin_decide(r);
 }
 
+void srv_origin_decide_waiting(struct srv *s)
+{
+	GList *waiting = g_hash_table_get_keys(s->resumptions);
+
+	for (GList *at = waiting; at; at = at->next) {
+		struct srv_req *r = at->data;
+		/* an earlier one may have been freed, but frees no other request */
+		if (r->origin.resumption.read_ms > 0)
+			srv_origin_decide(r);
+	}
+	g_list_free(waiting);
+}
+
 static void handle_reply(struct srv *s, const Peer__OriginReply *reply)
 {
 	GList *waiting = g_hash_table_get_keys(s->resumptions);
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -321,6 +321,13 @@
 	return start_cluster(n_nodes, &options);
 }
 
+struct cluster *cluster_new_linked(uint32_t n_nodes, void (*prepare)(struct stub *stub))
+{
+	const struct cluster_options options = {.has_links = true, .prepare = prepare};
+
+	return start_cluster(n_nodes, &options);
+}
+
 void cluster_free(struct cluster *c)
 {
 	for (uint32_t i = 0; i < c->n_nodes; i++) {
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -44,6 +44,9 @@
 
 /* Node i reaches upstreams by link i of the stub, which can be cut. With or without two regions. */
 struct cluster *cluster_new_links(uint32_t n_nodes, bool has_regions);
+
+/* As cluster_new_prepared(), with a link for each node. */
+struct cluster *cluster_new_linked(uint32_t n_nodes, void (*prepare)(struct stub *stub));
 void cluster_free(struct cluster *c);
 
 /* Publishes the test configuration as version, with the text from (NULL: none) replaced by to. */
