Check everything in an entry before it names an upstream

An odd entry of another writer ended nodes built with sanitizers, at each start again, and drew requests that waited for their deadline (report of another operator).

Cause: figures of entries were converted without regard to their range and added to the clock; addresses, ids and figures that no upstream can have were taken for one's.

Change: one check says whether an entry names an upstream, for entries of the source and of other nodes. What fails it is logged and unusable.

Ruled out as causes: nesting of 2,000 and 200,000 levels, open or closed, strings of 600 kB, ports out of range: harmless on the code before.

--- a/packages/model/include/model/pub_check.h
+++ b/packages/model/include/model/pub_check.h
@@ -10,4 +10,10 @@
  */
 GPtrArray *pub_check(const struct pub_doc *doc);
 
+/*
+ * Returns why an entry names no upstream that can be used, borrowed; NULL: it names one. Entries
+ * come from other writers and other nodes too, so that everything in them is checked.
+ */
+const char *pub_upstream_fault(const struct pub_upstream *u);
+
 #endif
--- a/packages/model/pub_check.c
+++ b/packages/model/pub_check.c
@@ -1,8 +1,16 @@
 /* Validation of published configurations. */
 #include "model/pub_check.h"
 
+#include "base/fetch.h"
+
+#include <arpa/inet.h>
 #include <string.h>
 
+#define HOST_BYTES 64
+#define SLOTS_MAX 1000000
+#define COLD_MAX_MS 86400000	    /* a day */
+#define BORN_MAX_MS 253402300799999 /* the last moment of the year 9999 */
+
 static void add_fault(GPtrArray *faults, const char *reason, const char *kind, const char *item)
 {
 	char *text = g_strdup_printf("%s %s: ", kind, item);
@@ -89,3 +97,43 @@
 	check_accounts(doc, faults);
 	return faults;
 }
+
+static bool is_address(const char *text)
+{
+	char host[HOST_BYTES];
+	struct in_addr parsed;
+	uint16_t port;
+
+	return fetch_split_address(text, host, sizeof(host), &port) && port > 0 &&
+	       inet_pton(AF_INET, host, &parsed) == 1;
+}
+
+/* Ids are sent in header fields. */
+static bool is_id(const char *text)
+{
+	for (const char *at = text; *at; at++) {
+		if (g_ascii_iscntrl(*at) || g_ascii_isspace(*at))
+			return false;
+	}
+	return *text != '\0';
+}
+
+static bool is_within(int64_t value, int64_t max)
+{
+	return value >= 0 && value <= max;
+}
+
+const char *pub_upstream_fault(const struct pub_upstream *u)
+{
+	if (!is_id(u->id))
+		return "the id is empty or has spaces or control characters";
+	if (!is_address(u->address))
+		return "the address is not an IPv4 address with a port";
+	if (!is_within(u->slots, SLOTS_MAX))
+		return "the number of slots is out of range";
+	if (!is_within(u->cold_left_ms, COLD_MAX_MS))
+		return "the rest of the cold start is out of range";
+	if (!is_within(u->born_ms, BORN_MAX_MS) || u->sequence < 0)
+		return "the time of the start or the sequence is out of range";
+	return NULL;
+}
--- a/packages/serve/srv_follow.c
+++ b/packages/serve/srv_follow.c
@@ -131,7 +131,8 @@
 			.revision = news->upstreams[i]->revision,
 			.upstream = srv_snapshot_decode(news->upstreams[i]),
 		};
-		g_array_append_val(changes, change);
+		if (change.upstream)
+			g_array_append_val(changes, change);
 	}
 	for (size_t i = 0; i < news->n_removed; i++) {
 		const struct adapter_change change = {
--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -275,7 +275,10 @@
 		     const GArray *changes, int64_t now_ms);
 void srv_follow_message(struct srv *s, const char *from, const Peer__PublishedNews *wire);
 
-/* Entries of upstreams on the wire. The encoded one borrows from doc; free the decoded one. */
+/*
+ * Entries of upstreams on the wire. The encoded one borrows from doc; free the decoded one, which
+ * is NULL if the entry names no upstream that can be used.
+ */
 void srv_snapshot_encode(Peer__PublishedUpstream *out, const struct pub_upstream *doc,
 			 int64_t cold_left_ms, struct view_revision revision);
 struct pub_upstream *srv_snapshot_decode(const Peer__PublishedUpstream *in);
--- a/packages/serve/srv_snapshot.c
+++ b/packages/serve/srv_snapshot.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "model/pub_check.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -89,6 +90,7 @@
 struct pub_upstream *srv_snapshot_decode(const Peer__PublishedUpstream *in)
 {
 	struct pub_upstream *doc = g_new0(struct pub_upstream, 1);
+	const char *fault;
 
 	doc->id = g_strdup(in->id);
 	doc->service = g_strdup(in->service);
@@ -100,7 +102,13 @@
 	doc->slots = in->slots;
 	doc->born_ms = in->born_ms;
 	doc->sequence = in->sequence;
-	return doc;
+	fault = pub_upstream_fault(doc);
+	if (!fault)
+		return doc;
+	log_warn("entry_unreadable", "{s:s, s:s, s:I}", "id", doc->id, "reason", fault, "revision",
+		 (json_int_t)in->revision);
+	pub_upstream_free(doc);
+	return NULL;
 }
 
 static void send_snapshot(struct srv *s, const char *requester)
@@ -145,8 +153,12 @@
 static void apply_upstream(struct srv *s, const Peer__PublishedUpstream *in, int64_t now_ms)
 {
 	const struct view_revision revision = {.epoch = in->epoch, .number = in->revision};
+	struct pub_upstream *doc = srv_snapshot_decode(in);
 
-	srv_origin_put_upstream(s, srv_snapshot_decode(in), revision, now_ms);
+	if (doc)
+		srv_origin_put_upstream(s, doc, revision, now_ms);
+	else
+		view_remove_upstream(s->view, in->id, revision, now_ms);
 }
 
 static gint compare_ids(gconstpointer a, gconstpointer b)
--- a/tests/unit_published.c
+++ b/tests/unit_published.c
@@ -292,8 +292,13 @@
 END_TEST
 
 #define ENTRY(version)                                                                             \
-	"{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":1,"   \
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","        \
+	"\"slots\":1,"                                                                             \
 	"\"coldLeftMs\":0" version "}"
+#define ENTRY_AT(address, slots, cold)                                                             \
+	"{\"service\":\"s\",\"address\":\"" address                                                \
+	"\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":" slots ",\"coldLeftMs\":" cold           \
+	",\"version\":\"v2\"}"
 
 static const struct {
 	const char *text;
@@ -305,8 +310,27 @@
 	{ENTRY(",\"version\":2"), NULL},
 	{ENTRY(",\"version\":null"), NULL},
 	{ENTRY(",\"version\":[\"v2\"]"), NULL},
+	{ENTRY(",\"version\":\"v2\",\"born\":1789787999624,\"sequence\":4"), "v2"},
+	{ENTRY(",\"version\":\"v2\",\"born\":1e300"), NULL},
+	{ENTRY(",\"version\":\"v2\",\"born\":-1"), NULL},
+	{ENTRY(",\"version\":\"v2\",\"born\":\"1\""), NULL},
+	{ENTRY(",\"version\":\"v2\",\"sequence\":-9223372036854775808"), NULL},
+	{ENTRY(",\"version\":\"v2\",\"sequence\":[]"), NULL},
+	{ENTRY_AT("10.0.0.1:65535", "1000000", "2500.5"), "v2"},
+	{ENTRY_AT("10.0.0.1:65536", "1", "0"), NULL},
+	{ENTRY_AT("10.0.0.1:0", "1", "0"), NULL},
+	{ENTRY_AT("10.0.0.1", "1", "0"), NULL},
+	{ENTRY_AT("10.0.0.256:1", "1", "0"), NULL},
+	{ENTRY_AT("h:1", "1", "0"), NULL},
+	{ENTRY_AT("10.0.0.1:1\\r\\n", "1", "0"), NULL},
+	{ENTRY_AT("10.0.0.1:1", "1e300", "0"), NULL},
+	{ENTRY_AT("10.0.0.1:1", "9223372036854775807", "0"), NULL},
+	{ENTRY_AT("10.0.0.1:1", "-1", "0"), NULL},
+	{ENTRY_AT("10.0.0.1:1", "1", "9223372036854775807"), NULL},
+	{ENTRY_AT("10.0.0.1:1", "1", "-1e300"), NULL},
 };
 
+/* Guards against entries of other writers that end nodes, or draw work to nowhere. */
 START_TEST(entries)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(entry_cases); i++) {
