Read everything anew after a watch whose answer is too long

Cause: the answer to a watch holds all changes since the last one.

Change: such a watch is followed by a full read, in pages that the source bounds. The source isn't counted as lost meanwhile.

Test: proc_odd_entries/large_changes failed before (a new route is unknown) and passes now.

--- a/packages/serve/srv_feed.c
+++ b/packages/serve/srv_feed.c
@@ -364,6 +364,37 @@
 
 static void send_call(struct srv_feed *feed, int64_t now_ms);
 
+static const char *reason_of(enum http_client_result end)
+{
+	switch (end) {
+	case HTTP_CLIENT_NOT_SENT:
+		return "no connection";
+	case HTTP_CLIENT_MALFORMED:
+		return "malformed or too long answer";
+	default:
+		return "connection broken";
+	}
+}
+
+/*
+ * Handles an answer that can't be read. A watch would get it again: it may be too long because of
+ * many large changes. So everything is read anew, in pages.
+ */
+static void handle_unreadable(struct srv_feed *feed, const char *reason)
+{
+	int64_t now_ms = clock_now_ms();
+
+	if (feed->state != FEED_WATCHING) {
+		fail(feed, reason);
+		return;
+	}
+	log_warn("source_changes_unreadable", "{s:s, s:I, s:I, s:I}", "reason", reason, "epoch",
+		 (json_int_t)feed->epoch, "revision", (json_int_t)feed->revision, "bytes",
+		 (json_int_t)feed->body->len);
+	begin_full_read(feed, now_ms);
+	pause_until(feed, now_ms + RETRY_MS);
+}
+
 /* Asks again after a call that was cut. Returns false if the source has to count as lost. */
 static bool ask_again(struct srv_feed *feed)
 {
@@ -394,11 +425,15 @@
 	feed->call = NULL;
 	if (end == HTTP_CLIENT_BROKEN && ask_again(feed))
 		return;
+	feed->was_cut = false;
+	if (end == HTTP_CLIENT_MALFORMED) {
+		handle_unreadable(feed, reason_of(end));
+		return;
+	}
 	if (end != HTTP_CLIENT_DONE) {
-		fail(feed, end == HTTP_CLIENT_NOT_SENT ? "no connection" : "connection broken");
+		fail(feed, reason_of(end));
 		return;
 	}
-	feed->was_cut = false;
 	switch (feed->s->adapter->feed->read_reply(&answer, &reply)) {
 	case ADAPTER_FEED_OK:
 		handle_reply(feed, &reply);
@@ -412,7 +447,7 @@
 		fail(feed, "refused");
 		break;
 	case ADAPTER_FEED_MALFORMED:
-		fail(feed, "malformed answer");
+		handle_unreadable(feed, "malformed answer");
 		break;
 	}
 	adapter_feed_reply_clear(&reply);
--- a/tests/proc_odd_entries.c
+++ b/tests/proc_odd_entries.c
@@ -260,6 +260,29 @@
 }
 END_TEST
 
+#define LARGE 24 /* entries of LONG_BYTES, which no single answer can hold */
+
+/* Guards against nodes that ask for ever for changes that are too many for one answer. */
+START_TEST(large_changes)
+{
+	char *name = g_strnfill(LONG_BYTES, 'n');
+	char *fields = g_strdup_printf("ADDRESS,\"state\":\"odd\",\"more\":\"%s\"", name);
+	char *text = entry_text("plain", fields);
+
+	stub_set_store_fault(c->stub, STUB_STORE_UNAVAILABLE);
+	for (int i = 0; i < LARGE; i++) {
+		char *id = g_strdup_printf("long-%d", i);
+		put(id, text);
+		g_free(id);
+	}
+	stub_set_store_fault(c->stub, STUB_STORE_OK);
+	expect_sound(20);
+	g_free(text);
+	g_free(fields);
+	g_free(name);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("proc_odd_entries");
@@ -271,6 +294,7 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, odd_entries);
 	tcase_add_test(tcase, odd_entry_replaces);
+	tcase_add_test(tcase, large_changes);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
