--- a/packages/serve/srv_int.h
+++ b/packages/serve/srv_int.h
@@ -248,6 +248,9 @@
 void srv_feed_free(struct srv_feed *feed);
 void srv_feed_tick(struct srv_feed *feed, int64_t now_ms);
 
+/* srv_feed_apply.c: applies changes, in this order. Returns whether any affects routing. */
+bool srv_feed_apply(struct srv *s, GArray *changes, int64_t now_ms);
+
 /* Returns the time since the last successful call to the source; -1: there was none. */
 int64_t srv_feed_age_ms(const struct srv_feed *feed, int64_t now_ms);
 
@@ -267,7 +270,7 @@
  * Applies news of the source that another node has read; changes are struct adapter_change in the
  * order of their revisions. Returns false if the node has to read the source itself.
  */
-bool srv_feed_follow(struct srv_feed *feed, const struct follow_news *news, const GArray *changes);
+bool srv_feed_follow(struct srv_feed *feed, const struct follow_news *news, GArray *changes);
 
 /* srv_follow.c: tells the region's other nodes what the source has said, or follows what is told.
  */
