Bound the time for which a node says it has followed the source

It is 32 bits of milliseconds on the wire, which 50 days overflow: a node that runs for so long would not have vouched for the only version. Found by reading. No test runs for 50 days; unit_stream_origin passes.

--- a/packages/decide/include/decide/stream_origin.h
+++ b/packages/decide/include/decide/stream_origin.h
@@ -174,7 +174,10 @@
 	int64_t view_age_ms;
 };
 
-/* Returns for how long up to the view every version was seen; 0: the view isn't fresh. */
+/*
+ * Returns for how long up to the view every version was seen, STREAM_ORIGIN_KEEP_MS at most; 0: the
+ * view isn't fresh.
+ */
 int64_t stream_origin_followed_ms(const struct stream_origin *o, int64_t now_ms);
 
 /*
--- a/packages/decide/stream_origin.c
+++ b/packages/decide/stream_origin.c
@@ -153,7 +153,9 @@
 
 int64_t stream_origin_followed_ms(const struct stream_origin *o, int64_t now_ms)
 {
-	return stream_origin_is_fresh(o, now_ms) ? o->as_of_ms - o->followed_since_ms : 0;
+	int64_t followed_ms = o->as_of_ms - o->followed_since_ms;
+
+	return stream_origin_is_fresh(o, now_ms) ? CLAMP(followed_ms, 0, STREAM_ORIGIN_KEEP_MS) : 0;
 }
 
 bool stream_origin_is_following(const struct stream_origin *o, int64_t now_ms)
