Log why no version was certain for a stream that was taken up

A caller hears "the version that began the stream is unknown"; the line request didn't tell whether several versions were known, what was before the node's start, or the source's silence. New line resumption_unknown with the inputs of the decision. version_left_before_restart looks for it (no such line before).

--- a/packages/serve/srv_origin.c
+++ b/packages/serve/srv_origin.c
@@ -305,8 +305,29 @@
 		srv_peer_send(r->s, asked[i], &message);
 }
 
+/* Logs what was known when no version could be told for certain. */
+static void log_unknown(const struct srv_req *r, int64_t now_ms)
+{
+	const struct stream_resumption *resumption = &r->origin.resumption;
+	const struct stream_origin *o = r->s->origins;
+	const char *versions[STREAM_ORIGIN_VERSIONS_MAX];
+
+	log_info("resumption_unknown", "{s:s, s:s, s:s, s:i, s:I, s:b, s:b, s:I, s:i, s:i}",
+		 "request", r->meta.attempt, "resumes", r->meta.resumes ? r->meta.resumes : "",
+		 "service", r->service_name, "versions",
+		 (int)stream_origin_list_versions(o, r->service_name, versions,
+						  STREAM_ORIGIN_VERSIONS_MAX, now_ms),
+		 "followed_ms", (json_int_t)stream_origin_followed_ms(o, now_ms), "vouched_for",
+		 (int)resumption->is_vouched_for, "uncertain", (int)resumption->is_uncertain,
+		 "read_ms_ago",
+		 (json_int_t)(resumption->read_ms > 0 ? now_ms - resumption->read_ms : -1),
+		 "nodes_asked", (int)resumption->asked, "nodes_answered",
+		 (int)resumption->answered);
+}
+
 static void refuse_unknown(struct srv_req *r, int64_t retry_ms)
 {
+	log_unknown(r, clock_now_ms());
 	srv_count(r->s, SRV_ORIGIN_UNKNOWN);
 	srv_req_refuse(r, retry_ms, "the version that began the stream is unknown");
 }
--- a/tests/proc_versions.c
+++ b/tests/proc_versions.c
@@ -499,6 +499,21 @@
 }
 END_TEST
 
+/* Stops a node and returns whether its log has the event. */
+static bool has_logged(uint32_t node, const char *event)
+{
+	char *path = g_strdup_printf("%s/node-%u.log", c->dir, node);
+	char *text = NULL;
+	bool found;
+
+	cluster_signal(c, node, SIGTERM);
+	g_file_get_contents(path, &text, NULL, NULL);
+	found = text && strstr(text, event);
+	g_free(text);
+	g_free(path);
+	return found;
+}
+
 /* Guards against streams of two versions when the first one leaves before all nodes are killed. */
 START_TEST(version_left_before_restart)
 {
@@ -512,6 +527,7 @@
 	clock_sleep_ms(IN_TOUCH_MS);
 	take_up(ALL_NODES);
 	expect(NULL, REFUSED, "at the later version");
+	ck_assert(has_logged(1, "\"event\":\"resumption_unknown\""));
 }
 END_TEST
 
